Add the state layer

Cause: job IDs, fencing tokens and start records decide what may run. Conclusion: the ledger refuses second starts, stale tokens and expired jobs.

--- /dev/null
+++ b/src/state/boost_json.cpp
@@ -0,0 +1,3 @@
+// The only translation unit that compiles the implementation of Boost.JSON,
+// because the Debian package is used as a header library.
+#include <boost/json/src.hpp>
--- /dev/null
+++ b/src/state/process_id.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace greengage::state {
+
+/**
+ * Identity of one run of one process. A restarted process has a new identity,
+ * even on the same address, because its memory is lost.
+ */
+struct ProcessId
+{
+  std::uint64_t high = 0;
+  std::uint64_t low = 0;
+
+  auto operator<=>(const ProcessId&) const = default;
+
+  /** 32 lower-case hexadecimal digits. */
+  std::string ToString() const;
+
+  /** Parses the form of ToString(); empty if it is malformed. */
+  static std::optional<ProcessId> Parse(std::string_view aText);
+};
+
+}
+
+template<>
+struct std::hash<greengage::state::ProcessId>
+{
+  std::size_t operator()(const greengage::state::ProcessId& aId) const noexcept
+  {
+    return aId.high ^ (aId.low * 0x9e3779b97f4a7c15ULL);
+  }
+};
--- /dev/null
+++ b/tests/state/start_ledger_test.cpp
@@ -0,0 +1,65 @@
+#include "state/start_ledger.h"
+
+#include <gtest/gtest.h>
+
+namespace greengage::state {
+namespace {
+
+constexpr WallTime kNow(std::chrono::hours(24 * 365 * 50));
+constexpr OwnershipToken kOld{ 3, 0 };
+constexpr OwnershipToken kNew{ 3, 1 };
+
+TaskRecord
+MakeRecord(WallTime aCreated = kNow)
+{
+  TaskRecord record;
+  record.key = { "org", JobId::Create(aCreated, 1, 2) };
+  return record;
+}
+
+// Guards against a second start of a task when a start message is repeated.
+TEST(StartLedgerTest, RefusesSecondStartOfATask)
+{
+  StartLedger ledger(1000);
+  EXPECT_EQ(ledger.TryStart(0, kOld, MakeRecord(), kNow), RefusalCode::eNone);
+  EXPECT_EQ(ledger.TryStart(0, kOld, MakeRecord(), kNow),
+            RefusalCode::eDuplicateStart);
+}
+
+// Guards against starts by an owner that was replaced.
+TEST(StartLedgerTest, RefusesOlderTokenOfTheSameShardOnly)
+{
+  StartLedger ledger(1000);
+  EXPECT_TRUE(ledger.AcceptToken(0, kNew));
+  EXPECT_EQ(ledger.TryStart(0, kOld, MakeRecord(), kNow),
+            RefusalCode::eStaleToken);
+  EXPECT_EQ(ledger.TryStart(1, kOld, MakeRecord(), kNow), RefusalCode::eNone);
+}
+
+// Guards against a start whose earlier record may have expired.
+TEST(StartLedgerTest, RefusesExpiredJobs)
+{
+  StartLedger ledger(1000);
+  auto record = MakeRecord(kNow - kJobMemory - std::chrono::milliseconds(1));
+  EXPECT_EQ(ledger.TryStart(0, kOld, record, kNow), RefusalCode::eJobIdExpired);
+}
+
+// Guards against unbounded memory: jobs and results must go.
+TEST(StartLedgerTest, DropsExpiredJobsAndOldResults)
+{
+  StartLedger ledger(10);
+  auto record = MakeRecord();
+  ASSERT_EQ(ledger.TryStart(0, kOld, record, kNow), RefusalCode::eNone);
+  record.taskState = TaskState::eSucceeded;
+  record.body = "01234567890";
+  ASSERT_TRUE(ledger.Finish(record));
+  EXPECT_EQ(ledger.ResultBytes(), 0u);
+  ASSERT_EQ(ledger.Records(record.key).size(), 1u);
+  EXPECT_EQ(ledger.Records(record.key)[0].code,
+            RefusalCode::eResultUnavailable);
+  ledger.Expire(kNow + kJobMemory + kClockMargin + std::chrono::seconds(1));
+  EXPECT_EQ(ledger.JobCount(), 0u);
+}
+
+}
+}
