Add the coordination messages and the protocol layer

Cause: decisions must stay apart from the encoding of messages. Conclusion: base for the full recovery and placement logic.

--- /dev/null
+++ b/src/coordination/messages.h
@@ -0,0 +1,264 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "state/job_outcome.h"
+#include "state/job_spec.h"
+#include "state/ownership_token.h"
+#include "state/process_id.h"
+#include "state/task_record.h"
+
+/** Messages between the system's processes, free of any encoding. */
+namespace greengage::coordination {
+
+enum class ProcessRole : std::uint8_t
+{
+  eEntry,
+  eAgent,
+};
+
+/** Where a process is and what it offers. */
+struct ProcessInfo
+{
+  state::ProcessId id;
+  ProcessRole role = ProcessRole::eEntry;
+  /** `ip:port` of the TCP listener for peers. */
+  std::string peerAddress;
+  std::string dataCentre;
+  std::string rack;
+  /** Capacity of the backend server; zero for entries. */
+  std::uint32_t slots = 0;
+  std::uint32_t memoryMb = 0;
+  std::uint32_t accelerators = 0;
+  bool draining = false;
+
+  auto operator<=>(const ProcessInfo&) const = default;
+};
+
+/** An agent that an owner may have started tasks on. */
+struct AgentInUse
+{
+  ProcessInfo process;
+  /** When the owner stopped using it; empty while it is in use. */
+  std::optional<state::WallTime> goneSince;
+
+  auto operator<=>(const AgentInUse&) const = default;
+};
+
+/** First message on every connection. */
+struct Hello
+{
+  ProcessInfo process;
+  bool operator==(const Hello&) const = default;
+};
+
+/** Entry to owner: run this job, or attach to it if it is known. */
+struct SubmitJob
+{
+  /** Chosen by the entry; the answer carries it back. */
+  std::uint64_t submission = 0;
+  state::JobSpec spec;
+  bool operator==(const SubmitJob&) const = default;
+};
+
+/** Owner to entry: the answer to SubmitJob, QueryJob or CancelJob. */
+struct JobAnswer
+{
+  std::uint64_t submission = 0;
+  state::JobKey key;
+  state::JobOutcome outcome;
+  bool operator==(const JobAnswer&) const = default;
+};
+
+/** Entry to owner: what became of this job? */
+struct QueryJob
+{
+  std::uint64_t submission = 0;
+  state::JobKey key;
+  bool operator==(const QueryJob&) const = default;
+};
+
+/** Entry to owner: stop this job. */
+struct CancelJob
+{
+  std::uint64_t submission = 0;
+  state::JobKey key;
+  bool operator==(const CancelJob&) const = default;
+};
+
+/** One task to start. */
+struct TaskStart
+{
+  state::JobKey key;
+  std::uint32_t task = 0;
+  std::uint32_t attempt = 0;
+  std::string templateName;
+  std::string payload;
+  std::chrono::milliseconds timeout{ 0 };
+  bool operator==(const TaskStart&) const = default;
+};
+
+/** Owner to agent: start these tasks now. */
+struct StartTasks
+{
+  state::ProcessId agent;
+  std::uint32_t shard = 0;
+  state::OwnershipToken token;
+  std::vector<TaskStart> tasks;
+  bool operator==(const StartTasks&) const = default;
+};
+
+/** Agent to owner: ends and refusals of tasks. */
+struct TaskResults
+{
+  std::uint32_t shard = 0;
+  state::ProcessId agent;
+  std::vector<state::TaskRecord> records;
+  bool operator==(const TaskResults&) const = default;
+};
+
+/** Owner to agent: stop the tasks of these jobs. */
+struct CancelTasks
+{
+  state::ProcessId agent;
+  std::uint32_t shard = 0;
+  state::OwnershipToken token;
+  std::vector<state::JobKey> keys;
+  bool operator==(const CancelTasks&) const = default;
+};
+
+/** New owner to agent: refuse every older token from now on. */
+struct Fence
+{
+  state::ProcessId agent;
+  std::uint32_t shard = 0;
+  state::OwnershipToken token;
+  bool operator==(const Fence&) const = default;
+};
+
+/** Agent to owner: the highest token it accepts. */
+struct FenceReply
+{
+  state::ProcessId agent;
+  std::uint32_t shard = 0;
+  state::OwnershipToken token;
+  bool operator==(const FenceReply&) const = default;
+};
+
+/** Owner to agent: what do you know of these jobs? Fences as well. */
+struct HistoryQuery
+{
+  state::ProcessId agent;
+  std::uint32_t shard = 0;
+  state::OwnershipToken token;
+  std::uint64_t query = 0;
+  std::vector<state::JobKey> keys;
+  bool operator==(const HistoryQuery&) const = default;
+};
+
+/** Agent to owner: all records of the jobs asked for. */
+struct HistoryReply
+{
+  state::ProcessId agent;
+  std::uint32_t shard = 0;
+  /** Highest token at the agent; the reply is void if it is not the asker's. */
+  state::OwnershipToken token;
+  std::uint64_t query = 0;
+  std::vector<state::TaskRecord> records;
+  bool operator==(const HistoryReply&) const = default;
+};
+
+/** Agent to entries: state of the backend server. */
+struct AgentStatus
+{
+  ProcessInfo process;
+  std::uint32_t runningTasks = 0;
+  bool operator==(const AgentStatus&) const = default;
+};
+
+/** Owner or candidate to group member: grant or renew the lease. */
+struct LeaseRequest
+{
+  std::uint32_t shard = 0;
+  state::OwnershipToken token;
+  std::uint64_t sequence = 0;
+  /** Agents the owner wants to use; it may once a majority acknowledged. */
+  std::vector<AgentInUse> newAgents;
+  /** True for a candidate that needs the members' list of agents. */
+  bool wantAgents = false;
+  bool operator==(const LeaseRequest&) const = default;
+};
+
+/** Group member to owner or candidate. */
+struct LeaseReply
+{
+  state::ProcessId member;
+  std::uint32_t shard = 0;
+  state::OwnershipToken token;
+  std::uint64_t sequence = 0;
+  bool granted = false;
+  /** Highest token promised by this member. */
+  state::OwnershipToken promised;
+  /** How long its last grant to an older token may still be in use. */
+  std::chrono::milliseconds olderGrantRemaining{ 0 };
+  std::vector<AgentInUse> agents;
+  bool operator==(const LeaseReply&) const = default;
+};
+
+/** Owner to everybody: where to send the jobs of a shard. */
+struct OwnerAnnouncement
+{
+  std::uint32_t shard = 0;
+  state::OwnershipToken token;
+  ProcessInfo owner;
+  bool operator==(const OwnerAnnouncement&) const = default;
+};
+
+/** Asks a peer for configuration records from a version on. */
+struct ConfigurationPull
+{
+  std::uint64_t fromVersion = 0;
+  bool operator==(const ConfigurationPull&) const = default;
+};
+
+/** One record of the platform's log. */
+struct ConfigurationRecord
+{
+  std::uint64_t offset = 0;
+  std::string data;
+  auto operator<=>(const ConfigurationRecord&) const = default;
+};
+
+/** Reply to ConfigurationPull: live records up to a version. */
+struct ConfigurationRecords
+{
+  std::uint64_t version = 0;
+  std::vector<ConfigurationRecord> records;
+  bool operator==(const ConfigurationRecords&) const = default;
+};
+
+using PeerMessage = std::variant<Hello,
+                                 SubmitJob,
+                                 JobAnswer,
+                                 QueryJob,
+                                 CancelJob,
+                                 StartTasks,
+                                 TaskResults,
+                                 CancelTasks,
+                                 Fence,
+                                 FenceReply,
+                                 HistoryQuery,
+                                 HistoryReply,
+                                 AgentStatus,
+                                 LeaseRequest,
+                                 LeaseReply,
+                                 OwnerAnnouncement,
+                                 ConfigurationPull,
+                                 ConfigurationRecords>;
+
+}
--- /dev/null
+++ b/src/protocol/peer.capnp
@@ -0,0 +1,126 @@
+@0xc5b3d0f1a2e49d37;
+
+# Messages between the system's processes. Field meanings are documented in
+# src/coordination/messages.h. Fields are only ever added, never renumbered.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("greengage::protocol::wire");
+
+struct ProcessId { high @0 :UInt64; low @1 :UInt64; }
+struct Token { epoch @0 :UInt64; term @1 :UInt64; }
+struct JobKey { organisation @0 :Text; high @1 :UInt64; low @2 :UInt64; }
+
+struct ProcessInfo {
+  id @0 :ProcessId;
+  role @1 :UInt8;
+  peerAddress @2 :Text;
+  dataCentre @3 :Text;
+  rack @4 :Text;
+  slots @5 :UInt32;
+  memoryMb @6 :UInt32;
+  accelerators @7 :UInt32;
+  draining @8 :Bool;
+}
+
+struct JobSpec {
+  key @0 :JobKey;
+  templateName @1 :Text;
+  payloads @2 :List(Text);
+  deadlineMs @3 :UInt32;
+  urgency @4 :UInt8;
+  idempotent @5 :Bool;
+}
+
+struct JobOutcome {
+  complete @0 :Bool;
+  results @1 :List(Text);
+  code @2 :UInt16;
+  run @3 :UInt8;
+  message @4 :Text;
+  retryAfterMs @5 :UInt32;
+}
+
+struct TaskRecord {
+  key @0 :JobKey;
+  task @1 :UInt32;
+  attempt @2 :UInt32;
+  taskState @3 :UInt8;
+  code @4 :UInt16;
+  body @5 :Text;
+  runTimeUs @6 :UInt64;
+}
+
+struct TaskStart {
+  key @0 :JobKey;
+  task @1 :UInt32;
+  attempt @2 :UInt32;
+  templateName @3 :Text;
+  payload @4 :Text;
+  timeoutMs @5 :UInt32;
+}
+
+struct AgentInUse {
+  process @0 :ProcessInfo;
+  goneSinceMs @1 :Int64;
+}
+
+struct SubmitJob { submission @0 :UInt64; spec @1 :JobSpec; }
+struct JobAnswer { submission @0 :UInt64; key @1 :JobKey; outcome @2 :JobOutcome; }
+struct JobReference { submission @0 :UInt64; key @1 :JobKey; }
+struct StartTasks { agent @0 :ProcessId; shard @1 :UInt32; token @2 :Token; tasks @3 :List(TaskStart); }
+struct TaskResults { shard @0 :UInt32; agent @1 :ProcessId; records @2 :List(TaskRecord); }
+struct CancelTasks { agent @0 :ProcessId; shard @1 :UInt32; token @2 :Token; keys @3 :List(JobKey); }
+struct Fence { agent @0 :ProcessId; shard @1 :UInt32; token @2 :Token; }
+struct FenceReply { agent @0 :ProcessId; shard @1 :UInt32; token @2 :Token; }
+struct HistoryQuery { agent @0 :ProcessId; shard @1 :UInt32; token @2 :Token; query @3 :UInt64; keys @4 :List(JobKey); }
+struct HistoryReply { agent @0 :ProcessId; shard @1 :UInt32; token @2 :Token; query @3 :UInt64; records @4 :List(TaskRecord); }
+struct AgentStatus { process @0 :ProcessInfo; runningTasks @1 :UInt32; }
+
+struct LeaseRequest {
+  shard @0 :UInt32;
+  token @1 :Token;
+  sequence @2 :UInt64;
+  newAgents @3 :List(AgentInUse);
+  wantAgents @4 :Bool;
+}
+
+struct LeaseReply {
+  member @0 :ProcessId;
+  shard @1 :UInt32;
+  token @2 :Token;
+  sequence @3 :UInt64;
+  granted @4 :Bool;
+  promised @5 :Token;
+  olderGrantRemainingMs @6 :UInt32;
+  agents @7 :List(AgentInUse);
+}
+
+struct OwnerAnnouncement { shard @0 :UInt32; token @1 :Token; owner @2 :ProcessInfo; }
+struct ConfigurationPull { fromVersion @0 :UInt64; }
+struct ConfigurationRecord { offset @0 :UInt64; data @1 :Text; }
+struct ConfigurationRecords { version @0 :UInt64; records @1 :List(ConfigurationRecord); }
+
+struct Message {
+  union {
+    hello @0 :ProcessInfo;
+    submitJob @1 :SubmitJob;
+    jobAnswer @2 :JobAnswer;
+    queryJob @3 :JobReference;
+    cancelJob @4 :JobReference;
+    startTasks @5 :StartTasks;
+    taskResults @6 :TaskResults;
+    cancelTasks @7 :CancelTasks;
+    fence @8 :Fence;
+    fenceReply @9 :FenceReply;
+    historyQuery @10 :HistoryQuery;
+    historyReply @11 :HistoryReply;
+    agentStatus @12 :AgentStatus;
+    leaseRequest @13 :LeaseRequest;
+    leaseReply @14 :LeaseReply;
+    ownerAnnouncement @15 :OwnerAnnouncement;
+    configurationPull @16 :ConfigurationPull;
+    configurationRecords @17 :ConfigurationRecords;
+  }
+}
+
+struct Frame { messages @0 :List(Message); }
--- /dev/null
+++ b/src/protocol/peer_codec.cpp
@@ -0,0 +1,71 @@
+#include "protocol/peer_codec.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <kj/exception.h>
+
+#include "protocol/peer_decode.h"
+#include "protocol/peer_encode.h"
+
+namespace greengage::protocol {
+
+namespace {
+
+// Enough for a frame of kMaxFrameBytes; stops hostile pointer loops.
+constexpr std::uint64_t kTraversalLimitWords = kMaxFrameBytes / 8 * 4;
+constexpr int kNestingLimit = 16;
+
+}
+
+std::string
+EncodeFrame(const std::vector<coordination::PeerMessage>& aMessages)
+{
+  ::capnp::MallocMessageBuilder builder;
+  auto messages = builder.initRoot<wire::Frame>().initMessages(
+    static_cast<unsigned>(aMessages.size()));
+  for (unsigned i = 0; i < aMessages.size(); ++i) {
+    EncodeMessage(aMessages[i], messages[i]);
+  }
+  kj::Array<::capnp::word> words = ::capnp::messageToFlatArray(builder);
+  auto bytes = words.asChars();
+  return std::string(bytes.begin(), bytes.size());
+}
+
+tl::expected<std::vector<coordination::PeerMessage>, ProtocolError>
+DecodeFrame(std::span<const std::byte> aBody)
+{
+  if (aBody.size() > kMaxFrameBytes) {
+    return tl::unexpected(ProtocolError{ "", "frame is too large" });
+  }
+  if (aBody.empty() || aBody.size() % sizeof(::capnp::word) != 0) {
+    return tl::unexpected(
+      ProtocolError{ "", "frame is not a whole number of words" });
+  }
+  // The reader needs aligned words; network buffers are not aligned.
+  kj::Array<::capnp::word> words =
+    kj::heapArray<::capnp::word>(aBody.size() / sizeof(::capnp::word));
+  std::copy_n(aBody.data(),
+              aBody.size(),
+              reinterpret_cast<std::byte*>(words.asBytes().begin()));
+  ::capnp::ReaderOptions options;
+  options.traversalLimitInWords = kTraversalLimitWords;
+  options.nestingLimit = kNestingLimit;
+  // Cap'n Proto reports malformed input by exceptions; they end here.
+  try {
+    ::capnp::FlatArrayMessageReader reader(words, options);
+    std::vector<coordination::PeerMessage> messages;
+    for (auto message : reader.getRoot<wire::Frame>().getMessages()) {
+      auto decoded = DecodeMessage(message);
+      if (!decoded) {
+        return tl::unexpected(decoded.error());
+      }
+      messages.push_back(*std::move(decoded));
+    }
+    return messages;
+  } catch (const kj::Exception& exception) {
+    return tl::unexpected(
+      ProtocolError{ "", exception.getDescription().cStr() });
+  }
+}
+
+}
--- /dev/null
+++ b/src/protocol/peer_codec.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstddef>
+#include <span>
+#include <string>
+#include <vector>
+
+#include <tl/expected.hpp>
+
+#include "coordination/messages.h"
+#include "protocol/protocol_error.h"
+
+namespace greengage::protocol {
+
+/** Largest body of a frame between two processes, in bytes. */
+inline constexpr std::size_t kMaxFrameBytes = 16 * 1024 * 1024;
+
+/**
+ * Encodes a batch of messages as the body of one frame (a Cap'n Proto message
+ * of the schema peer.capnp).
+ */
+std::string
+EncodeFrame(const std::vector<coordination::PeerMessage>& aMessages);
+
+/**
+ * Decodes the body of a frame. Malformed bytes, unknown message kinds and
+ * values out of range are errors; nothing is partly decoded.
+ */
+tl::expected<std::vector<coordination::PeerMessage>, ProtocolError>
+DecodeFrame(std::span<const std::byte> aBody);
+
+}
--- /dev/null
+++ b/tests/protocol/peer_codec_test.cpp
@@ -0,0 +1,67 @@
+#include "protocol/peer_codec.h"
+
+#include <gtest/gtest.h>
+
+namespace greengage::protocol {
+namespace {
+
+using namespace coordination;
+
+std::span<const std::byte>
+ToBytes(const std::string& aText)
+{
+  return std::as_bytes(std::span(aText));
+}
+
+// Guards against fields that are lost or swapped between two processes.
+TEST(PeerCodecTest, KeepsMessagesThroughAFrame)
+{
+  state::JobKey key{ "org", state::JobId::Create({}, 5, 6) };
+  state::JobSpec spec = *state::JobSpec::Builder()
+                           .SetKey(key)
+                           .SetTemplateName("quote")
+                           .AddPayload("{\"a\":1}")
+                           .AddPayload("2")
+                           .SetUrgency(3)
+                           .Build();
+  ProcessInfo info{
+    { 1, 2 }, ProcessRole::eAgent, "127.0.0.1:1", "dc", "r", 8, 32768, 1, true
+  };
+  LeaseReply reply;
+  reply.member = { 9, 9 };
+  reply.granted = true;
+  reply.promised = { 4, 2 };
+  reply.olderGrantRemaining = std::chrono::milliseconds(17);
+  reply.agents = { { info, state::WallTime(std::chrono::milliseconds(5)) },
+                   { info, std::nullopt } };
+  std::vector<PeerMessage> messages{
+    Hello{ info },
+    SubmitJob{ 7, spec },
+    JobAnswer{ 7, key, state::JobOutcome::Complete({ "1", "{}" }) },
+    StartTasks{ info.id,
+                3,
+                { 2, 1 },
+                { { key, 4, 1, "quote", "2", std::chrono::milliseconds(9) } } },
+    reply,
+    ConfigurationRecords{ 12, { { 11, "{}" } } },
+  };
+  auto decoded = DecodeFrame(ToBytes(EncodeFrame(messages)));
+  ASSERT_TRUE(decoded) << decoded.error().message;
+  EXPECT_EQ(*decoded, messages);
+}
+
+// Guards against a crash or a partial decode of damaged frames.
+TEST(PeerCodecTest, RefusesDamagedFrames)
+{
+  std::string frame = EncodeFrame({ Hello{} });
+  EXPECT_FALSE(DecodeFrame(ToBytes(frame.substr(0, 8))));
+  EXPECT_FALSE(DecodeFrame(ToBytes(frame.substr(1))));
+  EXPECT_FALSE(DecodeFrame({}));
+  std::string huge = frame;
+  huge[4] = '\x7f';
+  huge[7] = '\x7f';
+  EXPECT_FALSE(DecodeFrame(ToBytes(huge)));
+}
+
+}
+}
