Add transport, daemons and the first whole path

Cause: one path has to run end to end before it is deepened. Change: Asio and Beast transport, entry and agent processes, fake backend. Conclusion: the shape holds; ownership, placement and configuration are still the first simple versions.

--- /dev/null
+++ b/src/daemon/agent_process.cpp
@@ -0,0 +1,171 @@
+#include "daemon/agent_process.h"
+
+#include "daemon/process_identity.h"
+#include "transport/endpoint.h"
+#include "transport/event_log.h"
+
+namespace greengage::daemon {
+
+using namespace coordination;
+
+namespace {
+
+constexpr std::chrono::milliseconds kAnnouncePeriod{ 500 };
+constexpr std::chrono::milliseconds kTickPeriod{ 50 };
+
+}
+
+AgentProcess::AgentProcess(const AgentSettings& aSettings)
+  : settings_(aSettings)
+  , traffic_(aSettings.common.trafficThreads)
+  , network_(
+      traffic_,
+      control_,
+      { [this](const ProcessInfo& aFrom, const PeerMessage& aMessage) {
+         OnPeerMessage(aFrom, aMessage);
+       },
+        [this](const state::ProcessId& aPeer) { entries_.erase(aPeer); } })
+  , backend_(traffic_,
+             control_,
+             *transport::ParseEndpoint(aSettings.backendAddress))
+{
+}
+
+AgentProcess::~AgentProcess()
+{
+  control_.Stop();
+  traffic_.Stop();
+}
+
+tl::expected<void, DaemonError>
+AgentProcess::Start()
+{
+  auto peer =
+    network_.Listen(*transport::ParseEndpoint(settings_.common.peerAddress));
+  if (!peer) {
+    return tl::unexpected(DaemonError{ peer.error().message });
+  }
+  self_.id = CreateProcessId();
+  self_.role = ProcessRole::eAgent;
+  self_.peerAddress = transport::ToString(*peer);
+  self_.dataCentre = settings_.common.dataCentre;
+  self_.rack = settings_.common.rack;
+  transport::SetLogProcess("greengage-agent", self_.id.ToString());
+  control_.Every(kAnnouncePeriod, [this] { Announce(); });
+  control_.Every(kTickPeriod, [this] { OnTick(); });
+  control_.Post([this] {
+    backend_.ReadCapacity(
+      [this](const BackendCapacity& aCapacity) { OnCapacity(aCapacity); });
+  });
+  control_.Start();
+  traffic_.Start();
+  transport::LogEvent(transport::events::kProcessStarted,
+                      "peer={} backend={} data_centre={} rack={}",
+                      self_.peerAddress,
+                      settings_.backendAddress,
+                      self_.dataCentre,
+                      self_.rack);
+  return {};
+}
+
+void
+AgentProcess::Stop(std::function<void()> aDone)
+{
+  control_.Post([this, done = std::move(aDone)] {
+    transport::LogEvent(transport::events::kProcessStopping,
+                        "running_tasks={}",
+                        runner_ ? runner_->RunningTasks() : 0);
+    stopped_ = done;
+    self_.draining = true;
+    if (runner_) {
+      runner_->StartDraining();
+      network_.SetSelf(self_);
+      Announce();
+    }
+  });
+}
+
+void
+AgentProcess::OnCapacity(const BackendCapacity& aCapacity)
+{
+  self_.slots = aCapacity.slots;
+  if (settings_.maxSlots != 0) {
+    self_.slots = std::min(self_.slots, settings_.maxSlots);
+  }
+  self_.memoryMb = aCapacity.memoryMb;
+  self_.accelerators = aCapacity.accelerators;
+  TaskRunnerHooks hooks;
+  hooks.callBackend = [this](const TaskStart& aTask) {
+    backend_.Run(aTask, [this](const TaskStart& aDone, BackendResult aResult) {
+      runner_->OnBackendResult(
+        aDone.key, aDone.task, aDone.attempt, std::move(aResult));
+    });
+  };
+  hooks.abortCall = [this](const state::JobKey& aKey,
+                           std::uint32_t aTask,
+                           std::uint32_t aAttempt) {
+    backend_.Abort(aKey, aTask, aAttempt);
+  };
+  hooks.send = [this](const state::ProcessId& aOwner, PeerMessage aMessage) {
+    network_.Send(aOwner, std::move(aMessage));
+  };
+  runner_ = std::make_unique<TaskRunner>(self_, clock_, std::move(hooks));
+  network_.Start(self_);
+  Announce();
+}
+
+void
+AgentProcess::OnPeerMessage(const ProcessInfo& aFrom,
+                            const PeerMessage& aMessage)
+{
+  if (const auto* hello = std::get_if<Hello>(&aMessage)) {
+    network_.SetPeer(hello->process);
+    if (hello->process.role == ProcessRole::eEntry) {
+      entries_.insert(hello->process.id);
+    }
+  } else if (const auto* start = std::get_if<StartTasks>(&aMessage)) {
+    runner_->OnStartTasks(aFrom.id, *start);
+  } else if (const auto* cancel = std::get_if<CancelTasks>(&aMessage)) {
+    runner_->OnCancelTasks(aFrom.id, *cancel);
+  } else if (const auto* fence = std::get_if<Fence>(&aMessage)) {
+    runner_->OnFence(aFrom.id, *fence);
+  } else if (const auto* query = std::get_if<HistoryQuery>(&aMessage)) {
+    runner_->OnHistoryQuery(aFrom.id, *query);
+  }
+}
+
+void
+AgentProcess::OnTick()
+{
+  if (runner_) {
+    runner_->Tick();
+  }
+  bool idle = !runner_ || runner_->RunningTasks() == 0;
+  if (stopped_ && idle) {
+    auto stopped = std::exchange(stopped_, nullptr);
+    // Leaves time for the last results and the announcement to be sent.
+    control_.After(kAnnouncePeriod, [this, stopped] {
+      network_.Stop();
+      transport::LogEvent(transport::events::kProcessStopped, "reason=request");
+      stopped();
+    });
+  }
+}
+
+void
+AgentProcess::Announce()
+{
+  if (!runner_) {
+    return;
+  }
+  for (const std::string& seed : settings_.common.seeds) {
+    network_.ConnectSeed(seed);
+  }
+  AgentStatus status{ self_,
+                      static_cast<std::uint32_t>(runner_->RunningTasks()) };
+  for (const state::ProcessId& entry : entries_) {
+    network_.Send(entry, status);
+  }
+}
+
+}
--- /dev/null
+++ b/src/daemon/agent_process.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+#include "coordination/task_runner.h"
+#include "daemon/backend_client.h"
+#include "daemon/daemon_error.h"
+#include "daemon/settings.h"
+#include "transport/control_thread.h"
+#include "transport/peer_network.h"
+#include "transport/system_clock.h"
+#include "transport/traffic_pool.h"
+
+namespace greengage::daemon {
+
+/** One running agent: wires the layers together and owns their objects. */
+class AgentProcess
+{
+public:
+  explicit AgentProcess(const AgentSettings& aSettings);
+  ~AgentProcess();
+
+  /** Binds the address and starts the threads. */
+  tl::expected<void, DaemonError> Start();
+
+  /** Takes no new task, finishes those that run, then calls aDone once. */
+  void Stop(std::function<void()> aDone);
+
+private:
+  void OnCapacity(const BackendCapacity& aCapacity);
+  void OnPeerMessage(const coordination::ProcessInfo& aFrom,
+                     const coordination::PeerMessage& aMessage);
+  void OnTick();
+  void Announce();
+
+  AgentSettings settings_;
+  transport::SystemClock clock_;
+  coordination::ProcessInfo self_;
+  transport::TrafficPool traffic_;
+  transport::ControlThread control_;
+  transport::PeerNetwork network_;
+  BackendClient backend_;
+  /** Empty until the backend server has told its capacity. */
+  std::unique_ptr<coordination::TaskRunner> runner_;
+  std::set<state::ProcessId> entries_;
+  std::function<void()> stopped_;
+};
+
+}
--- /dev/null
+++ b/src/daemon/backend_client.cpp
@@ -0,0 +1,122 @@
+#include "daemon/backend_client.h"
+
+#include "protocol/backend_json.h"
+
+namespace greengage::daemon {
+
+using coordination::BackendResult;
+using coordination::TaskStart;
+using state::RefusalCode;
+using state::TaskState;
+using transport::HttpClient;
+using transport::TransportErrorKind;
+
+namespace {
+
+constexpr std::chrono::milliseconds kCapacityTimeout{ 1000 };
+constexpr std::chrono::milliseconds kCapacityRetry{ 200 };
+
+BackendResult
+ToBackendResult(const HttpClient::Result& aResult)
+{
+  if (aResult) {
+    if (aResult->status != 200) {
+      return { TaskState::eFailed,
+               RefusalCode::eTaskFailed,
+               "the backend server answered with status " +
+                 std::to_string(aResult->status) };
+    }
+    auto body = protocol::DecodeBackendResult(aResult->body);
+    if (!body) {
+      return { TaskState::eFailed,
+               RefusalCode::eTaskFailed,
+               "the backend server's answer is malformed: " +
+                 body.error().message };
+    }
+    return { TaskState::eSucceeded, RefusalCode::eNone, *std::move(body) };
+  }
+  switch (aResult.error().kind) {
+    case TransportErrorKind::eNotConnected:
+      return { TaskState::eNotStarted,
+               RefusalCode::eBackendUnreachable,
+               aResult.error().message };
+    case TransportErrorKind::eTimeout:
+      return { TaskState::eFailed,
+               RefusalCode::eTaskTimeout,
+               "the task ran into its timeout" };
+    case TransportErrorKind::eAborted:
+      return { TaskState::eFailed,
+               RefusalCode::eCancelled,
+               "the task was cancelled" };
+    default:
+      return { TaskState::eFailed,
+               RefusalCode::eOutcomeUnknown,
+               "the connection to the backend server broke: " +
+                 aResult.error().message };
+  }
+}
+
+}
+
+BackendClient::BackendClient(transport::TrafficPool& aTraffic,
+                             transport::ControlThread& aControl,
+                             const boost::asio::ip::tcp::endpoint& aServer)
+  : control_(aControl)
+  , client_(aTraffic, aServer)
+{
+}
+
+void
+BackendClient::ReadCapacity(CapacityDone aDone)
+{
+  client_.Send(
+    { "GET", "/capacity", "" },
+    kCapacityTimeout,
+    [this, done = std::move(aDone)](HttpClient::Result aResult) {
+      std::optional<BackendCapacity> capacity;
+      if (aResult && aResult->status == 200) {
+        auto decoded = protocol::DecodeBackendCapacity(aResult->body);
+        if (decoded) {
+          capacity = BackendCapacity{ decoded->slots,
+                                      decoded->memoryMb,
+                                      decoded->accelerators };
+        }
+      }
+      control_.Post([this, done, capacity] {
+        if (capacity) {
+          done(*capacity);
+          return;
+        }
+        control_.After(kCapacityRetry, [this, done] { ReadCapacity(done); });
+      });
+    });
+}
+
+void
+BackendClient::Run(const TaskStart& aTask, TaskDone aDone)
+{
+  auto abort = client_.Send(
+    { "POST", "/run", protocol::EncodeBackendTask(aTask) },
+    aTask.timeout,
+    [this, aTask, done = std::move(aDone)](HttpClient::Result aResult) {
+      control_.Post([this, aTask, done, result = ToBackendResult(aResult)] {
+        running_.erase(TaskName{ aTask.key, aTask.task, aTask.attempt });
+        done(aTask, result);
+      });
+    });
+  running_.emplace(TaskName{ aTask.key, aTask.task, aTask.attempt },
+                   std::move(abort));
+}
+
+void
+BackendClient::Abort(const state::JobKey& aKey,
+                     std::uint32_t aTask,
+                     std::uint32_t aAttempt)
+{
+  auto found = running_.find(TaskName{ aKey, aTask, aAttempt });
+  if (found != running_.end()) {
+    found->second();
+  }
+}
+
+}
--- /dev/null
+++ b/src/daemon/backend_client.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <tuple>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include "coordination/messages.h"
+#include "coordination/task_runner.h"
+#include "transport/control_thread.h"
+#include "transport/http_client.h"
+#include "transport/traffic_pool.h"
+
+namespace greengage::daemon {
+
+/** What a backend server says it can hold. */
+struct BackendCapacity
+{
+  std::uint32_t slots = 0;
+  std::uint32_t memoryMb = 0;
+  std::uint32_t accelerators = 0;
+
+  auto operator<=>(const BackendCapacity&) const = default;
+};
+
+/**
+ * Calls of one backend server over HTTP. Methods are called on the control
+ * thread and results come back on it.
+ */
+class BackendClient
+{
+public:
+  using TaskDone = std::function<void(const coordination::TaskStart&,
+                                      coordination::BackendResult)>;
+  using CapacityDone = std::function<void(const BackendCapacity&)>;
+
+  BackendClient(transport::TrafficPool& aTraffic,
+                transport::ControlThread& aControl,
+                const boost::asio::ip::tcp::endpoint& aServer);
+
+  /** Calls aDone once with the server's capacity; tries until it answers. */
+  void ReadCapacity(CapacityDone aDone);
+
+  /** Runs one task; aDone is called once. */
+  void Run(const coordination::TaskStart& aTask, TaskDone aDone);
+
+  /** Gives up a running task; its aDone still follows. */
+  void Abort(const state::JobKey& aKey,
+             std::uint32_t aTask,
+             std::uint32_t aAttempt);
+
+private:
+  using TaskName = std::tuple<state::JobKey, std::uint32_t, std::uint32_t>;
+
+  transport::ControlThread& control_;
+  transport::HttpClient client_;
+  std::map<TaskName, transport::HttpClient::Abort> running_;
+};
+
+}
--- /dev/null
+++ b/src/daemon/entry_process.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "coordination/job_owner.h"
+#include "coordination/request_router.h"
+#include "coordination/task_scheduler.h"
+#include "daemon/daemon_error.h"
+#include "daemon/entry_routes.h"
+#include "daemon/settings.h"
+#include "transport/control_thread.h"
+#include "transport/http_server.h"
+#include "transport/peer_network.h"
+#include "transport/system_clock.h"
+#include "transport/traffic_pool.h"
+
+namespace greengage::daemon {
+
+/** One running entry: wires the layers together and owns their objects. */
+class EntryProcess
+{
+public:
+  explicit EntryProcess(const EntrySettings& aSettings);
+  ~EntryProcess();
+
+  /** Binds the addresses and starts the threads. */
+  tl::expected<void, DaemonError> Start();
+
+  /** Finishes the requests in progress, then calls aDone once. */
+  void Stop(std::function<void()> aDone);
+
+private:
+  EntryRouteHooks MakeRouteHooks();
+  void OnHttpRequest(transport::HttpRequest aRequest,
+                     const transport::HttpResponder& aRespond);
+  /** Keeps the responder until the router has the answer. */
+  void AwaitAnswer(std::uint64_t aSubmission,
+                   transport::HttpResponder aRespond);
+  void Publish(DocumentKind aKind,
+               const std::string& aName,
+               const transport::HttpResponder& aRespond);
+  void OnPeerMessage(const coordination::ProcessInfo& aFrom,
+                     const coordination::PeerMessage& aMessage);
+  void OnTick();
+  void FinishStop();
+
+  EntrySettings settings_;
+  transport::SystemClock clock_;
+  coordination::ProcessInfo self_;
+  transport::TrafficPool traffic_;
+  transport::ControlThread control_;
+  transport::PeerNetwork network_;
+  transport::HttpServer http_;
+  EntryRoutes routes_;
+  coordination::TaskScheduler scheduler_;
+  coordination::JobOwner owner_;
+  coordination::RequestRouter router_;
+  std::map<std::uint64_t, transport::HttpResponder> responders_;
+  std::atomic<bool> stopping_{ false };
+  std::function<void()> stopped_;
+};
+
+}
--- /dev/null
+++ b/src/daemon/programs/greengage_entry.cpp
@@ -0,0 +1,9 @@
+#include "daemon/entry_process.h"
+#include "daemon/run_daemon.h"
+
+int
+main(int aCount, char** aArguments)
+{
+  using namespace greengage::daemon;
+  return RunDaemon<EntryProcess>(ParseEntrySettings(aCount, aArguments));
+}
--- /dev/null
+++ b/src/daemon/signal_wait.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <functional>
+
+namespace greengage::daemon {
+
+/**
+ * Blocks until SIGTERM or SIGINT, then calls aStop with a function that ends
+ * the wait, and returns when that was called. A second signal ends it at once.
+ */
+void
+WaitForStopSignal(
+  const std::function<void(std::function<void()> aStopped)>& aStop);
+
+}
--- /dev/null
+++ b/src/tools/fake_backend.cpp
@@ -0,0 +1,122 @@
+#include "tools/fake_backend.h"
+
+#include <memory>
+#include <random>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json/serialize.hpp>
+#include <fmt/format.h>
+
+#include "protocol/json_reader.h"
+#include "transport/endpoint.h"
+
+namespace greengage::tools {
+
+using transport::HttpRequest;
+using transport::HttpResponder;
+
+namespace {
+
+constexpr std::uint64_t kMaxRunTimeMs = 120'000;
+
+}
+
+FakeBackend::FakeBackend(transport::TrafficPool& aTraffic,
+                         const FakeBackendSettings& aSettings)
+  : traffic_(aTraffic)
+  , settings_(aSettings)
+  , http_(aTraffic, [this](HttpRequest aRequest, HttpResponder aRespond) {
+    Handle(std::move(aRequest), std::move(aRespond));
+  })
+{
+}
+
+tl::expected<boost::asio::ip::tcp::endpoint, transport::TransportError>
+FakeBackend::Start()
+{
+  return http_.Start(*transport::ParseEndpoint(settings_.address));
+}
+
+void
+FakeBackend::Handle(HttpRequest aRequest, HttpResponder aRespond)
+{
+  if (aRequest.target == "/capacity") {
+    aRespond(
+      { 200,
+        fmt::format("{{\"slots\":{},\"memory_mb\":{},\"accelerators\":{}}}",
+                    settings_.slots,
+                    settings_.memoryMb,
+                    settings_.accelerators) });
+    return;
+  }
+  if (aRequest.target == "/starts") {
+    aRespond({ 200, StartsJson() });
+    return;
+  }
+  if (aRequest.method == "POST" && aRequest.target == "/run") {
+    Run(aRequest.body, std::move(aRespond));
+    return;
+  }
+  aRespond({ 404, "{}" });
+}
+
+void
+FakeBackend::Run(const std::string& aBody, HttpResponder aRespond)
+{
+  auto parsed = protocol::ParseJson(aBody);
+  if (!parsed) {
+    aRespond({ 400, "{}" });
+    return;
+  }
+  protocol::JsonReader reader(*parsed, "");
+  std::string job =
+    reader.ReadString("organisation") + "/" + reader.ReadString("job_id");
+  std::uint64_t task = reader.ReadUnsigned("task", 0, 0xffffffff);
+  const boost::json::value* payload = reader.ReadAny("payload");
+  if (!reader.Ok()) {
+    aRespond({ 400, "{}" });
+    return;
+  }
+  std::uint64_t runTimeMs = settings_.runTimeMs;
+  if (payload->is_object() && payload->as_object().contains("run_time_ms")) {
+    protocol::JsonReader payloadReader(*payload, "payload");
+    runTimeMs = payloadReader.ReadUnsigned("run_time_ms", 0, kMaxRunTimeMs);
+  }
+  {
+    std::lock_guard lock(mutex_);
+    ++starts_[fmt::format("{}/{}", job, task)];
+  }
+  thread_local std::mt19937_64 random(std::random_device{}());
+  if (std::uniform_real_distribution<>(0, 1)(random) < settings_.failureShare) {
+    aRespond({ 500, "{}" });
+    return;
+  }
+  auto runTime = std::chrono::microseconds(
+    static_cast<std::int64_t>(1000.0 * runTimeMs / settings_.speedFactor));
+  auto timer =
+    std::make_shared<boost::asio::steady_timer>(traffic_.Context(), runTime);
+  std::string result = fmt::format("{{\"result\":{{\"task\":{},\"echo\":{}}}}}",
+                                   task,
+                                   boost::json::serialize(*payload));
+  timer->async_wait([timer, result, respond = std::move(aRespond)](
+                      const boost::system::error_code&) {
+    respond({ 200, result });
+  });
+}
+
+std::string
+FakeBackend::StartsJson()
+{
+  std::lock_guard lock(mutex_);
+  std::string body = "{";
+  for (const auto& [task, count] : starts_) {
+    fmt::format_to(std::back_inserter(body),
+                   "{}\"{}\":{}",
+                   body.size() > 1 ? "," : "",
+                   task,
+                   count);
+  }
+  return body + "}\n";
+}
+
+}
--- /dev/null
+++ b/src/tools/fake_backend.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include "transport/http_server.h"
+#include "transport/traffic_pool.h"
+
+namespace greengage::tools {
+
+/** How a stand-in backend server behaves. */
+struct FakeBackendSettings
+{
+  std::string address = "127.0.0.1:9000";
+  std::uint32_t slots = 8;
+  std::uint32_t memoryMb = 32'768;
+  std::uint32_t accelerators = 0;
+  /** Run time of a task that names none, in ms. */
+  std::uint32_t runTimeMs = 100;
+  /** A server of factor 2 takes half the time. */
+  double speedFactor = 1.0;
+  /** Share of tasks that fail at once, 0 to 1. */
+  double failureShare = 0.0;
+
+  bool operator==(const FakeBackendSettings&) const = default;
+};
+
+/**
+ * Stand-in for a backend server. It counts the starts of every task, which
+ * `GET /starts` returns, so that tests can look for second starts.
+ */
+class FakeBackend
+{
+public:
+  FakeBackend(transport::TrafficPool& aTraffic,
+              const FakeBackendSettings& aSettings);
+
+  tl::expected<boost::asio::ip::tcp::endpoint, transport::TransportError>
+  Start();
+
+private:
+  void Handle(transport::HttpRequest aRequest,
+              transport::HttpResponder aRespond);
+  void Run(const std::string& aBody, transport::HttpResponder aRespond);
+  std::string StartsJson();
+
+  transport::TrafficPool& traffic_;
+  FakeBackendSettings settings_;
+  transport::HttpServer http_;
+  std::mutex mutex_;
+  std::map<std::string, std::uint32_t> starts_;
+};
+
+}
--- /dev/null
+++ b/src/tools/programs/fake_backend.cpp
@@ -0,0 +1,58 @@
+#include <CLI/CLI.hpp>
+#include <fmt/format.h>
+
+#include "daemon/signal_wait.h"
+#include "tools/fake_backend.h"
+#include "transport/endpoint.h"
+
+int
+main(int aCount, char** aArguments)
+{
+  using namespace greengage;
+  tools::FakeBackendSettings settings;
+  CLI::App app{ "Stand-in for a backend server, for tests and demos.",
+                "fake-backend" };
+  app.add_option("--address", settings.address, "Address to listen on")
+    ->capture_default_str();
+  app.add_option("--slots", settings.slots, "Tasks at the same time")
+    ->check(CLI::Range(1u, 4096u))
+    ->capture_default_str();
+  app.add_option("--memory-mb", settings.memoryMb, "Announced memory")
+    ->capture_default_str();
+  app
+    .add_option(
+      "--accelerators", settings.accelerators, "Announced accelerators")
+    ->capture_default_str();
+  app
+    .add_option("--run-time-ms",
+                settings.runTimeMs,
+                "Run time of a task whose payload has no run_time_ms")
+    ->check(CLI::Range(0u, 120'000u))
+    ->capture_default_str();
+  app
+    .add_option(
+      "--speed-factor", settings.speedFactor, "2 halves every run time")
+    ->check(CLI::Range(0.01, 100.0))
+    ->capture_default_str();
+  app
+    .add_option("--failure-share",
+                settings.failureShare,
+                "Share of tasks that fail at once")
+    ->check(CLI::Range(0.0, 1.0))
+    ->capture_default_str();
+  CLI11_PARSE(app, aCount, aArguments);
+
+  transport::TrafficPool traffic(2);
+  tools::FakeBackend backend(traffic, settings);
+  auto endpoint = backend.Start();
+  if (!endpoint) {
+    fmt::print(stderr, "{}\n", endpoint.error().message);
+    return 1;
+  }
+  fmt::print("listening on {}\n", transport::ToString(*endpoint));
+  std::fflush(stdout);
+  traffic.Start();
+  daemon::WaitForStopSignal([](std::function<void()> aStopped) { aStopped(); });
+  traffic.Stop();
+  return 0;
+}
--- /dev/null
+++ b/src/transport/endpoint.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <tl/expected.hpp>
+
+#include "transport/transport_error.h"
+
+namespace greengage::transport {
+
+/** Parses `ip:port` or `[ipv6]:port`; host names are refused. */
+tl::expected<boost::asio::ip::tcp::endpoint, TransportError>
+ParseEndpoint(std::string_view aText);
+
+/** `ip:port` or `[ipv6]:port`. */
+std::string
+ToString(const boost::asio::ip::tcp::endpoint& aEndpoint);
+
+}
--- /dev/null
+++ b/src/transport/frame_session.cpp
@@ -0,0 +1,171 @@
+#include "transport/frame_session.h"
+
+#include <algorithm>
+
+#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
+
+#include "protocol/peer_codec.h"
+
+namespace greengage::transport {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+void
+AppendLength(std::string& aFrame, std::size_t aLength)
+{
+  for (int shift = 0; shift < 32; shift += 8) {
+    aFrame.push_back(static_cast<char>((aLength >> shift) & 0xff));
+  }
+}
+
+std::uint32_t
+ReadLength(const std::array<unsigned char, 4>& aHeader)
+{
+  std::uint32_t length = 0;
+  for (int i = 3; i >= 0; --i) {
+    length = (length << 8) | aHeader[i];
+  }
+  return length;
+}
+
+}
+
+FrameSession::FrameSession(asio::ip::tcp::socket aSocket, Handlers aHandlers)
+  : socket_(std::move(aSocket))
+  , strand_(asio::make_strand(socket_.get_executor()))
+  , handlers_(std::move(aHandlers))
+{
+}
+
+void
+FrameSession::Start()
+{
+  asio::post(strand_, [self = shared_from_this()] {
+    error_code ignored;
+    self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    self->ReadHeader();
+  });
+}
+
+void
+FrameSession::Send(coordination::PeerMessage aMessage)
+{
+  asio::post(
+    strand_,
+    [self = shared_from_this(), message = std::move(aMessage)]() mutable {
+      if (self->closed_) {
+        return;
+      }
+      if (self->pending_.size() >= kMaxPendingMessages) {
+        self->Fail("too many messages wait to be sent");
+        return;
+      }
+      self->pending_.push_back(std::move(message));
+      if (!self->writing_) {
+        self->WriteNext();
+      }
+    });
+}
+
+void
+FrameSession::Close()
+{
+  asio::post(strand_,
+             [self = shared_from_this()] { self->Fail("closed locally"); });
+}
+
+void
+FrameSession::ReadHeader()
+{
+  asio::async_read(
+    socket_,
+    asio::buffer(header_),
+    asio::bind_executor(
+      strand_, [self = shared_from_this()](error_code aError, std::size_t) {
+        if (aError) {
+          self->Fail(aError.message());
+          return;
+        }
+        std::uint32_t size = ReadLength(self->header_);
+        if (size == 0 || size > protocol::kMaxFrameBytes) {
+          self->Fail(fmt::format("frame length {} is out of range", size));
+          return;
+        }
+        self->ReadBody(size);
+      }));
+}
+
+void
+FrameSession::ReadBody(std::uint32_t aSize)
+{
+  body_.resize(aSize);
+  asio::async_read(
+    socket_,
+    asio::buffer(body_),
+    asio::bind_executor(
+      strand_, [self = shared_from_this()](error_code aError, std::size_t) {
+        if (aError) {
+          self->Fail(aError.message());
+          return;
+        }
+        auto messages = protocol::DecodeFrame(self->body_);
+        if (!messages) {
+          self->Fail("malformed frame: " + messages.error().message);
+          return;
+        }
+        self->handlers_.received(*std::move(messages));
+        self->ReadHeader();
+      }));
+}
+
+void
+FrameSession::WriteNext()
+{
+  if (pending_.empty() || closed_) {
+    writing_ = false;
+    return;
+  }
+  writing_ = true;
+  std::size_t count = std::min(pending_.size(), kMaxMessagesPerFrame);
+  Messages batch(std::make_move_iterator(pending_.begin()),
+                 std::make_move_iterator(pending_.begin() + count));
+  pending_.erase(pending_.begin(), pending_.begin() + count);
+  std::string body = protocol::EncodeFrame(batch);
+  frame_.clear();
+  AppendLength(frame_, body.size());
+  frame_ += body;
+  asio::async_write(
+    socket_,
+    asio::buffer(frame_),
+    asio::bind_executor(
+      strand_, [self = shared_from_this()](error_code aError, std::size_t) {
+        if (aError) {
+          self->Fail(aError.message());
+          return;
+        }
+        self->WriteNext();
+      }));
+}
+
+void
+FrameSession::Fail(const std::string& aReason)
+{
+  if (closed_) {
+    return;
+  }
+  closed_ = true;
+  pending_.clear();
+  error_code ignored;
+  socket_.close(ignored);
+  handlers_.closed({ TransportErrorKind::eBroken, aReason });
+}
+
+}
--- /dev/null
+++ b/src/transport/http_client.cpp
@@ -0,0 +1,237 @@
+#include "transport/http_client.h"
+
+#include <mutex>
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include "transport/endpoint.h"
+
+namespace greengage::transport {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::system::error_code;
+using Stream = beast::tcp_stream;
+
+namespace {
+
+constexpr std::size_t kMaxIdleConnections = 64;
+constexpr std::size_t kMaxResponseBytes = 8 * 1024 * 1024;
+
+/** True if the server has closed an idle connection or sent stray bytes. */
+bool
+IsStale(Stream& aStream)
+{
+  char byte = 0;
+  error_code error;
+  aStream.socket().non_blocking(true, error);
+  if (error) {
+    return true;
+  }
+  aStream.socket().receive(
+    asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+  return error != asio::error::would_block;
+}
+
+}
+
+/** Idle connections, shared by the requests in progress. */
+struct HttpClient::Pool
+{
+  asio::ip::tcp::endpoint server;
+  std::mutex mutex;
+  std::list<std::unique_ptr<Stream>> idle;
+
+  std::unique_ptr<Stream> Take()
+  {
+    std::lock_guard lock(mutex);
+    while (!idle.empty()) {
+      auto stream = std::move(idle.back());
+      idle.pop_back();
+      if (!IsStale(*stream)) {
+        return stream;
+      }
+    }
+    return nullptr;
+  }
+
+  void Put(std::unique_ptr<Stream> aStream)
+  {
+    std::lock_guard lock(mutex);
+    if (idle.size() < kMaxIdleConnections) {
+      aStream->expires_never();
+      idle.push_back(std::move(aStream));
+    }
+  }
+};
+
+namespace {
+
+/** One request from connecting to the whole response. */
+template<class Pool>
+class Exchange : public std::enable_shared_from_this<Exchange<Pool>>
+{
+public:
+  Exchange(std::shared_ptr<Pool> aPool,
+           std::unique_ptr<Stream> aStream,
+           HttpRequest aRequest,
+           HttpClient::Handler aHandler)
+    : pool_(std::move(aPool))
+    , stream_(std::move(aStream))
+    , handler_(std::move(aHandler))
+  {
+    request_.version(11);
+    request_.method_string(aRequest.method);
+    request_.target(aRequest.target);
+    request_.set(http::field::host, ToString(pool_->server));
+    request_.set(http::field::content_type, "application/json");
+    request_.body() = std::move(aRequest.body);
+    request_.prepare_payload();
+    parser_.body_limit(kMaxResponseBytes);
+  }
+
+  void Start(std::chrono::milliseconds aTimeout, bool aConnected)
+  {
+    asio::post(stream_->get_executor(),
+               [self = this->shared_from_this(), aTimeout, aConnected] {
+                 self->stream_->expires_after(aTimeout);
+                 aConnected ? self->Write() : self->Connect();
+               });
+  }
+
+  void Abort()
+  {
+    // Weak, so that an abort handle does not keep the connection open.
+    asio::post(executor_, [weak = this->weak_from_this()] {
+      auto self = weak.lock();
+      if (self && self->stream_) {
+        self->aborted_ = true;
+        self->stream_->cancel();
+      }
+    });
+  }
+
+private:
+  void Connect()
+  {
+    stream_->async_connect(
+      pool_->server, [self = this->shared_from_this()](error_code aError) {
+        if (aError || self->aborted_) {
+          self->Finish(tl::unexpected(TransportError{
+            TransportErrorKind::eNotConnected, aError.message() }));
+          return;
+        }
+        error_code ignored;
+        self->stream_->socket().set_option(asio::ip::tcp::no_delay(true),
+                                           ignored);
+        self->Write();
+      });
+  }
+
+  void Write()
+  {
+    http::async_write(
+      *stream_,
+      request_,
+      [self = this->shared_from_this()](error_code aError, std::size_t) {
+        if (aError) {
+          self->Fail(aError);
+          return;
+        }
+        self->Read();
+      });
+  }
+
+  void Read()
+  {
+    http::async_read(
+      *stream_,
+      buffer_,
+      parser_,
+      [self = this->shared_from_this()](error_code aError, std::size_t) {
+        if (aError) {
+          self->Fail(aError);
+          return;
+        }
+        self->OnResponse();
+      });
+  }
+
+  void OnResponse()
+  {
+    auto response = parser_.release();
+    HttpResponse value;
+    value.status = response.result_int();
+    value.contentType = std::string(response[http::field::content_type]);
+    bool keepAlive = response.keep_alive();
+    value.body = std::move(response.body());
+    if (keepAlive) {
+      pool_->Put(std::move(stream_));
+    }
+    Finish(std::move(value));
+  }
+
+  void Fail(error_code aError)
+  {
+    TransportErrorKind kind = TransportErrorKind::eBroken;
+    if (aborted_) {
+      kind = TransportErrorKind::eAborted;
+    } else if (aError == beast::error::timeout) {
+      kind = TransportErrorKind::eTimeout;
+    }
+    Finish(tl::unexpected(TransportError{ kind, aError.message() }));
+  }
+
+  void Finish(HttpClient::Result aResult)
+  {
+    auto handler = std::move(handler_);
+    stream_.reset();
+    handler(std::move(aResult));
+  }
+
+  std::shared_ptr<Pool> pool_;
+  std::unique_ptr<Stream> stream_;
+  asio::any_io_executor executor_ = stream_->get_executor();
+  HttpClient::Handler handler_;
+  bool aborted_ = false;
+  http::request<http::string_body> request_;
+  http::response_parser<http::string_body> parser_;
+  beast::flat_buffer buffer_;
+};
+
+}
+
+HttpClient::HttpClient(TrafficPool& aTraffic,
+                       const asio::ip::tcp::endpoint& aServer)
+  : traffic_(aTraffic)
+  , pool_(std::make_shared<Pool>())
+{
+  pool_->server = aServer;
+}
+
+HttpClient::~HttpClient() = default;
+
+HttpClient::Abort
+HttpClient::Send(HttpRequest aRequest,
+                 std::chrono::milliseconds aTimeout,
+                 Handler aHandler)
+{
+  auto stream = pool_->Take();
+  bool connected = stream != nullptr;
+  if (!connected) {
+    stream = std::make_unique<Stream>(asio::make_strand(traffic_.Context()));
+  }
+  auto exchange = std::make_shared<Exchange<Pool>>(
+    pool_, std::move(stream), std::move(aRequest), std::move(aHandler));
+  exchange->Start(aTimeout, connected);
+  return [weak = std::weak_ptr(exchange)] {
+    if (auto running = weak.lock()) {
+      running->Abort();
+    }
+  };
+}
+
+}
--- /dev/null
+++ b/src/transport/peer_network.cpp
@@ -0,0 +1,279 @@
+#include "transport/peer_network.h"
+
+#include <boost/asio/post.hpp>
+
+#include "transport/endpoint.h"
+#include "transport/event_log.h"
+
+namespace greengage::transport {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using coordination::Hello;
+using coordination::PeerMessage;
+using coordination::ProcessInfo;
+
+namespace {
+
+// Messages kept while a connection is being opened.
+constexpr std::size_t kMaxWaitingMessages = 20'000;
+
+}
+
+/** Control-thread view of one connection. */
+struct PeerNetwork::Connection
+{
+  /** Address that this process connected to; empty if accepted. */
+  std::string address;
+  /** Identity the peer must have; zero if any. */
+  state::ProcessId expected;
+  std::optional<ProcessInfo> peer;
+  std::shared_ptr<FrameSession> session;
+  std::vector<PeerMessage> waiting;
+  bool closed = false;
+};
+
+PeerNetwork::PeerNetwork(TrafficPool& aTraffic,
+                         ControlThread& aControl,
+                         PeerNetworkHooks aHooks)
+  : traffic_(aTraffic)
+  , control_(aControl)
+  , hooks_(std::move(aHooks))
+  , acceptor_(aTraffic.Context())
+{
+}
+
+PeerNetwork::~PeerNetwork()
+{
+  Stop();
+}
+
+tl::expected<asio::ip::tcp::endpoint, TransportError>
+PeerNetwork::Listen(const asio::ip::tcp::endpoint& aEndpoint)
+{
+  error_code error;
+  acceptor_.open(aEndpoint.protocol(), error);
+  if (!error) {
+    acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) {
+    acceptor_.bind(aEndpoint, error);
+  }
+  if (!error) {
+    acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return tl::unexpected(TransportError{
+      TransportErrorKind::eInvalidArgument,
+      "cannot listen on " + ToString(aEndpoint) + ": " + error.message() });
+  }
+  return acceptor_.local_endpoint();
+}
+
+void
+PeerNetwork::Start(const ProcessInfo& aSelf)
+{
+  self_ = aSelf;
+  Accept();
+}
+
+void
+PeerNetwork::SetPeer(const ProcessInfo& aPeer)
+{
+  if (aPeer.id != self_.id) {
+    peers_.insert_or_assign(aPeer.id, aPeer);
+  }
+}
+
+void
+PeerNetwork::Send(const state::ProcessId& aPeer, PeerMessage aMessage)
+{
+  if (aPeer == self_.id) {
+    control_.Post([this, message = std::move(aMessage)] {
+      hooks_.received(self_, message);
+    });
+    return;
+  }
+  auto peer = peers_.find(aPeer);
+  if (peer == peers_.end()) {
+    return;
+  }
+  const std::string& address = peer->second.peerAddress;
+  auto found = outbound_.find(address);
+  if (found == outbound_.end()) {
+    Open(address, aPeer);
+    found = outbound_.find(address);
+  }
+  Connection& connection = *found->second;
+  if (connection.peer) {
+    if (connection.peer->id == aPeer) {
+      connection.session->Send(std::move(aMessage));
+    }
+    return;
+  }
+  if (connection.waiting.size() < kMaxWaitingMessages) {
+    connection.waiting.push_back(std::move(aMessage));
+  }
+}
+
+void
+PeerNetwork::ConnectSeed(const std::string& aAddress)
+{
+  if (!outbound_.contains(aAddress) && aAddress != self_.peerAddress) {
+    Open(aAddress, {});
+  }
+}
+
+void
+PeerNetwork::Forget(const state::ProcessId& aPeer)
+{
+  auto peer = peers_.find(aPeer);
+  if (peer == peers_.end()) {
+    return;
+  }
+  auto connection = outbound_.find(peer->second.peerAddress);
+  if (connection != outbound_.end() && connection->second->session &&
+      (!connection->second->peer || connection->second->peer->id == aPeer)) {
+    connection->second->session->Close();
+  }
+  peers_.erase(peer);
+}
+
+void
+PeerNetwork::Stop()
+{
+  stopped_ = true;
+  error_code ignored;
+  acceptor_.close(ignored);
+  for (auto& [address, connection] : outbound_) {
+    if (connection->session) {
+      connection->session->Close();
+    }
+  }
+  for (auto& [pointer, connection] : inbound_) {
+    connection->session->Close();
+  }
+}
+
+void
+PeerNetwork::Accept()
+{
+  acceptor_.async_accept(
+    [this](error_code aError, asio::ip::tcp::socket aSocket) {
+      control_.Post([this,
+                     aError,
+                     socket = std::make_shared<asio::ip::tcp::socket>(
+                       std::move(aSocket))]() mutable {
+        if (stopped_ || aError == asio::error::operation_aborted) {
+          return;
+        }
+        if (!aError) {
+          auto connection = std::make_shared<Connection>();
+          inbound_.emplace(connection.get(), connection);
+          OnConnected(connection, std::move(*socket));
+        }
+        Accept();
+      });
+    });
+}
+
+void
+PeerNetwork::Open(const std::string& aAddress,
+                  const state::ProcessId& aExpected)
+{
+  auto connection = std::make_shared<Connection>();
+  connection->address = aAddress;
+  connection->expected = aExpected;
+  outbound_[aAddress] = connection;
+  auto endpoint = ParseEndpoint(aAddress);
+  if (!endpoint) {
+    control_.Post([this, connection] { OnClosed(connection); });
+    return;
+  }
+  auto socket = std::make_shared<asio::ip::tcp::socket>(traffic_.Context());
+  socket->async_connect(*endpoint,
+                        [this, connection, socket](error_code aError) {
+                          control_.Post([this, connection, socket, aError] {
+                            if (aError || stopped_) {
+                              OnClosed(connection);
+                              return;
+                            }
+                            OnConnected(connection, std::move(*socket));
+                          });
+                        });
+}
+
+void
+PeerNetwork::OnConnected(const std::shared_ptr<Connection>& aConnection,
+                         asio::ip::tcp::socket aSocket)
+{
+  FrameSession::Handlers handlers;
+  handlers.received = [this, aConnection](FrameSession::Messages aMessages) {
+    control_.Post([this, aConnection, messages = std::move(aMessages)] {
+      OnReceived(aConnection, messages);
+    });
+  };
+  handlers.closed = [this, aConnection](const TransportError&) {
+    control_.Post([this, aConnection] { OnClosed(aConnection); });
+  };
+  aConnection->session =
+    std::make_shared<FrameSession>(std::move(aSocket), std::move(handlers));
+  aConnection->session->Start();
+  aConnection->session->Send(Hello{ self_ });
+}
+
+void
+PeerNetwork::OnReceived(const std::shared_ptr<Connection>& aConnection,
+                        const FrameSession::Messages& aMessages)
+{
+  for (const PeerMessage& message : aMessages) {
+    if (aConnection->closed) {
+      return;
+    }
+    if (const auto* hello = std::get_if<Hello>(&message)) {
+      const state::ProcessId none;
+      if (aConnection->expected != none &&
+          aConnection->expected != hello->process.id) {
+        // The address now belongs to another process.
+        LogEvent(events::kPeerIdentityChanged,
+                 "address={} expected={} found={}",
+                 aConnection->address,
+                 aConnection->expected.ToString(),
+                 hello->process.id.ToString());
+        aConnection->session->Close();
+        return;
+      }
+      aConnection->peer = hello->process;
+      for (PeerMessage& waiting : aConnection->waiting) {
+        aConnection->session->Send(std::move(waiting));
+      }
+      aConnection->waiting.clear();
+    }
+    if (!aConnection->peer) {
+      aConnection->session->Close();
+      return;
+    }
+    hooks_.received(*aConnection->peer, message);
+  }
+}
+
+void
+PeerNetwork::OnClosed(const std::shared_ptr<Connection>& aConnection)
+{
+  aConnection->closed = true;
+  inbound_.erase(aConnection.get());
+  auto outbound = outbound_.find(aConnection->address);
+  if (outbound != outbound_.end() && outbound->second == aConnection) {
+    outbound_.erase(outbound);
+  }
+  if (stopped_) {
+    return;
+  }
+  if (aConnection->peer) {
+    hooks_.lost(aConnection->peer->id);
+  } else if (aConnection->expected != state::ProcessId{}) {
+    hooks_.lost(aConnection->expected);
+  }
+}
+
+}
--- /dev/null
+++ b/src/transport/peer_network.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include "coordination/messages.h"
+#include "transport/control_thread.h"
+#include "transport/frame_session.h"
+#include "transport/traffic_pool.h"
+
+namespace greengage::transport {
+
+/** Events of a PeerNetwork; all run on the control thread. */
+struct PeerNetworkHooks
+{
+  std::function<void(const coordination::ProcessInfo& aFrom,
+                     const coordination::PeerMessage& aMessage)>
+    received;
+  /** A connection from this peer ended or could not be opened. */
+  std::function<void(const state::ProcessId& aPeer)> lost;
+};
+
+/**
+ * Connections to and from the other processes. A process sends on the
+ * connections it opened and receives on those it accepted and opened; every
+ * connection begins with a Hello in both directions. Methods are called on the
+ * control thread.
+ */
+class PeerNetwork
+{
+public:
+  PeerNetwork(TrafficPool& aTraffic,
+              ControlThread& aControl,
+              PeerNetworkHooks aHooks);
+  ~PeerNetwork();
+
+  /** Binds the listener; port 0 selects a free port. */
+  tl::expected<boost::asio::ip::tcp::endpoint, TransportError> Listen(
+    const boost::asio::ip::tcp::endpoint& aEndpoint);
+
+  /** Sets the Hello of this process and starts accepting. */
+  void Start(const coordination::ProcessInfo& aSelf);
+
+  /** Changes the Hello of later connections, for example when draining. */
+  void SetSelf(const coordination::ProcessInfo& aSelf) { self_ = aSelf; }
+
+  /** Remembers where a peer can be reached. */
+  void SetPeer(const coordination::ProcessInfo& aPeer);
+
+  /** Sends to a known peer; messages to unknown peers are dropped. */
+  void Send(const state::ProcessId& aPeer, coordination::PeerMessage aMessage);
+
+  /** Opens a connection to an address whose process is not known yet. */
+  void ConnectSeed(const std::string& aAddress);
+
+  /** Closes connections to a peer that is gone. */
+  void Forget(const state::ProcessId& aPeer);
+
+  void Stop();
+
+private:
+  struct Connection;
+
+  void Accept();
+  void Open(const std::string& aAddress, const state::ProcessId& aExpected);
+  void OnConnected(const std::shared_ptr<Connection>& aConnection,
+                   boost::asio::ip::tcp::socket aSocket);
+  void OnReceived(const std::shared_ptr<Connection>& aConnection,
+                  const FrameSession::Messages& aMessages);
+  void OnClosed(const std::shared_ptr<Connection>& aConnection);
+
+  TrafficPool& traffic_;
+  ControlThread& control_;
+  PeerNetworkHooks hooks_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  coordination::ProcessInfo self_;
+  bool stopped_ = false;
+  std::unordered_map<state::ProcessId, coordination::ProcessInfo> peers_;
+  /** Connections opened by this process, by address. */
+  std::map<std::string, std::shared_ptr<Connection>> outbound_;
+  std::map<Connection*, std::shared_ptr<Connection>> inbound_;
+};
+
+}
--- /dev/null
+++ b/src/transport/system_clock.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "state/clock.h"
+
+namespace greengage::transport {
+
+/** The clocks of the host. */
+class SystemClock : public state::Clock
+{
+public:
+  state::MonotonicTime MonotonicNow() const override
+  {
+    return std::chrono::steady_clock::now();
+  }
+
+  state::WallTime WallNow() const override
+  {
+    return std::chrono::system_clock::now();
+  }
+};
+
+}
