Replace the FIFO scheduler by placement, fair shares and worker health

Cause: the first scheduler was one FIFO over all organisations that knew neither server speeds nor limits. Change: the scheduler is composed of pure modules: server_table (rate classes), rate_estimator (learned work and speeds), fair_queue (quota tiers, start-time fair queueing, urgency with aging), slot_choice (use a slow slot or wait), admission and worker_health.

--- /dev/null
+++ b/src/coordination/rate_estimator.cpp
@@ -0,0 +1,128 @@
+#include "coordination/rate_estimator.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace greengage::coordination {
+
+namespace {
+
+// Declared run times are up to several times off, so they weigh as one sample.
+constexpr float kDeclaredWeight = 1;
+constexpr float kMaxTemplateWeight = 512;
+constexpr float kMaxSizeWeight = 128;
+// Samples of the template's mean that a size class with few samples leans on.
+constexpr float kSizePriorWeight = 4;
+// Keeps the scale of speeds near 1: without it work and speed could grow
+// together without bound, as only their ratio is observed.
+constexpr float kServerPriorWeight = 2;
+constexpr float kMaxServerWeight = 64;
+// Samples of the server's overall speed that a (server, template) rate with
+// few samples leans on.
+constexpr float kRatePriorWeight = 16;
+constexpr float kMaxRateWeight = 64;
+constexpr std::uint32_t kSamplesToLearn = 8;
+// One extreme run time must not move a mean beyond repair.
+constexpr double kMinSlowness = 1.0 / 32;
+constexpr double kMaxSlowness = 32;
+constexpr double kMinRunSeconds = 1e-5;
+
+}
+
+void
+RateEstimator::Mean::Add(double aValue, float aMaxWeight)
+{
+  weight = std::min(weight + 1, aMaxWeight);
+  value += (static_cast<float>(aValue) - value) / weight;
+}
+
+SizeClass
+RateEstimator::ClassOf(std::size_t aPayloadBytes)
+{
+  return static_cast<SizeClass>(
+    std::min<std::size_t>(std::bit_width(aPayloadBytes), kSizeClasses - 1));
+}
+
+void
+RateEstimator::SetTemplate(TemplateIndex aTemplate,
+                           std::chrono::milliseconds aExpected)
+{
+  if (aTemplate >= templates_.size()) {
+    templates_.resize(aTemplate + 1);
+  }
+  TemplateRate& rate = templates_[aTemplate];
+  if (rate.samples < kSamplesToLearn) {
+    auto declared = std::chrono::duration<float>(aExpected).count();
+    rate.work = { declared, kDeclaredWeight };
+  }
+}
+
+void
+RateEstimator::ResetServer(ServerIndex aServer)
+{
+  if (aServer >= servers_.size()) {
+    servers_.resize(aServer + 1);
+  }
+  servers_[aServer].slowness = { 1, kServerPriorWeight };
+  servers_[aServer].byTemplate.clear();
+}
+
+void
+RateEstimator::AddSample(ServerIndex aServer,
+                         TemplateIndex aTemplate,
+                         SizeClass aSize,
+                         double aRunSeconds)
+{
+  double seconds = std::max(aRunSeconds, kMinRunSeconds);
+  double expectedWork = Work(aTemplate, aSize);
+  double speed = Speed(aServer, aTemplate);
+
+  ServerRate& server = servers_[aServer];
+  double slowness =
+    std::clamp(seconds / expectedWork, kMinSlowness, kMaxSlowness);
+  server.slowness.Add(slowness, kMaxServerWeight);
+  if (aTemplate >= server.byTemplate.size()) {
+    server.byTemplate.resize(aTemplate + 1);
+  }
+  server.byTemplate[aTemplate].Add(slowness, kMaxRateWeight);
+
+  TemplateRate& rate = templates_[aTemplate];
+  ++rate.samples;
+  rate.work.Add(seconds * speed, kMaxTemplateWeight);
+  rate.bySize[aSize].Add(seconds * speed, kMaxSizeWeight);
+}
+
+double
+RateEstimator::Work(TemplateIndex aTemplate, SizeClass aSize) const
+{
+  const TemplateRate& rate = templates_[aTemplate];
+  const Mean& size = rate.bySize[aSize];
+  return (size.value * size.weight + rate.work.value * kSizePriorWeight) /
+         (size.weight + kSizePriorWeight);
+}
+
+double
+RateEstimator::Speed(ServerIndex aServer) const
+{
+  return 1.0 / servers_[aServer].slowness.value;
+}
+
+double
+RateEstimator::Speed(ServerIndex aServer, TemplateIndex aTemplate) const
+{
+  const ServerRate& server = servers_[aServer];
+  if (aTemplate >= server.byTemplate.size()) {
+    return 1.0 / server.slowness.value;
+  }
+  const Mean& own = server.byTemplate[aTemplate];
+  return (own.weight + kRatePriorWeight) /
+         (own.value * own.weight + server.slowness.value * kRatePriorWeight);
+}
+
+bool
+RateEstimator::Learned(TemplateIndex aTemplate) const
+{
+  return templates_[aTemplate].samples >= kSamplesToLearn;
+}
+
+}
--- /dev/null
+++ b/src/coordination/slot_choice.cpp
@@ -0,0 +1,64 @@
+#include "coordination/slot_choice.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace greengage::coordination {
+
+namespace {
+
+// A task that has waited this many times what a faster server could save takes
+// any slot. It bounds the wait when estimates are wrong.
+constexpr double kMaxWaitForGain = 2;
+
+}
+
+bool
+FinishesEarlierElsewhere(const ServerTable& aServers,
+                         const FreeSlot& aSlot,
+                         double aTaskWork,
+                         double aWorkAhead,
+                         double aMeanWork)
+{
+  double here = aTaskWork / aSlot.speed;
+  std::uint64_t left = aServers.ClassesAbove(aSlot.rateClass);
+  while (left != 0) {
+    int lowest = std::countr_zero(left);
+    left &= left - 1;
+    const FasterSlots& faster = aServers.AtLeast(lowest);
+    double wait = (aWorkAhead + aMeanWork) / faster.rate;
+    double run = aTaskWork * faster.slots / faster.rate;
+    if (wait + run < here) {
+      return true;
+    }
+  }
+  return false;
+}
+
+Choice
+ChooseTask(const ServerTable& aServers,
+           const FreeSlot& aSlot,
+           const Candidate& aCandidate,
+           double aMeanWork,
+           state::MonotonicTime aNow)
+{
+  if (!FinishesEarlierElsewhere(aServers,
+                                aSlot,
+                                aCandidate.longest.work,
+                                aCandidate.workAhead,
+                                aMeanWork)) {
+    return Choice::eTakeLongest;
+  }
+  double shortest = aCandidate.shortest.work;
+  double before = aCandidate.workAhead + aCandidate.jobWork - shortest;
+  if (!FinishesEarlierElsewhere(aServers, aSlot, shortest, before, aMeanWork)) {
+    return Choice::eTakeShortest;
+  }
+  std::chrono::duration<double> waited = aNow - aCandidate.job.queuedAt;
+  double gain = aCandidate.longest.work / aSlot.speed -
+                aCandidate.longest.work / aServers.FastestSpeed();
+  return waited.count() > kMaxWaitForGain * gain ? Choice::eTakeLongest
+                                                 : Choice::eSkipJob;
+}
+
+}
--- a/src/coordination/task_scheduler.cpp
+++ b/src/coordination/task_scheduler.cpp
@@ -6,138 +6,428 @@
 
 namespace greengage::coordination {
 
+using state::RefusalCode;
+using state::TaskState;
+
 namespace {
 
-constexpr std::chrono::milliseconds kNoWorkersRetryAfter{ 1000 };
+// Weight of the latest task in the mean work of started tasks.
+constexpr double kMeanWorkGain = 1.0 / 64;
+
+bool
+IsFailureOfServer(const state::TaskRecord& aRecord)
+{
+  switch (aRecord.code) {
+    case RefusalCode::eTaskFailed:
+    case RefusalCode::eTaskTimeout:
+    case RefusalCode::eBackendUnreachable:
+    case RefusalCode::eOutcomeUnknown:
+      return aRecord.taskState == TaskState::eFailed ||
+             aRecord.taskState == TaskState::eNotStarted;
+    default:
+      return false;
+  }
+}
 
 }
 
-TaskScheduler::TaskScheduler(const state::Clock& aClock)
+TaskScheduler::TaskScheduler(const state::Clock& aClock,
+                             SchedulerSettings aSettings)
   : clock_(aClock)
+  , settings_(aSettings)
+  , queue_(aSettings.agingPeriod)
+  , health_(aSettings)
+  , chooser_([this](const Candidate& aCandidate) { return Choose(aCandidate); })
 {
 }
 
 void
 TaskScheduler::SetTemplate(const state::WorkTemplate& aTemplate)
 {
-  templates_.insert_or_assign(aTemplate.Name(), aTemplate);
+  TemplateIndex index = Template(aTemplate.Name());
+  KnownTemplate& known = templates_[index];
+  known.definition = aTemplate;
+  known.needs = { aTemplate.MemoryMb(), aTemplate.Accelerators() };
+  known.published = true;
+  rates_.SetTemplate(index, aTemplate.ExpectedRunTime());
 }
 
 void
 TaskScheduler::RemoveTemplate(const std::string& aName)
 {
-  templates_.erase(aName);
+  auto known = templatesByName_.find(aName);
+  if (known != templatesByName_.end()) {
+    templates_[known->second].published = false;
+  }
 }
 
 void
 TaskScheduler::SetOrganisation(const state::OrganisationParameters& aParameters)
 {
-  organisations_.insert_or_assign(aParameters.Name(), aParameters);
+  queue_.SetOrganisation(aParameters);
+  publishedOrganisations_.insert(aParameters.Name());
 }
 
 void
 TaskScheduler::RemoveOrganisation(const std::string& aName)
 {
-  organisations_.erase(aName);
+  publishedOrganisations_.erase(aName);
 }
 
 void
 TaskScheduler::SetServer(const ProcessInfo& aServer)
 {
-  servers_[aServer.id].info = aServer;
+  bool known = servers_.Find(aServer.id).has_value();
+  ServerIndex index = servers_.Set(aServer);
+  if (!known) {
+    rates_.ResetServer(index);
+  }
+  health_.AddServer(index, aServer.slots);
+  fits_.clear();
 }
 
 void
 TaskScheduler::RemoveServer(const state::ProcessId& aAgent)
 {
-  servers_.erase(aAgent);
-  std::erase_if(running_,
-                [&](const auto& aEntry) { return aEntry.second == aAgent; });
+  auto index = servers_.Find(aAgent);
+  if (!index) {
+    return;
+  }
+  auto now = clock_.MonotonicNow();
+  for (const RunningTask& task : servers_.Remove(*index)) {
+    std::chrono::duration<double> ran = now - task.startedAt;
+    queue_.OnEnded(task.job, task.expectedSeconds, ran.count());
+  }
+  health_.RemoveServer(*index);
+  fits_.clear();
 }
 
 tl::expected<void, CoordinationError>
-TaskScheduler::Admit(const state::JobSpec& aSpec) const
+TaskScheduler::Admit(const state::JobSpec& aSpec)
 {
-  using state::RefusalCode;
-  if (!organisations_.contains(aSpec.Key().organisation)) {
-    return tl::unexpected(
-      CoordinationError{ RefusalCode::eUnknownOrganisation,
-                         fmt::format("organisation \"{}\" is not published",
-                                     aSpec.Key().organisation) });
+  auto refuse = [this](CoordinationError aError) {
+    ++counters_.refusals[std::size_t(aError.code)];
+    return tl::unexpected(std::move(aError));
+  };
+  const std::string& name = aSpec.Key().organisation;
+  auto organisation = queue_.Find(name);
+  if (!organisation || !publishedOrganisations_.contains(name)) {
+    return refuse(
+      { RefusalCode::eUnknownOrganisation,
+        fmt::format("organisation \"{}\" is not published", name) });
   }
-  if (!templates_.contains(aSpec.TemplateName())) {
-    return tl::unexpected(CoordinationError{
-      RefusalCode::eUnknownTemplate,
-      fmt::format("template \"{}\" is not published", aSpec.TemplateName()) });
+  auto known = templatesByName_.find(aSpec.TemplateName());
+  if (known == templatesByName_.end() || !templates_[known->second].published) {
+    return refuse({ RefusalCode::eUnknownTemplate,
+                    fmt::format("template \"{}\" is not published",
+                                aSpec.TemplateName()) });
   }
-  if (servers_.empty()) {
-    return tl::unexpected(CoordinationError{ RefusalCode::eNoWorkers,
-                                             "no backend server is known",
-                                             kNoWorkersRetryAfter });
+  auto admitted =
+    DecideAdmission(aSpec,
+                    DescribeFleet(templates_[known->second].needs),
+                    DescribeQueue(aSpec, *organisation, known->second),
+                    queue_.Parameters(*organisation));
+  if (!admitted) {
+    return refuse(admitted.error());
   }
   return {};
 }
 
 void
-TaskScheduler::Enqueue(JobHandle,
-                       const state::JobSpec&,
+TaskScheduler::Enqueue(JobHandle aJob,
+                       const state::JobSpec& aSpec,
                        const std::vector<TaskRef>& aTasks,
-                       state::MonotonicTime)
+                       state::MonotonicTime aDeadline)
 {
-  queue_.insert(queue_.end(), aTasks.begin(), aTasks.end());
+  // A task that comes back keeps the place of its job, whose arrival follows
+  // from the deadline.
+  auto queuedAt = std::min(clock_.MonotonicNow(), aDeadline - aSpec.Deadline());
+  JobFacts facts = FactsOf(aJob, aSpec, queuedAt);
+  std::vector<QueuedTask> tasks;
+  tasks.reserve(aTasks.size());
+  for (const TaskRef& ref : aTasks) {
+    auto size = RateEstimator::ClassOf(aSpec.Payloads()[ref.task].size());
+    double work = rates_.Work(facts.workTemplate, size);
+    tasks.push_back({ ref.task, ref.attempt, size, work });
+  }
+  queue_.AddTasks(queue_.OpenJob(facts), std::move(tasks));
 }
 
 void
 TaskScheduler::AdoptRunning(const state::ProcessId& aAgent,
                             const TaskRef& aTask,
-                            const state::JobSpec&)
+                            const state::JobSpec& aSpec)
 {
-  auto server = servers_.find(aAgent);
-  if (server == servers_.end()) {
+  auto server = servers_.Find(aAgent);
+  if (!server) {
     return;
   }
-  ++server->second.running;
-  running_.emplace(aTask, aAgent);
+  auto now = clock_.MonotonicNow();
+  JobFacts facts = FactsOf(aTask.job, aSpec, now);
+  auto size = RateEstimator::ClassOf(aSpec.Payloads()[aTask.task].size());
+  RunningTask running{ aTask, queue_.OpenJob(facts) };
+  running.organisation = facts.organisation;
+  running.workTemplate = facts.workTemplate;
+  running.size = size;
+  running.needs = facts.needs;
+  running.startedAt = now;
+  running.expectedSeconds = rates_.Work(facts.workTemplate, size) /
+                            rates_.Speed(*server, facts.workTemplate);
+  servers_.Start(*server, running);
+  queue_.OnStarted(running.job, running.expectedSeconds);
 }
 
 void
 TaskScheduler::DropQueued(JobHandle aJob)
 {
-  std::erase_if(queue_,
-                [&](const TaskRef& aTask) { return aTask.job == aJob; });
+  queue_.Drop(aJob);
 }
 
 std::vector<Assignment>
 TaskScheduler::Assign()
 {
   std::vector<Assignment> assignments;
-  for (auto& [id, server] : servers_) {
-    if (server.info.draining) {
-      continue;
-    }
-    while (!queue_.empty() && server.running < server.info.slots) {
-      assignments.push_back({ id, queue_.front() });
-      running_.emplace(queue_.front(), id);
-      queue_.pop_front();
-      ++server.running;
+  now_ = clock_.MonotonicNow();
+  ReleaseHeldSlots();
+  ApplyLimits(health_.Tick(now_));
+  while (servers_.AnyFree()) {
+    auto taken = queue_.Take(chooser_);
+    if (!taken) {
+      break;
     }
+    assignments.push_back(Bind(*taken));
   }
+  counters_.assignments += assignments.size();
   return assignments;
 }
 
 void
 TaskScheduler::OnTaskEnded(const state::ProcessId& aAgent,
                            const TaskRef& aTask,
-                           const state::TaskRecord&)
+                           const state::TaskRecord& aRecord)
 {
-  auto running = running_.find(aTask);
-  if (running == running_.end() || running->second != aAgent) {
+  auto server = servers_.Find(aAgent);
+  if (!server) {
+    return;
+  }
+  auto ended = servers_.End(*server, aTask);
+  if (!ended) {
     return;
   }
-  running_.erase(running);
-  auto server = servers_.find(aAgent);
-  if (server != servers_.end() && server->second.running > 0) {
-    --server->second.running;
+  bool ran = aRecord.taskState != TaskState::eNotStarted;
+  std::chrono::duration<double> used = clock_.MonotonicNow() - ended->startedAt;
+  queue_.OnEnded(ended->job, ended->expectedSeconds, ran ? used.count() : 0.0);
+  if (!ran) {
+    ++counters_.refusedStarts[std::size_t(aRecord.code)];
+  }
+  Learn(*server, *ended, aRecord);
+  JudgeHealth(*server, *ended, aRecord);
+}
+
+std::vector<ServerView>
+TaskScheduler::ServerViews() const
+{
+  std::vector<ServerView> views;
+  for (ServerIndex index : servers_.Indexes()) {
+    views.push_back(
+      { servers_.Info(index),
+        static_cast<std::uint32_t>(servers_.Running(index).size()),
+        rates_.Speed(index),
+        health_.State(index) });
+  }
+  std::sort(
+    views.begin(), views.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.info.id < aRight.info.id;
+    });
+  return views;
+}
+
+SchedulerCounters
+TaskScheduler::Counters() const
+{
+  SchedulerCounters counters = counters_;
+  counters.health = health_.Counters();
+  return counters;
+}
+
+TemplateIndex
+TaskScheduler::Template(const std::string& aName)
+{
+  auto [known, added] = templatesByName_.emplace(
+    aName, static_cast<TemplateIndex>(templates_.size()));
+  if (added) {
+    templates_.emplace_back();
+    rates_.SetTemplate(known->second,
+                       templates_.back().definition.ExpectedRunTime());
+  }
+  return known->second;
+}
+
+JobFacts
+TaskScheduler::FactsOf(JobHandle aJob,
+                       const state::JobSpec& aSpec,
+                       state::MonotonicTime aQueuedAt)
+{
+  TemplateIndex index = Template(aSpec.TemplateName());
+  return { aJob,
+           queue_.Organisation(aSpec.Key().organisation),
+           index,
+           templates_[index].needs,
+           aSpec.Urgency(),
+           aQueuedAt };
+}
+
+FleetFacts
+TaskScheduler::DescribeFleet(const TaskNeeds& aNeeds)
+{
+  FleetFacts facts;
+  facts.servers = servers_.Count();
+  facts.fitsAnyServer = FitsAnyServer(aNeeds);
+  facts.usableSlots = servers_.UsableSlots();
+  facts.usableRate = servers_.UsableRate();
+  facts.fastestSpeed = servers_.FastestSpeed();
+  return facts;
+}
+
+QueueFacts
+TaskScheduler::DescribeQueue(const state::JobSpec& aSpec,
+                             OrganisationIndex aOrganisation,
+                             TemplateIndex aTemplate) const
+{
+  QueueFacts facts;
+  facts.workAhead = queue_.QueuedWork(aOrganisation, aSpec.Urgency());
+  facts.weightShare = queue_.WeightShare(aOrganisation);
+  facts.runningSlots = queue_.Running(aOrganisation);
+  facts.workIsLearned = rates_.Learned(aTemplate);
+  for (const std::string& payload : aSpec.Payloads()) {
+    auto size = RateEstimator::ClassOf(payload.size());
+    double work = rates_.Work(aTemplate, size);
+    facts.jobWork += work;
+    facts.longestTask = std::max(facts.longestTask, work);
+  }
+  return facts;
+}
+
+bool
+TaskScheduler::FitsAnyServer(const TaskNeeds& aNeeds)
+{
+  auto known = fits_.find(aNeeds);
+  if (known == fits_.end()) {
+    known = fits_.emplace(aNeeds, servers_.FitsAnyServer(aNeeds)).first;
+  }
+  return known->second;
+}
+
+Choice
+TaskScheduler::Choose(const Candidate& aCandidate)
+{
+  FreeServers free = servers_.FindFree(aCandidate.job.needs);
+  if (free.count == 0) {
+    return Choice::eSkipNeeds;
+  }
+  FreeSlot best{ 0, 0 };
+  for (std::size_t i = 0; i < free.count; ++i) {
+    ServerIndex server = free.servers[i];
+    double speed = rates_.Speed(server, aCandidate.job.workTemplate);
+    if (speed > best.speed) {
+      best = { speed, servers_.ClassOf(server) };
+      chosenServer_ = server;
+    }
+  }
+  if (!settings_.waitForFaster) {
+    return Choice::eTakeLongest;
+  }
+  return ChooseTask(servers_, best, aCandidate, meanWork_, now_);
+}
+
+Assignment
+TaskScheduler::Bind(const TakenTask& aTaken)
+{
+  const JobFacts& facts = queue_.Facts(aTaken.job);
+  double work = rates_.Work(facts.workTemplate, aTaken.task.size);
+  RunningTask running{ { facts.handle, aTaken.task.task, aTaken.task.attempt },
+                       aTaken.job };
+  running.organisation = facts.organisation;
+  running.workTemplate = facts.workTemplate;
+  running.size = aTaken.task.size;
+  running.needs = facts.needs;
+  running.startedAt = now_;
+  running.expectedSeconds =
+    work / rates_.Speed(chosenServer_, facts.workTemplate);
+  meanWork_ += (work - meanWork_) * kMeanWorkGain;
+  servers_.Start(chosenServer_, running);
+  queue_.OnStarted(aTaken.job, running.expectedSeconds);
+  return { servers_.Info(chosenServer_).id, running.task };
+}
+
+void
+TaskScheduler::ReleaseHeldSlots()
+{
+  while (!held_.empty() && held_.top().until <= now_) {
+    HeldSlot slot = held_.top();
+    held_.pop();
+    if (servers_.Generation(slot.server) == slot.generation) {
+      servers_.ReleaseHeld(slot.server);
+    }
+  }
+}
+
+void
+TaskScheduler::Learn(ServerIndex aServer,
+                     const RunningTask& aTask,
+                     const state::TaskRecord& aRecord)
+{
+  if (aRecord.taskState != TaskState::eSucceeded) {
+    return;
+  }
+  std::chrono::duration<double> ran = aRecord.runTime;
+  rates_.AddSample(aServer, aTask.workTemplate, aTask.size, ran.count());
+  servers_.SetSpeed(aServer, rates_.Speed(aServer));
+}
+
+void
+TaskScheduler::JudgeHealth(ServerIndex aServer,
+                           const RunningTask& aTask,
+                           const state::TaskRecord& aRecord)
+{
+  bool succeeded = aRecord.taskState == TaskState::eSucceeded;
+  if (succeeded || IsFailureOfServer(aRecord)) {
+    HealthSample sample{
+      aServer, aTask.workTemplate, aTask.task.job, !succeeded
+    };
+    ApplyLimits(health_.OnResult(sample, clock_.MonotonicNow()));
+  }
+  if (succeeded) {
+    return;
+  }
+  if (aRecord.code == RefusalCode::eDraining) {
+    servers_.SetDraining(aServer);
+  }
+  if (aRecord.code == RefusalCode::eBusy ||
+      (IsFailureOfServer(aRecord) && health_.FailsRepeatedly(aServer))) {
+    HoldSlot(aServer, aTask);
+  }
+}
+
+void
+TaskScheduler::HoldSlot(ServerIndex aServer, const RunningTask& aTask)
+{
+  std::chrono::duration<double> expected(aTask.expectedSeconds);
+  auto until =
+    aTask.startedAt +
+    std::chrono::duration_cast<state::MonotonicTime::duration>(expected);
+  if (until <= clock_.MonotonicNow()) {
+    return;
+  }
+  servers_.Hold(aServer);
+  held_.push({ until, aServer, servers_.Generation(aServer) });
+}
+
+void
+TaskScheduler::ApplyLimits(const std::vector<LimitChange>& aChanges)
+{
+  for (const LimitChange& change : aChanges) {
+    servers_.SetLimit(change.server, change.limit);
   }
 }
 
--- a/src/coordination/task_scheduler.h
+++ b/src/coordination/task_scheduler.h
@@ -1,16 +1,25 @@
 #pragma once
 
-#include <compare>
-#include <cstdint>
-#include <deque>
+#include <array>
 #include <map>
+#include <queue>
+#include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include <tl/expected.hpp>
 
+#include "coordination/admission.h"
 #include "coordination/coordination_error.h"
+#include "coordination/fair_queue.h"
 #include "coordination/messages.h"
+#include "coordination/rate_estimator.h"
+#include "coordination/scheduler_settings.h"
+#include "coordination/scheduler_types.h"
+#include "coordination/server_table.h"
+#include "coordination/slot_choice.h"
+#include "coordination/worker_health.h"
 #include "state/clock.h"
 #include "state/job_spec.h"
 #include "state/organisation_parameters.h"
@@ -19,26 +28,31 @@
 
 namespace greengage::coordination {
 
-/** Number of a job inside one owner; never reused. */
-using JobHandle = std::uint64_t;
-
-/** One attempt to run one task. */
-struct TaskRef
+/** State of one server for operators. */
+struct ServerView
 {
-  JobHandle job = 0;
-  std::uint32_t task = 0;
-  std::uint32_t attempt = 0;
+  ProcessInfo info;
+  std::uint32_t running = 0;
+  /** Relative to the speed for which run times are declared. */
+  double learnedSpeed = 1;
+  HealthState health = HealthState::eHealthy;
 
-  auto operator<=>(const TaskRef&) const = default;
+  bool operator==(const ServerView&) const = default;
 };
 
-/** Decision to start a task on the backend server beside an agent. */
-struct Assignment
+/** Numbers since the start, for metrics. */
+struct SchedulerCounters
 {
-  state::ProcessId agent;
-  TaskRef task;
-
-  auto operator<=>(const Assignment&) const = default;
+  /** Refused jobs by code. */
+  std::array<std::uint64_t, std::size_t(state::RefusalCode::eLast) + 1>
+    refusals{};
+  std::uint64_t assignments = 0;
+  /** Starts that an agent refused, by code. */
+  std::array<std::uint64_t, std::size_t(state::RefusalCode::eLast) + 1>
+    refusedStarts{};
+  HealthCounters health;
+
+  bool operator==(const SchedulerCounters&) const = default;
 };
 
 /**
@@ -49,7 +63,10 @@
 class TaskScheduler
 {
 public:
-  explicit TaskScheduler(const state::Clock& aClock);
+  explicit TaskScheduler(const state::Clock& aClock,
+                         SchedulerSettings aSettings = {});
+  TaskScheduler(const TaskScheduler&) = delete;
+  TaskScheduler& operator=(const TaskScheduler&) = delete;
 
   void SetTemplate(const state::WorkTemplate& aTemplate);
   void RemoveTemplate(const std::string& aName);
@@ -61,9 +78,12 @@
   /** Forgets a server; its running tasks are no longer counted. */
   void RemoveServer(const state::ProcessId& aAgent);
 
-  /** Decides whether a new job may enter the queue; changes nothing. */
-  tl::expected<void, CoordinationError> Admit(
-    const state::JobSpec& aSpec) const;
+  /**
+   * Decides whether a new job may enter the queue; changes nothing but the
+   * counter of a refusal. Errors: eUnknownOrganisation, eUnknownTemplate and
+   * those of DecideAdmission.
+   */
+  tl::expected<void, CoordinationError> Admit(const state::JobSpec& aSpec);
 
   /** Queues the given tasks of an admitted job. */
   void Enqueue(JobHandle aJob,
@@ -79,7 +99,10 @@
   /** Removes all queued tasks of a job; running ones are not touched. */
   void DropQueued(JobHandle aJob);
 
-  /** Binds queued tasks to free slots. */
+  /**
+   * Binds queued tasks to free slots. Call after every batch of events, and
+   * at least every 50 ms, as slots also become usable with time.
+   */
   std::vector<Assignment> Assign();
 
   /**
@@ -90,23 +113,69 @@
                    const TaskRef& aTask,
                    const state::TaskRecord& aRecord);
 
-  std::size_t QueuedTasks() const { return queue_.size(); }
-  std::size_t RunningTasks() const { return running_.size(); }
-  std::size_t ServerCount() const { return servers_.size(); }
+  std::size_t QueuedTasks() const { return queue_.QueuedTasks(); }
+  std::size_t RunningTasks() const { return servers_.RunningTasks(); }
+  std::size_t ServerCount() const { return servers_.Count(); }
+  /** Every known server, sorted by identity. */
+  std::vector<ServerView> ServerViews() const;
+  SchedulerCounters Counters() const;
 
 private:
-  struct Server
+  struct KnownTemplate
   {
-    ProcessInfo info;
-    std::uint32_t running = 0;
+    state::WorkTemplate definition;
+    TaskNeeds needs;
+    bool published = false;
   };
 
+  /** A slot that is kept out of use after a failure. */
+  struct HeldSlot
+  {
+    state::MonotonicTime until;
+    ServerIndex server = 0;
+    std::uint32_t generation = 0;
+
+    auto operator<=>(const HeldSlot&) const = default;
+  };
+
+  TemplateIndex Template(const std::string& aName);
+  JobFacts FactsOf(JobHandle aJob,
+                   const state::JobSpec& aSpec,
+                   state::MonotonicTime aQueuedAt);
+  FleetFacts DescribeFleet(const TaskNeeds& aNeeds);
+  QueueFacts DescribeQueue(const state::JobSpec& aSpec,
+                           OrganisationIndex aOrganisation,
+                           TemplateIndex aTemplate) const;
+  bool FitsAnyServer(const TaskNeeds& aNeeds);
+  Choice Choose(const Candidate& aCandidate);
+  Assignment Bind(const TakenTask& aTaken);
+  void ReleaseHeldSlots();
+  void Learn(ServerIndex aServer,
+             const RunningTask& aTask,
+             const state::TaskRecord& aRecord);
+  void JudgeHealth(ServerIndex aServer,
+                   const RunningTask& aTask,
+                   const state::TaskRecord& aRecord);
+  void HoldSlot(ServerIndex aServer, const RunningTask& aTask);
+  void ApplyLimits(const std::vector<LimitChange>& aChanges);
+
   const state::Clock& clock_;
-  std::map<std::string, state::WorkTemplate> templates_;
-  std::map<std::string, state::OrganisationParameters> organisations_;
-  std::unordered_map<state::ProcessId, Server> servers_;
-  std::deque<TaskRef> queue_;
-  std::map<TaskRef, state::ProcessId> running_;
+  SchedulerSettings settings_;
+  std::vector<KnownTemplate> templates_;
+  std::unordered_map<std::string, TemplateIndex> templatesByName_;
+  std::unordered_set<std::string> publishedOrganisations_;
+  RateEstimator rates_;
+  ServerTable servers_;
+  FairQueue queue_;
+  WorkerHealth health_;
+  FairQueue::Chooser chooser_;
+  state::MonotonicTime now_;
+  /** Server chosen by the last call of Choose. */
+  ServerIndex chosenServer_ = 0;
+  double meanWork_ = 0;
+  std::priority_queue<HeldSlot, std::vector<HeldSlot>, std::greater<>> held_;
+  std::map<TaskNeeds, bool> fits_;
+  SchedulerCounters counters_;
 };
 
 }
