Give JobOwner the lease's view of agents and harden the start ledger

Cause: the ownership lease has to tell the job owner its token, the time of activation and the agents that may hold start records, and an agent that refused a start could still be started by a delayed copy of the message. Change: Activate takes time and agents, UpdateToken, AddAgent and UpdateAgent are new, Activate fences all agents. The ledger remembers refused attempts and cancelled jobs; a repeated start is answered with the known record. Conclusion: the lease can be wired against these functions.

--- a/src/coordination/job_owner.cpp
+++ b/src/coordination/job_owner.cpp
@@ -21,10 +21,43 @@
 }
 
 void
-JobOwner::Activate(const state::OwnershipToken& aToken)
+JobOwner::Activate(const state::OwnershipToken& aToken,
+                   state::WallTime aActivatedAt,
+                   std::vector<AgentInUse> aAgents,
+                   bool aAgentsComplete)
 {
+  Deactivate();
   active_ = true;
   token_ = aToken;
+  activatedAt_ = aActivatedAt;
+  agentsComplete_ = aAgentsComplete;
+  for (AgentInUse& agent : aAgents) {
+    state::ProcessId id = agent.process.id;
+    agents_.insert_or_assign(id, std::move(agent));
+    hooks_.fence(id, { id, shard_, token_ });
+  }
+}
+
+void
+JobOwner::UpdateToken(const state::OwnershipToken& aToken)
+{
+  token_ = aToken;
+}
+
+void
+JobOwner::AddAgent(const ProcessInfo& aAgent)
+{
+  agents_.insert_or_assign(aAgent.id, AgentInUse{ aAgent, std::nullopt });
+  scheduler_.SetServer(aAgent);
+}
+
+void
+JobOwner::UpdateAgent(const ProcessInfo& aAgent)
+{
+  auto known = agents_.find(aAgent.id);
+  if (known != agents_.end() && !known->second.goneSince) {
+    AddAgent(aAgent);
+  }
 }
 
 void
@@ -38,6 +71,10 @@
   keys_.clear();
   byCreation_.clear();
   byDeadline_.clear();
+  for (const auto& [id, agent] : agents_) {
+    scheduler_.RemoveServer(id);
+  }
+  agents_.clear();
 }
 
 void
@@ -135,6 +172,10 @@
 JobOwner::OnAgentGone(const state::ProcessId& aAgent)
 {
   scheduler_.RemoveServer(aAgent);
+  auto gone = agents_.find(aAgent);
+  if (gone != agents_.end() && !gone->second.goneSince) {
+    gone->second.goneSince = clock_.WallNow();
+  }
   for (auto& [key, job] : jobs_) {
     if (job.outcome) {
       continue;
--- a/src/coordination/job_owner.h
+++ b/src/coordination/job_owner.h
@@ -17,6 +17,7 @@
 {
   std::function<void(const state::ProcessId& aAgent, StartTasks)> startTasks;
   std::function<void(const state::ProcessId& aAgent, CancelTasks)> cancelTasks;
+  std::function<void(const state::ProcessId& aAgent, Fence)> fence;
   std::function<void(const state::ProcessId& aAgent, HistoryQuery)>
     queryHistory;
   std::function<void(const state::ProcessId& aRequester, JobAnswer)> answer;
@@ -35,12 +36,26 @@
            const state::Clock& aClock,
            JobOwnerHooks aHooks);
 
-  /** The lease became valid with this token. */
-  void Activate(const state::OwnershipToken& aToken);
+  /**
+   * The lease became valid: starts with empty memory. aAgents are the agents
+   * that earlier owners may have used; aAgentsComplete is false if some of
+   * them may be missing from the list. Fences all of them.
+   */
+  void Activate(const state::OwnershipToken& aToken,
+                state::WallTime aActivatedAt,
+                std::vector<AgentInUse> aAgents,
+                bool aAgentsComplete);
+  /** The same owner goes on under a newer token and keeps its memory. */
+  void UpdateToken(const state::OwnershipToken& aToken);
   /** The lease was lost: forgets all jobs and answers nobody. */
   void Deactivate();
   bool Active() const { return active_; }
 
+  /** The group has acknowledged the agent: tasks may be started on it. */
+  void AddAgent(const ProcessInfo& aAgent);
+  /** New description (slots, draining) of an agent; others are ignored. */
+  void UpdateAgent(const ProcessInfo& aAgent);
+
   void OnSubmit(const state::ProcessId& aRequester, const SubmitJob& aSubmit);
   void OnQuery(const state::ProcessId& aRequester, const QueryJob& aQuery);
   void OnCancel(const state::ProcessId& aRequester, const CancelJob& aCancel);
@@ -90,6 +105,10 @@
   JobOwnerHooks hooks_;
   bool active_ = false;
   state::OwnershipToken token_;
+  state::WallTime activatedAt_;
+  bool agentsComplete_ = true;
+  /** Agents of earlier owners and of this one. */
+  std::map<state::ProcessId, AgentInUse> agents_;
   JobHandle lastHandle_ = 0;
   std::unordered_map<state::JobKey, Job> jobs_;
   std::unordered_map<JobHandle, state::JobKey> keys_;
--- a/src/coordination/task_runner.cpp
+++ b/src/coordination/task_runner.cpp
@@ -6,20 +6,14 @@
 using state::TaskRecord;
 using state::TaskState;
 
-namespace {
-
-// With 64 MB for the whole process, half is left for records and buffers.
-constexpr std::size_t kMaxResultBytes = 16 * 1024 * 1024;
-
-}
-
 TaskRunner::TaskRunner(const ProcessInfo& aSelf,
                        const state::Clock& aClock,
-                       TaskRunnerHooks aHooks)
+                       TaskRunnerHooks aHooks,
+                       const state::StartLedgerOptions& aLedgerOptions)
   : self_(aSelf)
   , clock_(aClock)
   , hooks_(std::move(aHooks))
-  , ledger_(kMaxResultBytes)
+  , ledger_(aLedgerOptions)
 {
 }
 
@@ -32,18 +26,14 @@
     return;
   }
   TaskResults refused{ aStart.shard, self_.id, {} };
+  AcceptOwner(aOwner, aStart.shard, aStart.token);
   for (const TaskStart& task : aStart.tasks) {
-    RefusalCode code = TryStart(aStart, task);
-    if (code == RefusalCode::eNone) {
-      owners_[aStart.shard] = aOwner;
+    TaskRecord record = TryStart(aStart, task);
+    if (record.code == RefusalCode::eNone &&
+        record.taskState == TaskState::eRunning) {
       hooks_.callBackend(task);
       continue;
     }
-    TaskRecord record;
-    record.key = task.key;
-    record.task = task.task;
-    record.attempt = task.attempt;
-    record.code = code;
     refused.records.push_back(std::move(record));
   }
   if (!refused.records.empty()) {
@@ -51,44 +41,80 @@
   }
 }
 
-RefusalCode
+TaskRecord
 TaskRunner::TryStart(const StartTasks& aStart, const TaskStart& aTask)
 {
-  if (draining_) {
-    return RefusalCode::eDraining;
-  }
-  if (running_.size() >= self_.slots) {
-    return RefusalCode::eBusy;
-  }
   TaskRecord record;
   record.key = aTask.key;
   record.task = aTask.task;
   record.attempt = aTask.attempt;
-  RefusalCode code =
+  // A known attempt goes first: it must not look refused when it runs.
+  const TaskRecord* known = ledger_.Find(record);
+  RefusalCode capacity = CheckCapacity();
+  if (!known && capacity != RefusalCode::eNone) {
+    record.code = capacity;
+    ledger_.Refuse(record, clock_.WallNow());
+    return record;
+  }
+  record.code =
     ledger_.TryStart(aStart.shard, aStart.token, record, clock_.WallNow());
-  if (code != RefusalCode::eNone) {
-    return code;
+  if (record.code == RefusalCode::eNone) {
+    record.taskState = TaskState::eRunning;
+    running_.insert_or_assign(TaskName{ aTask.key, aTask.task, aTask.attempt },
+                              Running{ aStart.shard, clock_.MonotonicNow() });
+    return record;
+  }
+  if (record.code == RefusalCode::eDuplicateStart && known &&
+      known->taskState != TaskState::eRunning) {
+    // The first report may have been lost.
+    return *known;
+  }
+  return record;
+}
+
+RefusalCode
+TaskRunner::CheckCapacity() const
+{
+  if (draining_) {
+    return RefusalCode::eDraining;
   }
-  running_.emplace(TaskName{ aTask.key, aTask.task, aTask.attempt },
-                   Running{ aStart.shard, clock_.MonotonicNow() });
-  return RefusalCode::eNone;
+  return running_.size() >= self_.slots ? RefusalCode::eBusy
+                                        : RefusalCode::eNone;
+}
+
+bool
+TaskRunner::AcceptOwner(const state::ProcessId& aOwner,
+                        std::uint32_t aShard,
+                        const state::OwnershipToken& aToken)
+{
+  if (!ledger_.AcceptToken(aShard, aToken)) {
+    return false;
+  }
+  owners_[aShard] = aOwner;
+  return true;
 }
 
 void
-TaskRunner::OnCancelTasks(const state::ProcessId&, const CancelTasks& aCancel)
+TaskRunner::OnCancelTasks(const state::ProcessId& aOwner,
+                          const CancelTasks& aCancel)
 {
   if (aCancel.agent != self_.id ||
-      !ledger_.AcceptToken(aCancel.shard, aCancel.token)) {
+      !AcceptOwner(aOwner, aCancel.shard, aCancel.token)) {
     return;
   }
-  for (const auto& [name, running] : running_) {
-    const auto& [key, task, attempt] = name;
-    for (const state::JobKey& cancelled : aCancel.keys) {
-      if (key == cancelled) {
-        hooks_.abortCall(key, task, attempt);
-      }
+  std::vector<TaskName> aborted;
+  for (const state::JobKey& key : aCancel.keys) {
+    ledger_.Cancel(key, clock_.WallNow());
+    for (auto task = running_.lower_bound(TaskName{ key, 0, 0 });
+         task != running_.end() && std::get<0>(task->first) == key;
+         ++task) {
+      aborted.push_back(task->first);
     }
   }
+  // The hook may report the end at once, which changes running_.
+  for (const auto& [key, task, attempt] : aborted) {
+    hooks_.abortCall(key, task, attempt);
+  }
 }
 
 void
@@ -97,9 +123,7 @@
   if (aFence.agent != self_.id) {
     return;
   }
-  if (ledger_.AcceptToken(aFence.shard, aFence.token)) {
-    owners_[aFence.shard] = aOwner;
-  }
+  AcceptOwner(aOwner, aFence.shard, aFence.token);
   hooks_.send(
     aOwner,
     FenceReply{ self_.id, aFence.shard, ledger_.HighestToken(aFence.shard) });
@@ -113,8 +137,7 @@
     return;
   }
   HistoryReply reply{ self_.id, aQuery.shard, {}, aQuery.query, {} };
-  if (ledger_.AcceptToken(aQuery.shard, aQuery.token)) {
-    owners_[aQuery.shard] = aOwner;
+  if (AcceptOwner(aOwner, aQuery.shard, aQuery.token)) {
     for (const state::JobKey& key : aQuery.keys) {
       auto records = ledger_.Records(key);
       reply.records.insert(reply.records.end(), records.begin(), records.end());
--- a/src/coordination/task_runner.h
+++ b/src/coordination/task_runner.h
@@ -44,7 +44,8 @@
 public:
   TaskRunner(const ProcessInfo& aSelf,
              const state::Clock& aClock,
-             TaskRunnerHooks aHooks);
+             TaskRunnerHooks aHooks,
+             const state::StartLedgerOptions& aLedgerOptions = {});
 
   void OnStartTasks(const state::ProcessId& aOwner, const StartTasks& aStart);
   void OnCancelTasks(const state::ProcessId& aOwner,
@@ -74,8 +75,14 @@
     state::MonotonicTime started;
   };
 
-  /** Why a start is refused; eNone if it was recorded and may go ahead. */
-  state::RefusalCode TryStart(const StartTasks& aStart, const TaskStart& aTask);
+  /** Code eNone if the start was recorded, else the record to report. */
+  state::TaskRecord TryStart(const StartTasks& aStart, const TaskStart& aTask);
+  /** Why the agent itself cannot take a start; eNone if it can. */
+  state::RefusalCode CheckCapacity() const;
+  /** True if the token is valid; reports go to aOwner from now on. */
+  bool AcceptOwner(const state::ProcessId& aOwner,
+                   std::uint32_t aShard,
+                   const state::OwnershipToken& aToken);
 
   ProcessInfo self_;
   const state::Clock& clock_;
--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -50,6 +50,9 @@
              [this](const state::ProcessId& aAgent, CancelTasks aCancel) {
                network_.Send(aAgent, std::move(aCancel));
              },
+             [this](const state::ProcessId& aAgent, Fence aFence) {
+               network_.Send(aAgent, std::move(aFence));
+             },
              [this](const state::ProcessId& aAgent, HistoryQuery aQuery) {
                network_.Send(aAgent, std::move(aQuery));
              },
@@ -105,7 +108,7 @@
     return tl::unexpected(DaemonError{ http.error().message });
   }
   network_.Start(self_);
-  owner_.Activate(kFirstToken);
+  owner_.Activate(kFirstToken, clock_.WallNow(), {}, true);
   router_.OnOwner({ kOnlyShard, kFirstToken, self_ });
   control_.Every(kTickPeriod, [this] { OnTick(); });
   control_.Start();
@@ -215,11 +218,11 @@
   if (const auto* hello = std::get_if<Hello>(&aMessage)) {
     network_.SetPeer(hello->process);
     if (hello->process.role == ProcessRole::eAgent) {
-      scheduler_.SetServer(hello->process);
+      owner_.AddAgent(hello->process);
     }
   } else if (const auto* status = std::get_if<AgentStatus>(&aMessage)) {
     network_.SetPeer(status->process);
-    scheduler_.SetServer(status->process);
+    owner_.AddAgent(status->process);
   } else if (const auto* submit = std::get_if<SubmitJob>(&aMessage)) {
     owner_.OnSubmit(aFrom.id, *submit);
   } else if (const auto* query = std::get_if<QueryJob>(&aMessage)) {
--- a/src/state/start_ledger.cpp
+++ b/src/state/start_ledger.cpp
@@ -2,8 +2,8 @@
 
 namespace greengage::state {
 
-StartLedger::StartLedger(std::size_t aMaxResultBytes)
-  : maxResultBytes_(aMaxResultBytes)
+StartLedger::StartLedger(const StartLedgerOptions& aOptions)
+  : options_(aOptions)
 {
 }
 
@@ -12,7 +12,7 @@
 {
   OwnershipToken& highest = tokens_[aShard];
   if (aToken < highest) {
-    return false;
+    return !options_.checkTokens;
   }
   highest = aToken;
   return true;
@@ -42,19 +42,51 @@
   if (created > aNow + kClockMargin) {
     return RefusalCode::eJobIdInFuture;
   }
-  auto [job, isNew] = jobs_.try_emplace(aRecord.key);
-  if (isNew) {
-    byCreation_.emplace(created, aRecord.key);
-  }
+  JobRecords* job = Open(aRecord.key, aNow);
   TaskAttempt attempt{ aRecord.task, aRecord.attempt };
-  auto [entry, inserted] = job->second.try_emplace(attempt, aRecord);
-  if (!inserted) {
+  auto [entry, inserted] = job->tasks.try_emplace(attempt, aRecord);
+  if (!inserted && options_.checkStarts) {
     return RefusalCode::eDuplicateStart;
   }
+  if (job->cancelled && options_.checkStarts) {
+    entry->second.taskState = TaskState::eNotStarted;
+    entry->second.code = RefusalCode::eCancelled;
+    return RefusalCode::eCancelled;
+  }
   entry->second.taskState = TaskState::eRunning;
   return RefusalCode::eNone;
 }
 
+void
+StartLedger::Refuse(const TaskRecord& aRecord, WallTime aNow)
+{
+  if (JobRecords* job = Open(aRecord.key, aNow)) {
+    job->tasks.try_emplace({ aRecord.task, aRecord.attempt }, aRecord);
+  }
+}
+
+void
+StartLedger::Cancel(const JobKey& aKey, WallTime aNow)
+{
+  if (JobRecords* job = Open(aKey, aNow)) {
+    job->cancelled = true;
+  }
+}
+
+StartLedger::JobRecords*
+StartLedger::Open(const JobKey& aKey, WallTime aNow)
+{
+  WallTime created = aKey.id.CreationTime();
+  if (created + kJobMemory < aNow || created > aNow + kClockMargin) {
+    return nullptr;
+  }
+  auto [job, isNew] = jobs_.try_emplace(aKey);
+  if (isNew) {
+    byCreation_.emplace(created, aKey);
+  }
+  return &job->second;
+}
+
 bool
 StartLedger::Finish(const TaskRecord& aRecord)
 {
@@ -63,8 +95,8 @@
     return false;
   }
   TaskAttempt attempt{ aRecord.task, aRecord.attempt };
-  auto entry = job->second.find(attempt);
-  if (entry == job->second.end() ||
+  auto entry = job->second.tasks.find(attempt);
+  if (entry == job->second.tasks.end() ||
       entry->second.taskState != TaskState::eRunning) {
     return false;
   }
@@ -75,6 +107,17 @@
   return true;
 }
 
+const TaskRecord*
+StartLedger::Find(const TaskRecord& aTask) const
+{
+  auto job = jobs_.find(aTask.key);
+  if (job == jobs_.end()) {
+    return nullptr;
+  }
+  auto entry = job->second.tasks.find({ aTask.task, aTask.attempt });
+  return entry == job->second.tasks.end() ? nullptr : &entry->second;
+}
+
 std::vector<TaskRecord>
 StartLedger::Records(const JobKey& aKey) const
 {
@@ -83,9 +126,15 @@
   if (job == jobs_.end()) {
     return records;
   }
-  for (const auto& [attempt, record] : job->second) {
+  for (const auto& [attempt, record] : job->second.tasks) {
     records.push_back(record);
   }
+  if (job->second.cancelled) {
+    TaskRecord marker;
+    marker.key = aKey;
+    marker.code = RefusalCode::eCancelled;
+    records.push_back(std::move(marker));
+  }
   return records;
 }
 
@@ -96,7 +145,7 @@
   while (!byCreation_.empty() && byCreation_.begin()->first < oldest) {
     auto job = jobs_.find(byCreation_.begin()->second);
     if (job != jobs_.end()) {
-      for (const auto& [attempt, record] : job->second) {
+      for (const auto& [attempt, record] : job->second.tasks) {
         if (record.taskState != TaskState::eRunning) {
           resultBytes_ -= record.body.size();
         }
@@ -117,10 +166,10 @@
       finished_.pop_front();
       continue;
     }
-    if (resultBytes_ <= maxResultBytes_) {
+    if (resultBytes_ <= options_.maxResultBytes) {
       return;
     }
-    TaskRecord& record = job->second.at(finished_.front().second);
+    TaskRecord& record = job->second.tasks.at(finished_.front().second);
     resultBytes_ -= record.body.size();
     record.body.clear();
     record.code = RefusalCode::eResultUnavailable;
--- a/src/state/start_ledger.h
+++ b/src/state/start_ledger.h
@@ -13,6 +13,19 @@
 
 namespace greengage::state {
 
+/** How a ledger behaves; the checks are switched off only by fault tests. */
+struct StartLedgerOptions
+{
+  /** Bounds the memory of kept results; the oldest go first. */
+  std::size_t maxResultBytes = 8 * 1024 * 1024;
+  /** Refuse tokens older than the highest one seen. */
+  bool checkTokens = true;
+  /** Refuse a second start of the same attempt, and cancelled jobs. */
+  bool checkStarts = true;
+
+  auto operator<=>(const StartLedgerOptions&) const = default;
+};
+
 /**
  * Record, beside one backend server, of every task that was started there in
  * the last kJobMemory, and of the highest fencing token per shard. It decides
@@ -21,8 +34,7 @@
 class StartLedger
 {
 public:
-  /** aMaxResultBytes bounds the memory of kept results, oldest go first. */
-  explicit StartLedger(std::size_t aMaxResultBytes);
+  explicit StartLedger(const StartLedgerOptions& aOptions);
 
   /** Raises the token of a shard; false if a newer one was accepted before. */
   bool AcceptToken(std::uint32_t aShard, const OwnershipToken& aToken);
@@ -31,17 +43,36 @@
 
   /**
    * Records a start. Returns eNone if the task may start now, eStaleToken,
-   * eDuplicateStart, eJobIdExpired or eJobIdInFuture if it must not.
+   * eDuplicateStart, eCancelled, eJobIdExpired or eJobIdInFuture if it must
+   * not.
    */
   RefusalCode TryStart(std::uint32_t aShard,
                        const OwnershipToken& aToken,
                        const TaskRecord& aRecord,
                        WallTime aNow);
 
-  /** Stores the end of a started task; false if the task is not recorded. */
+  /**
+   * Remembers an attempt as refused, so that a copy of the start message that
+   * arrives later cannot start it. The owner moves on to the next attempt.
+   */
+  void Refuse(const TaskRecord& aRecord, WallTime aNow);
+
+  /** No task of the job starts from now on; running ones are not touched. */
+  void Cancel(const JobKey& aKey, WallTime aNow);
+
+  /**
+   * Stores the end of a started task; false if the task is not recorded. The
+   * state eNotStarted means that the start certainly did not happen.
+   */
   bool Finish(const TaskRecord& aRecord);
 
-  /** Records of one job, in task order. */
+  /** Record of one attempt, or null. */
+  const TaskRecord* Find(const TaskRecord& aTask) const;
+
+  /**
+   * Records of one job, in task order. A cancelled job has one more, with
+   * eNotStarted and eCancelled.
+   */
   std::vector<TaskRecord> Records(const JobKey& aKey) const;
 
   /** Drops jobs older than kJobMemory plus kClockMargin. */
@@ -52,11 +83,18 @@
 
 private:
   using TaskAttempt = std::pair<std::uint32_t, std::uint32_t>;
-  using JobRecords = std::map<TaskAttempt, TaskRecord>;
 
+  struct JobRecords
+  {
+    std::map<TaskAttempt, TaskRecord> tasks;
+    bool cancelled = false;
+  };
+
+  /** Null if the job's ID is expired or too far in the future. */
+  JobRecords* Open(const JobKey& aKey, WallTime aNow);
   void DropOldResults();
 
-  std::size_t maxResultBytes_;
+  StartLedgerOptions options_;
   std::size_t resultBytes_ = 0;
   std::unordered_map<std::uint32_t, OwnershipToken> tokens_;
   std::unordered_map<JobKey, JobRecords> jobs_;
--- a/src/state/task_record.h
+++ b/src/state/task_record.h
@@ -24,7 +24,10 @@
 {
   JobKey key;
   std::uint32_t task = 0;
-  /** 0 for the first start; later ones only for idempotent requests. */
+  /**
+   * 0 for the first start. A later number follows when all earlier attempts
+   * certainly did not start, and for retries of idempotent requests.
+   */
   std::uint32_t attempt = 0;
   TaskState taskState = TaskState::eNotStarted;
   RefusalCode code = RefusalCode::eNone;
--- a/tests/state/start_ledger_test.cpp
+++ b/tests/state/start_ledger_test.cpp
@@ -20,7 +20,7 @@
 // Guards against a second start of a task when a start message is repeated.
 TEST(StartLedgerTest, RefusesSecondStartOfATask)
 {
-  StartLedger ledger(1000);
+  StartLedger ledger({});
   EXPECT_EQ(ledger.TryStart(0, kOld, MakeRecord(), kNow), RefusalCode::eNone);
   EXPECT_EQ(ledger.TryStart(0, kOld, MakeRecord(), kNow),
             RefusalCode::eDuplicateStart);
@@ -29,7 +29,7 @@
 // Guards against starts by an owner that was replaced.
 TEST(StartLedgerTest, RefusesOlderTokenOfTheSameShardOnly)
 {
-  StartLedger ledger(1000);
+  StartLedger ledger({});
   EXPECT_TRUE(ledger.AcceptToken(0, kNew));
   EXPECT_EQ(ledger.TryStart(0, kOld, MakeRecord(), kNow),
             RefusalCode::eStaleToken);
@@ -39,7 +39,7 @@
 // Guards against a start whose earlier record may have expired.
 TEST(StartLedgerTest, RefusesExpiredJobs)
 {
-  StartLedger ledger(1000);
+  StartLedger ledger({});
   auto record = MakeRecord(kNow - kJobMemory - std::chrono::milliseconds(1));
   EXPECT_EQ(ledger.TryStart(0, kOld, record, kNow), RefusalCode::eJobIdExpired);
 }
@@ -47,7 +47,7 @@
 // Guards against unbounded memory: jobs and results must go.
 TEST(StartLedgerTest, DropsExpiredJobsAndOldResults)
 {
-  StartLedger ledger(10);
+  StartLedger ledger({ .maxResultBytes = 10 });
   auto record = MakeRecord();
   ASSERT_EQ(ledger.TryStart(0, kOld, record, kNow), RefusalCode::eNone);
   record.taskState = TaskState::eSucceeded;
@@ -61,5 +61,33 @@
   EXPECT_EQ(ledger.JobCount(), 0u);
 }
 
+// Guards against a start by a delayed copy of a start message that the agent
+// refused: the owner has moved the task to another agent by then.
+TEST(StartLedgerTest, KeepsRefusingARefusedAttempt)
+{
+  StartLedger ledger({});
+  auto record = MakeRecord();
+  record.code = RefusalCode::eBusy;
+  ledger.Refuse(record, kNow);
+  EXPECT_EQ(ledger.TryStart(0, kOld, record, kNow),
+            RefusalCode::eDuplicateStart);
+  record.attempt = 1;
+  EXPECT_EQ(ledger.TryStart(0, kOld, record, kNow), RefusalCode::eNone);
+}
+
+// Guards against a start that arrives after the cancellation of its job, and
+// against a new owner that does not learn of the cancellation.
+TEST(StartLedgerTest, RefusesTasksOfCancelledJobs)
+{
+  StartLedger ledger({});
+  auto record = MakeRecord();
+  ledger.Cancel(record.key, kNow);
+  ASSERT_EQ(ledger.Records(record.key).size(), 1u);
+  EXPECT_EQ(ledger.Records(record.key)[0].code, RefusalCode::eCancelled);
+  EXPECT_EQ(ledger.TryStart(0, kOld, record, kNow), RefusalCode::eCancelled);
+  EXPECT_EQ(ledger.TryStart(0, kOld, record, kNow),
+            RefusalCode::eDuplicateStart);
+}
+
 }
 }
