--- a/src/daemon/agent_process.cpp
+++ b/src/daemon/agent_process.cpp
@@ -18,16 +18,24 @@
 AgentProcess::AgentProcess(const AgentSettings& aSettings)
   : settings_(aSettings)
   , traffic_(aSettings.common.trafficThreads)
-  , network_(
-      traffic_,
-      control_,
-      { [this](const ProcessInfo& aFrom, const PeerMessage& aMessage) {
-         OnPeerMessage(aFrom, aMessage);
-       },
-        [this](const state::ProcessId& aPeer) { entries_.erase(aPeer); } })
+  , network_(traffic_,
+             control_,
+             { [this](const ProcessInfo& aFrom, const PeerMessage& aMessage) {
+                OnPeerMessage(aFrom, aMessage);
+              },
+               [this](const state::ProcessId& aPeer) { OnPeerLost(aPeer); } })
   , backend_(traffic_,
              control_,
              *transport::ParseEndpoint(aSettings.backendAddress))
+  , configuration_(
+      traffic_,
+      control_,
+      clock_,
+      "",
+      {},
+      { [this](const state::ProcessId& aPeer, PeerMessage aMessage) {
+        network_.Send(aPeer, std::move(aMessage));
+      } })
 {
 }
 
@@ -53,6 +61,7 @@
   transport::SetLogProcess("greengage-agent", self_.id.ToString());
   control_.Every(kAnnouncePeriod, [this] { Announce(); });
   control_.Every(kTickPeriod, [this] { OnTick(); });
+  configuration_.Start();
   control_.Post([this] {
     backend_.ReadCapacity(
       [this](const BackendCapacity& aCapacity) { OnCapacity(aCapacity); });
@@ -118,10 +127,14 @@
 AgentProcess::OnPeerMessage(const ProcessInfo& aFrom,
                             const PeerMessage& aMessage)
 {
+  if (configuration_.OnPeerMessage(aFrom.id, aMessage)) {
+    return;
+  }
   if (const auto* hello = std::get_if<Hello>(&aMessage)) {
     network_.SetPeer(hello->process);
-    if (hello->process.role == ProcessRole::eEntry) {
-      entries_.insert(hello->process.id);
+    if (hello->process.role == ProcessRole::eEntry &&
+        entries_.insert(hello->process.id).second) {
+      configuration_.Follower().SetPeers({ entries_.begin(), entries_.end() });
     }
   } else if (const auto* start = std::get_if<StartTasks>(&aMessage)) {
     runner_->OnStartTasks(aFrom.id, *start);
@@ -134,6 +147,14 @@
   }
 }
 
+void
+AgentProcess::OnPeerLost(const state::ProcessId& aPeer)
+{
+  if (entries_.erase(aPeer) > 0) {
+    configuration_.Follower().SetPeers({ entries_.begin(), entries_.end() });
+  }
+}
+
 void
 AgentProcess::OnTick()
 {
--- a/src/daemon/agent_process.h
+++ b/src/daemon/agent_process.h
@@ -7,6 +7,7 @@
 
 #include "coordination/task_runner.h"
 #include "daemon/backend_client.h"
+#include "daemon/configuration_service.h"
 #include "daemon/daemon_error.h"
 #include "daemon/settings.h"
 #include "transport/control_thread.h"
@@ -33,6 +34,7 @@
   void OnCapacity(const BackendCapacity& aCapacity);
   void OnPeerMessage(const coordination::ProcessInfo& aFrom,
                      const coordination::PeerMessage& aMessage);
+  void OnPeerLost(const state::ProcessId& aPeer);
   void OnTick();
   void Announce();
 
@@ -43,6 +45,7 @@
   transport::ControlThread control_;
   transport::PeerNetwork network_;
   BackendClient backend_;
+  ConfigurationService configuration_;
   /** Empty until the backend server has told its capacity. */
   std::unique_ptr<coordination::TaskRunner> runner_;
   std::set<state::ProcessId> entries_;
--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -20,6 +20,17 @@
 constexpr std::chrono::milliseconds kTickPeriod{ 50 };
 constexpr std::uint32_t kOnlyShard = 0;
 constexpr state::OwnershipToken kFirstToken{ 1, 0 };
+constexpr std::chrono::milliseconds kConnectPeriod{ 500 };
+
+ConfigurationFollowerSettings
+MakeFollowerSettings(const EntrySettings& aSettings)
+{
+  ConfigurationFollowerSettings settings;
+  settings.pollPeriod = aSettings.logPollPeriod;
+  settings.retention = aSettings.logRetention;
+  settings.retentionRecords = aSettings.logRetentionRecords;
+  return settings;
+}
 
 }
 
@@ -31,10 +42,7 @@
              { [this](const ProcessInfo& aFrom, const PeerMessage& aMessage) {
                 OnPeerMessage(aFrom, aMessage);
               },
-               [this](const state::ProcessId& aPeer) {
-                 router_.OnProcessLost(aPeer);
-                 owner_.OnAgentGone(aPeer);
-               } })
+               [this](const state::ProcessId& aPeer) { OnPeerLost(aPeer); } })
   , http_(traffic_,
           [this](HttpRequest aRequest, HttpResponder aRespond) {
             OnHttpRequest(std::move(aRequest), aRespond);
@@ -77,6 +85,25 @@
                     respond(std::move(response));
                   });
               } })
+  , configuration_(
+      traffic_,
+      control_,
+      clock_,
+      aSettings.logAddress,
+      MakeFollowerSettings(aSettings),
+      { [this](const state::ProcessId& aPeer, PeerMessage aMessage) {
+         network_.Send(aPeer, std::move(aMessage));
+       },
+        [this](const state::ConfigurationChange& aChange) {
+          OnConfigurationChanged(aChange);
+        },
+        nullptr,
+        nullptr,
+        [this] {
+          return std::vector<protocol::ProcessVersion>{
+            { self_, configuration_.Follower().Version() }
+          };
+        } })
 {
 }
 
@@ -108,6 +135,8 @@
   owner_.Activate(kFirstToken);
   router_.OnOwner({ kOnlyShard, kFirstToken, self_ });
   control_.Every(kTickPeriod, [this] { OnTick(); });
+  control_.Every(kConnectPeriod, [this] { ConnectSeeds(); });
+  configuration_.Start();
   control_.Start();
   traffic_.Start();
   transport::LogEvent(transport::events::kProcessStarted,
@@ -152,11 +181,18 @@
       AwaitAnswer(router_.Cancel(key), respond);
     });
   };
-  hooks.publish = [this](DocumentKind aKind,
-                         const std::string& aName,
-                         const std::string&,
+  hooks.publish = [this](const state::ConfigurationKey& aKey,
+                         const std::string& aBody,
                          const HttpResponder& aRespond) {
-    Publish(aKind, aName, aRespond);
+    configuration_.HandlePut(aKey, aBody, aRespond);
+  };
+  hooks.unpublish = [this](const state::ConfigurationKey& aKey,
+                           const std::string& aBody,
+                           const HttpResponder& aRespond) {
+    configuration_.HandleDelete(aKey, aBody, aRespond);
+  };
+  hooks.showConfiguration = [this](const HttpResponder& aRespond) {
+    configuration_.HandleShow(aRespond);
   };
   return hooks;
 }
@@ -180,42 +216,52 @@
 }
 
 void
-EntryProcess::Publish(DocumentKind aKind,
-                      const std::string& aName,
-                      const HttpResponder& aRespond)
+EntryProcess::OnConfigurationChanged(const state::ConfigurationChange& aChange)
 {
-  auto refuse = [&](const state::StateError& aError) {
-    aRespond(RefusalResponse(
-      400, RefusalCode::eBadRequest, aError.field, aError.message));
-  };
-  if (aKind == DocumentKind::eTemplate) {
-    auto value = state::WorkTemplate::Builder().SetName(aName).Build();
-    if (!value) {
-      refuse(value.error());
-      return;
-    }
-    control_.Post([this, value = *value] { scheduler_.SetTemplate(value); });
+  const std::string& name = aChange.key.name;
+  if (const auto* work = std::get_if<state::WorkTemplate>(&aChange.document)) {
+    scheduler_.SetTemplate(*work);
+  } else if (const auto* limits =
+               std::get_if<state::OrganisationParameters>(&aChange.document)) {
+    scheduler_.SetOrganisation(*limits);
+  } else if (aChange.key.kind == state::ConfigurationKind::eTemplate) {
+    scheduler_.RemoveTemplate(name);
   } else {
-    auto value =
-      state::OrganisationParameters::Builder().SetName(aName).Build();
-    if (!value) {
-      refuse(value.error());
-      return;
-    }
-    control_.Post(
-      [this, value = *value] { scheduler_.SetOrganisation(value); });
+    scheduler_.RemoveOrganisation(name);
+  }
+}
+
+void
+EntryProcess::OnPeerLost(const state::ProcessId& aPeer)
+{
+  router_.OnProcessLost(aPeer);
+  owner_.OnAgentGone(aPeer);
+  if (entries_.erase(aPeer) > 0) {
+    configuration_.Follower().SetPeers({ entries_.begin(), entries_.end() });
+  }
+}
+
+void
+EntryProcess::ConnectSeeds()
+{
+  for (const std::string& seed : settings_.common.seeds) {
+    network_.ConnectSeed(seed);
   }
-  aRespond({ 200, "{}\n" });
 }
 
 void
 EntryProcess::OnPeerMessage(const ProcessInfo& aFrom,
                             const PeerMessage& aMessage)
 {
+  if (configuration_.OnPeerMessage(aFrom.id, aMessage)) {
+    return;
+  }
   if (const auto* hello = std::get_if<Hello>(&aMessage)) {
     network_.SetPeer(hello->process);
     if (hello->process.role == ProcessRole::eAgent) {
       scheduler_.SetServer(hello->process);
+    } else if (entries_.insert(hello->process.id).second) {
+      configuration_.Follower().SetPeers({ entries_.begin(), entries_.end() });
     }
   } else if (const auto* status = std::get_if<AgentStatus>(&aMessage)) {
     network_.SetPeer(status->process);
--- a/src/daemon/entry_process.h
+++ b/src/daemon/entry_process.h
@@ -4,10 +4,12 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 
 #include "coordination/job_owner.h"
 #include "coordination/request_router.h"
 #include "coordination/task_scheduler.h"
+#include "daemon/configuration_service.h"
 #include "daemon/daemon_error.h"
 #include "daemon/entry_routes.h"
 #include "daemon/settings.h"
@@ -39,9 +41,9 @@
   /** Keeps the responder until the router has the answer. */
   void AwaitAnswer(std::uint64_t aSubmission,
                    transport::HttpResponder aRespond);
-  void Publish(DocumentKind aKind,
-               const std::string& aName,
-               const transport::HttpResponder& aRespond);
+  void OnConfigurationChanged(const state::ConfigurationChange& aChange);
+  void OnPeerLost(const state::ProcessId& aPeer);
+  void ConnectSeeds();
   void OnPeerMessage(const coordination::ProcessInfo& aFrom,
                      const coordination::PeerMessage& aMessage);
   void OnTick();
@@ -58,6 +60,9 @@
   coordination::TaskScheduler scheduler_;
   coordination::JobOwner owner_;
   coordination::RequestRouter router_;
+  ConfigurationService configuration_;
+  /** Other entries, from which configuration is pulled in a log outage. */
+  std::set<state::ProcessId> entries_;
   std::map<std::uint64_t, transport::HttpResponder> responders_;
   std::atomic<bool> stopping_{ false };
   std::function<void()> stopped_;
--- a/src/daemon/entry_routes.cpp
+++ b/src/daemon/entry_routes.cpp
@@ -1,10 +1,13 @@
 #include "daemon/entry_routes.h"
 
+#include <charconv>
+
 #include "protocol/caller_json.h"
 #include "state/names.h"
 
 namespace greengage::daemon {
 
+using state::ConfigurationKind;
 using state::RefusalCode;
 using transport::HttpRequest;
 using transport::HttpResponder;
@@ -17,6 +20,8 @@
 constexpr std::string_view kOrganisations = "/v1/organisations/";
 constexpr std::string_view kWorkers = "/v1/workers/";
 constexpr std::string_view kDrain = "/drain";
+constexpr std::string_view kShards = "/v1/shards/";
+constexpr std::string_view kRecover = "/recover";
 
 void
 RefuseUnknownPath(const HttpResponder& aRespond)
@@ -65,20 +70,27 @@
     HandleJobPath(method, path.substr(kJobs.size()), aRespond);
     return;
   }
-  if (method == "PUT" && path.starts_with(kTemplates)) {
-    hooks_.publish(DocumentKind::eTemplate,
-                   std::string(path.substr(kTemplates.size())),
-                   std::move(aRequest.body),
+  if (path.starts_with(kTemplates)) {
+    path.remove_prefix(kTemplates.size());
+    HandleDocument(std::move(aRequest),
+                   { ConfigurationKind::eTemplate, std::string(path) },
                    aRespond);
     return;
   }
-  if (method == "PUT" && path.starts_with(kOrganisations)) {
-    hooks_.publish(DocumentKind::eOrganisation,
-                   std::string(path.substr(kOrganisations.size())),
-                   std::move(aRequest.body),
+  if (path.starts_with(kOrganisations)) {
+    path.remove_prefix(kOrganisations.size());
+    HandleDocument(std::move(aRequest),
+                   { ConfigurationKind::eOrganisation, std::string(path) },
                    aRespond);
     return;
   }
+  if (method == "POST" && path.starts_with(kShards) &&
+      path.ends_with(kRecover)) {
+    path.remove_prefix(kShards.size());
+    path.remove_suffix(kRecover.size());
+    HandleRecovery(path, aRespond);
+    return;
+  }
   if (method == "POST" && path.starts_with(kWorkers) &&
       path.ends_with(kDrain)) {
     path.remove_prefix(kWorkers.size());
@@ -99,6 +111,36 @@
   }
 }
 
+void
+EntryRoutes::HandleDocument(HttpRequest aRequest,
+                            state::ConfigurationKey aKey,
+                            const HttpResponder& aRespond) const
+{
+  if (aRequest.method == "PUT") {
+    hooks_.publish(std::move(aKey), std::move(aRequest.body), aRespond);
+  } else if (aRequest.method == "DELETE") {
+    hooks_.unpublish(std::move(aKey), std::move(aRequest.body), aRespond);
+  } else {
+    aRespond(RefusalResponse(
+      405, RefusalCode::eBadRequest, "", "allowed methods are PUT and DELETE"));
+  }
+}
+
+void
+EntryRoutes::HandleRecovery(std::string_view aShard,
+                            const HttpResponder& aRespond) const
+{
+  std::uint32_t shard = 0;
+  const char* end = aShard.data() + aShard.size();
+  auto [next, error] = std::from_chars(aShard.data(), end, shard);
+  if (error != std::errc() || next != end) {
+    aRespond(RefusalResponse(
+      400, RefusalCode::eBadRequest, "shard", "must be a shard number"));
+    return;
+  }
+  hooks_.recoverShard(shard, aRespond);
+}
+
 void
 EntryRoutes::HandleJobPath(const std::string& aMethod,
                            std::string_view aPath,
--- a/src/daemon/entry_routes.h
+++ b/src/daemon/entry_routes.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <string>
 
+#include "state/configuration_change.h"
 #include "state/job_id.h"
 #include "state/job_spec.h"
 #include "state/refusal_code.h"
@@ -10,13 +11,6 @@
 
 namespace greengage::daemon {
 
-/** Kinds of documents that operators publish. */
-enum class DocumentKind
-{
-  eTemplate,
-  eOrganisation,
-};
-
 /**
  * What the routes of an entry call. Hooks run in a traffic thread and must
  * post to the control thread whatever touches control state; each responder
@@ -28,17 +22,23 @@
   std::function<void(state::JobSpec, transport::HttpResponder)> submit;
   std::function<void(state::JobKey, transport::HttpResponder)> queryJob;
   std::function<void(state::JobKey, transport::HttpResponder)> cancelJob;
-  std::function<void(DocumentKind,
-                     std::string aName,
-                     std::string aBody,
-                     transport::HttpResponder)>
+  /** Publishes a document of operators, or deletes it. */
+  std::function<
+    void(state::ConfigurationKey, std::string aBody, transport::HttpResponder)>
     publish;
+  std::function<
+    void(state::ConfigurationKey, std::string aBody, transport::HttpResponder)>
+    unpublish;
   std::function<void(transport::HttpResponder)> showConfiguration;
   std::function<void(transport::HttpResponder)> showWorkers;
   std::function<void(transport::HttpResponder)> showStatus;
   std::function<void(transport::HttpResponder)> showMetrics;
   std::function<void(std::string aProcessId, transport::HttpResponder)>
     drainWorker;
+  /** Appends a forced ownership record; the operator states that the members
+   * of the shard's group are dead. */
+  std::function<void(std::uint32_t aShard, transport::HttpResponder)>
+    recoverShard;
 };
 
 /** Maps the HTTP requests of callers and operators to hooks. */
@@ -55,6 +55,12 @@
                      std::string_view aPath,
                      const transport::HttpResponder& aRespond) const;
 
+  void HandleDocument(transport::HttpRequest aRequest,
+                      state::ConfigurationKey aKey,
+                      const transport::HttpResponder& aRespond) const;
+  void HandleRecovery(std::string_view aShard,
+                      const transport::HttpResponder& aRespond) const;
+
   EntryRouteHooks hooks_;
 };
 
--- /dev/null
+++ b/src/daemon/log_client.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <functional>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include "coordination/configuration_record.h"
+#include "transport/control_thread.h"
+#include "transport/http_client.h"
+#include "transport/traffic_pool.h"
+
+namespace greengage::daemon {
+
+/**
+ * The platform's log over HTTP (docs/protocols/log.md). Methods are called on
+ * the control thread and results come back on it.
+ */
+class LogClient
+{
+public:
+  /** Empty if the read failed. */
+  using ReadDone = std::function<void(std::optional<coordination::LogPage>)>;
+  using AppendDone = std::function<void(coordination::AppendStatus)>;
+
+  LogClient(transport::TrafficPool& aTraffic,
+            transport::ControlThread& aControl,
+            const boost::asio::ip::tcp::endpoint& aServer);
+
+  void Read(std::uint64_t aFrom, std::uint32_t aLimit, ReadDone aDone);
+
+  /** Appends at exactly the expected offset, or not at all. */
+  void Append(std::uint64_t aExpectedOffset,
+              std::string aData,
+              AppendDone aDone);
+
+private:
+  transport::ControlThread& control_;
+  transport::HttpClient client_;
+};
+
+}
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -12,6 +12,11 @@
 constexpr unsigned kMaxTrafficThreads = 64;
 constexpr std::uint32_t kMaxShards = 1024;
 constexpr std::uint32_t kMaxSlots = 4096;
+// A poll period above this misses the target of 4 s for a change.
+constexpr std::int64_t kMinLogPollMs = 50;
+constexpr std::int64_t kMaxLogPollMs = 1000;
+constexpr std::int64_t kMinLogRetentionS = 1;
+constexpr std::int64_t kMaxLogRetentionS = 366LL * 24 * 3600;
 
 std::string
 CheckEndpoint(const std::string& aText)
@@ -89,6 +94,42 @@
     ->transform(CLI::CheckedTransformer(levels, CLI::ignore_case));
 }
 
+void
+AddLogOptions(CLI::App& aApp, EntrySettings& aSettings)
+{
+  aApp
+    .add_option(
+      "--log-address", aSettings.logAddress, "Address of the platform's log")
+    ->envname("GREENGAGE_LOG_ADDRESS")
+    ->check(EndpointValidator());
+  aApp
+    .add_option_function<std::int64_t>(
+      "--log-poll-ms",
+      [&aSettings](std::int64_t aPeriod) {
+        aSettings.logPollPeriod = std::chrono::milliseconds(aPeriod);
+      },
+      "Time between two reads of the log, in ms")
+    ->envname("GREENGAGE_LOG_POLL_MS")
+    ->check(CLI::Range(kMinLogPollMs, kMaxLogPollMs))
+    ->default_str("500");
+  aApp
+    .add_option_function<std::int64_t>(
+      "--log-retention-s",
+      [&aSettings](std::int64_t aAge) {
+        aSettings.logRetention = std::chrono::seconds(aAge);
+      },
+      "Age at which the log drops a record, in s")
+    ->envname("GREENGAGE_LOG_RETENTION_S")
+    ->check(CLI::Range(kMinLogRetentionS, kMaxLogRetentionS))
+    ->default_str("604800");
+  aApp
+    .add_option("--log-retention-records",
+                aSettings.logRetentionRecords,
+                "Number of records that the log keeps; 0: not limited")
+    ->envname("GREENGAGE_LOG_RETENTION_RECORDS")
+    ->capture_default_str();
+}
+
 /** Parses; the exit code is set for --help, --check and errors. */
 std::optional<int>
 Parse(CLI::App& aApp, int aCount, const char* const* aArguments)
@@ -125,11 +166,7 @@
     ->envname("GREENGAGE_HTTP_ADDRESS")
     ->check(EndpointValidator())
     ->capture_default_str();
-  app
-    .add_option(
-      "--log-address", settings.logAddress, "Address of the platform's log")
-    ->envname("GREENGAGE_LOG_ADDRESS")
-    ->check(EndpointValidator());
+  AddLogOptions(app, settings);
   app
     .add_option("--shards",
                 settings.shardCount,
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -33,6 +34,11 @@
   std::string httpAddress = "127.0.0.1:8080";
   /** `ip:port` of the platform's log. */
   std::string logAddress;
+  std::chrono::milliseconds logPollPeriod{ 500 };
+  /** Age at which the platform's log drops a record. */
+  std::chrono::seconds logRetention = std::chrono::hours(24 * 7);
+  /** Number of records that the platform's log keeps; 0: any. */
+  std::uint64_t logRetentionRecords = 0;
   std::uint32_t shardCount = 1;
 
   bool operator==(const EntrySettings&) const = default;
--- a/src/transport/events.h
+++ b/src/transport/events.h
@@ -46,9 +46,24 @@
                                                  "peer_identity_changed",
                                                  LogLevel::eWarning };
 
+inline constexpr EventKind kConfigurationChanged{ 1201,
+                                                  "configuration_changed",
+                                                  LogLevel::eInfo };
+inline constexpr EventKind kBadLogRecord{ 1202,
+                                          "bad_log_record",
+                                          LogLevel::eWarning };
+inline constexpr EventKind kLogAvailable{ 1203,
+                                          "log_available",
+                                          LogLevel::eInfo };
+inline constexpr EventKind kLogUnavailable{ 1204,
+                                            "log_unavailable",
+                                            LogLevel::eWarning };
+
 inline constexpr std::array kAll{
-  kProcessStarted, kProcessStopping, kProcessStopped,      kStartFailed,
-  kPeerConnected,  kPeerLost,        kPeerIdentityChanged,
+  kProcessStarted,      kProcessStopping,      kProcessStopped,
+  kStartFailed,         kPeerConnected,        kPeerLost,
+  kPeerIdentityChanged, kConfigurationChanged, kBadLogRecord,
+  kLogAvailable,        kLogUnavailable,
 };
 
 }
