--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -42,7 +42,13 @@
              { [this](const ProcessInfo& aFrom, const PeerMessage& aMessage) {
                 OnPeerMessage(aFrom, aMessage);
               },
-               [this](const state::ProcessId& aPeer) { OnPeerLost(aPeer); } })
+               [this](const state::ProcessId& aPeer) { OnPeerLost(aPeer); },
+               [this](const auto& aMessages, std::size_t aBytes) {
+                 sentTraffic_.Count(aMessages, aBytes);
+               },
+               [this](const auto& aMessages, std::size_t aBytes) {
+                 receivedTraffic_.Count(aMessages, aBytes);
+               } })
   , http_(traffic_,
           [this](HttpRequest aRequest, HttpResponder aRespond) {
             OnHttpRequest(std::move(aRequest), aRespond);
@@ -75,6 +81,7 @@
               [this](std::uint64_t aSubmission,
                      const state::JobKey& aKey,
                      const state::JobOutcome& aOutcome) {
+                callerMetrics_.OnAnswer(aSubmission, aOutcome);
                 auto responder = responders_.extract(aSubmission);
                 if (responder.empty()) {
                   return;
@@ -171,16 +178,20 @@
   hooks.createJobId = [this] { return CreateJobId(clock_.WallNow()); };
   hooks.submit = [this](state::JobSpec aSpec, HttpResponder aRespond) {
     control_.Post([this, spec = std::move(aSpec), respond = aRespond] {
-      AwaitAnswer(router_.Submit(spec), respond);
+      std::uint64_t submission = router_.Submit(spec);
+      callerMetrics_.OnJobRequest(submission, spec.TemplateName());
+      AwaitAnswer(submission, respond);
     });
   };
   hooks.queryJob = [this](state::JobKey aKey, HttpResponder aRespond) {
     control_.Post([this, key = std::move(aKey), respond = aRespond] {
+      callerMetrics_.OnControlRequest();
       AwaitAnswer(router_.Query(key), respond);
     });
   };
   hooks.cancelJob = [this](state::JobKey aKey, HttpResponder aRespond) {
     control_.Post([this, key = std::move(aKey), respond = aRespond] {
+      callerMetrics_.OnControlRequest();
       AwaitAnswer(router_.Cancel(key), respond);
     });
   };
@@ -197,6 +208,7 @@
   hooks.showConfiguration = [this](const HttpResponder& aRespond) {
     configuration_.HandleShow(aRespond);
   };
+  AddOperatorHooks(hooks);
   return hooks;
 }
 
@@ -204,6 +216,7 @@
 EntryProcess::OnHttpRequest(HttpRequest aRequest, const HttpResponder& aRespond)
 {
   if (stopping_) {
+    callerMetrics_.OnRefused(RefusalCode::eShuttingDown);
     aRespond(RefusalResponse(
       503, RefusalCode::eShuttingDown, "", "this entry is shutting down"));
     return;
@@ -237,6 +250,7 @@
 void
 EntryProcess::OnPeerLost(const state::ProcessId& aPeer)
 {
+  workers_.OnProcessLost(aPeer);
   router_.OnProcessLost(aPeer);
   owner_.OnAgentGone(aPeer);
   if (entries_.erase(aPeer) > 0) {
@@ -256,6 +270,7 @@
 EntryProcess::OnPeerMessage(const ProcessInfo& aFrom,
                             const PeerMessage& aMessage)
 {
+  workers_.OnPeerMessage(aMessage);
   if (configuration_.OnPeerMessage(aFrom.id, aMessage)) {
     return;
   }
@@ -278,6 +293,9 @@
   } else if (const auto* results = std::get_if<TaskResults>(&aMessage)) {
     owner_.OnTaskResults(*results);
   } else if (const auto* answer = std::get_if<JobAnswer>(&aMessage)) {
+    if (!responders_.contains(answer->submission)) {
+      callerMetrics_.OnLateAnswer();
+    }
     router_.OnAnswer(aFrom.id, *answer);
   } else if (const auto* owner = std::get_if<OwnerAnnouncement>(&aMessage)) {
     router_.OnOwner(*owner);
--- a/src/daemon/entry_routes.h
+++ b/src/daemon/entry_routes.h
@@ -39,6 +39,8 @@
    * of the shard's group are dead. */
   std::function<void(std::uint32_t aShard, transport::HttpResponder)>
     recoverShard;
+  /** Counts a request that is refused before a hook is called. */
+  std::function<void(state::RefusalCode)> refused;
 };
 
 /** Maps the HTTP requests of callers and operators to hooks. */
@@ -51,6 +53,14 @@
               const transport::HttpResponder& aRespond) const;
 
 private:
+  void Refuse(const transport::HttpResponder& aRespond,
+              unsigned aStatus,
+              std::string_view aField,
+              std::string_view aMessage) const;
+  /** Routes that only show something. */
+  void HandleShow(const std::string& aMethod,
+                  std::string_view aPath,
+                  const transport::HttpResponder& aRespond) const;
   void HandleJobPath(const std::string& aMethod,
                      std::string_view aPath,
                      const transport::HttpResponder& aRespond) const;
