Add ownership leases

Cause: the owner of a shard was not elected; a second entry could not take over. Change: OwnershipLease with its parts (member, claim, groups, roster of agents in use, proposals to the log) after section 2.4. A candidate asks the members for the state of their grants before it claims, so that a cut-off candidate does not end the lease of a living owner. LeaseRequest gained two fields: release (hand-over) and allAgents (the list replaces the member's).

--- /dev/null
+++ b/src/coordination/agent_roster.cpp
@@ -0,0 +1,136 @@
+#include "coordination/agent_roster.h"
+
+#include <algorithm>
+
+#include "state/job_id.h"
+
+namespace greengage::coordination {
+
+AgentRoster::AgentRoster(const state::Clock& aClock)
+  : clock_(aClock)
+{
+}
+
+void
+AgentRoster::Offer(const ProcessInfo& aAgent)
+{
+  offered_.insert_or_assign(aAgent.id, aAgent);
+  if (owner_) {
+    Use(aAgent);
+  }
+}
+
+void
+AgentRoster::OnGone(const state::ProcessId& aId)
+{
+  offered_.erase(aId);
+  auto found = agents_.find(aId);
+  if (found == agents_.end() || found->second.agent.goneSince) {
+    return;
+  }
+  Entry& entry = found->second;
+  entry.agent.goneSince = clock_.WallNow();
+  entry.goneLearned = clock_.MonotonicNow();
+  entry.usable = false;
+  entry.version = ++version_;
+}
+
+void
+AgentRoster::Start(const std::vector<AgentInUse>& aInherited)
+{
+  Stop();
+  owner_ = true;
+  // Version 0 means that a member was not told anything yet.
+  version_ = 1;
+  for (const AgentInUse& agent : aInherited) {
+    Entry entry{ agent, version_, false, std::nullopt };
+    if (agent.goneSince) {
+      entry.goneLearned = clock_.MonotonicNow();
+    }
+    agents_.emplace(agent.process.id, std::move(entry));
+  }
+  inheritedVersion_ = version_;
+  for (const auto& [id, agent] : offered_) {
+    Use(agent);
+  }
+}
+
+void
+AgentRoster::Stop()
+{
+  owner_ = false;
+  version_ = 0;
+  inheritedVersion_ = 0;
+  agents_.clear();
+  acknowledged_.clear();
+}
+
+void
+AgentRoster::Fill(const state::ProcessId& aMember, LeaseRequest& aRequest) const
+{
+  auto found = acknowledged_.find(aMember);
+  std::uint64_t known = found == acknowledged_.end() ? 0 : found->second;
+  aRequest.allAgents = known == 0;
+  for (const auto& [id, entry] : agents_) {
+    if (entry.version > known) {
+      aRequest.newAgents.push_back(entry.agent);
+    }
+  }
+}
+
+void
+AgentRoster::OnAcknowledged(const state::ProcessId& aMember,
+                            std::uint64_t aVersion)
+{
+  std::uint64_t& known = acknowledged_[aMember];
+  known = std::max(known, aVersion);
+}
+
+bool
+AgentRoster::Knows(const state::ProcessId& aMember,
+                   std::uint64_t aVersion) const
+{
+  auto found = acknowledged_.find(aMember);
+  return found != acknowledged_.end() && found->second >= aVersion;
+}
+
+std::vector<ProcessInfo>
+AgentRoster::TakeUsable(
+  const std::function<bool(std::uint64_t aVersion)>& aMajorityKnows)
+{
+  std::vector<ProcessInfo> usable;
+  for (auto& [id, entry] : agents_) {
+    if (entry.usable || entry.agent.goneSince || !offered_.contains(id)) {
+      continue;
+    }
+    if (aMajorityKnows(entry.version)) {
+      entry.usable = true;
+      usable.push_back(entry.agent.process);
+    }
+  }
+  return usable;
+}
+
+void
+AgentRoster::Expire()
+{
+  auto oldest = clock_.MonotonicNow() - state::kJobMemory - state::kClockMargin;
+  std::erase_if(agents_, [&](const auto& aEntry) {
+    const Entry& entry = aEntry.second;
+    return entry.goneLearned && *entry.goneLearned < oldest;
+  });
+}
+
+void
+AgentRoster::Use(const ProcessInfo& aAgent)
+{
+  auto [found, added] = agents_.try_emplace(aAgent.id);
+  Entry& entry = found->second;
+  if (!added && !entry.agent.goneSince) {
+    entry.agent.process = aAgent;
+    return;
+  }
+  entry = Entry{ { aAgent, std::nullopt }, ++version_, false, std::nullopt };
+}
+
+}
--- /dev/null
+++ b/src/coordination/group_keeper.cpp
@@ -0,0 +1,143 @@
+#include "coordination/group_keeper.h"
+
+#include <algorithm>
+
+#include "coordination/group_selection.h"
+
+namespace greengage::coordination {
+
+namespace {
+
+constexpr std::chrono::milliseconds kFirstProposalDelay{ 500 };
+constexpr std::chrono::milliseconds kMaxProposalDelay{ 8000 };
+
+}
+
+GroupKeeper::GroupKeeper(std::uint32_t aShard,
+                         const ProcessInfo& aSelf,
+                         const state::Clock& aClock,
+                         const LeaseHooks& aHooks)
+  : shard_(aShard)
+  , self_(aSelf)
+  , clock_(aClock)
+  , hooks_(aHooks)
+  , nextProposal_(aClock.MonotonicNow())
+  , delay_(kFirstProposalDelay)
+{
+}
+
+void
+GroupKeeper::SetProcesses(std::vector<ProcessInfo> aAlive)
+{
+  alive_ = std::move(aAlive);
+  std::erase_if(alive_, [&](const ProcessInfo& aInfo) {
+    return replaced_.contains(aInfo.id);
+  });
+}
+
+void
+GroupKeeper::OnProcessReplaced(const state::ProcessId& aDead)
+{
+  replaced_.insert(aDead);
+  std::erase_if(alive_,
+                [&](const ProcessInfo& aInfo) { return aInfo.id == aDead; });
+}
+
+void
+GroupKeeper::OnRecord()
+{
+  delay_ = kFirstProposalDelay;
+  nextProposal_ = clock_.MonotonicNow();
+}
+
+void
+GroupKeeper::ProposeFirst(const OwnershipGroups& aGroups)
+{
+  if (aGroups.Empty() && MayPropose()) {
+    hooks_.propose({ shard_, 1, ChooseMembers(self_, {}, alive_), false });
+  }
+}
+
+void
+GroupKeeper::Maintain(const OwnershipGroups& aGroups,
+                      std::uint64_t aEpoch,
+                      bool aAgentsKnown)
+{
+  const OwnershipRecord* latest = aGroups.Latest();
+  if (!latest) {
+    return;
+  }
+  bool newest = latest->epoch == aEpoch;
+  if (newest && !aGroups.Activated(aEpoch)) {
+    if (aAgentsKnown && MayPropose()) {
+      hooks_.proposeActivated({ shard_, aEpoch });
+    }
+    return;
+  }
+  // A newer epoch that this owner is no candidate of needs another one.
+  if ((!newest || NeedsNewGroup(self_, latest->members, alive_)) &&
+      MayPropose()) {
+    ProposeNext(*latest, ChooseMembers(self_, latest->members, alive_));
+  }
+}
+
+bool
+GroupKeeper::HasSuccessor(const OwnershipGroups& aGroups) const
+{
+  const OwnershipRecord* latest = aGroups.Latest();
+  return latest &&
+         std::any_of(
+           alive_.begin(), alive_.end(), [&](const ProcessInfo& aInfo) {
+             return aInfo.id != self_.id && !aInfo.draining &&
+                    CandidateIndex(*latest, aInfo.id).has_value();
+           });
+}
+
+void
+GroupKeeper::ProposeSuccessor(const OwnershipGroups& aGroups)
+{
+  const OwnershipRecord* latest = aGroups.Latest();
+  const ProcessInfo* successor = FirstOtherEntry();
+  if (!latest || !successor || !MayPropose()) {
+    return;
+  }
+  auto others = alive_;
+  std::erase_if(others,
+                [&](const ProcessInfo& aInfo) { return aInfo.id == self_.id; });
+  ProposeNext(*latest, ChooseMembers(*successor, latest->members, others));
+}
+
+const ProcessInfo*
+GroupKeeper::FirstOtherEntry() const
+{
+  auto found =
+    std::find_if(alive_.begin(), alive_.end(), [&](const ProcessInfo& aInfo) {
+      return aInfo.id != self_.id && aInfo.role == ProcessRole::eEntry &&
+             !aInfo.draining;
+    });
+  return found == alive_.end() ? nullptr : &*found;
+}
+
+bool
+GroupKeeper::MayPropose()
+{
+  auto now = clock_.MonotonicNow();
+  if (!logUp_ || now < nextProposal_) {
+    return false;
+  }
+  // The random part keeps two proposers from colliding again and again.
+  auto jitter = std::chrono::milliseconds(
+    hooks_.random() % static_cast<std::uint64_t>(delay_.count()));
+  nextProposal_ = now + delay_ / 2 + jitter;
+  delay_ = std::min(delay_ * 2, kMaxProposalDelay);
+  return true;
+}
+
+void
+GroupKeeper::ProposeNext(const OwnershipRecord& aLatest,
+                         std::vector<ProcessInfo> aMembers)
+{
+  hooks_.propose({ shard_, aLatest.epoch + 1, std::move(aMembers), false });
+}
+
+}
--- /dev/null
+++ b/src/coordination/group_selection.cpp
@@ -0,0 +1,122 @@
+#include "coordination/group_selection.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "coordination/ownership_groups.h"
+
+namespace greengage::coordination {
+
+namespace {
+
+bool
+Contains(const std::vector<ProcessInfo>& aList, const state::ProcessId& aId)
+{
+  return std::any_of(aList.begin(), aList.end(), [&](const auto& aInfo) {
+    return aInfo.id == aId;
+  });
+}
+
+bool
+IsEntry(const ProcessInfo& aInfo)
+{
+  return aInfo.role == ProcessRole::eEntry;
+}
+
+/** Number of entries besides the first member. */
+std::size_t
+OtherEntries(const std::vector<ProcessInfo>& aMembers,
+             const state::ProcessId& aFirst)
+{
+  return std::count_if(
+    aMembers.begin(), aMembers.end(), [&](const auto& aInfo) {
+      return IsEntry(aInfo) && aInfo.id != aFirst;
+    });
+}
+
+std::vector<ProcessInfo>
+Eligible(const state::ProcessId& aFirst, const std::vector<ProcessInfo>& aAlive)
+{
+  std::vector<ProcessInfo> eligible;
+  for (const ProcessInfo& info : aAlive) {
+    if (!info.draining && info.id != aFirst) {
+      eligible.push_back(info);
+    }
+  }
+  return eligible;
+}
+
+/** The best addition to a group; lower ranks are better. */
+const ProcessInfo*
+BestAddition(const std::vector<ProcessInfo>& aChosen,
+             const std::vector<ProcessInfo>& aCurrent,
+             const std::vector<ProcessInfo>& aEligible)
+{
+  bool entryNeeded = OtherEntries(aChosen, aChosen.front().id) == 0;
+  auto rank = [&](const ProcessInfo& aInfo) {
+    auto sameCentre =
+      std::count_if(aChosen.begin(), aChosen.end(), [&](const auto& aOther) {
+        return aOther.dataCentre == aInfo.dataCentre;
+      });
+    auto sameRack =
+      std::count_if(aChosen.begin(), aChosen.end(), [&](const auto& aOther) {
+        return aOther.dataCentre == aInfo.dataCentre &&
+               aOther.rack == aInfo.rack;
+      });
+    return std::tuple(entryNeeded && !IsEntry(aInfo),
+                      !Contains(aCurrent, aInfo.id),
+                      sameCentre,
+                      sameRack,
+                      !IsEntry(aInfo),
+                      aInfo.id);
+  };
+  const ProcessInfo* best = nullptr;
+  for (const ProcessInfo& info : aEligible) {
+    if (Contains(aChosen, info.id)) {
+      continue;
+    }
+    if (!best || rank(info) < rank(*best)) {
+      best = &info;
+    }
+  }
+  return best;
+}
+
+}
+
+std::vector<ProcessInfo>
+ChooseMembers(const ProcessInfo& aFirst,
+              const std::vector<ProcessInfo>& aCurrent,
+              const std::vector<ProcessInfo>& aAlive)
+{
+  auto eligible = Eligible(aFirst.id, aAlive);
+  std::vector<ProcessInfo> chosen{ aFirst };
+  while (chosen.size() < kGroupSize) {
+    const ProcessInfo* best = BestAddition(chosen, aCurrent, eligible);
+    if (!best) {
+      break;
+    }
+    chosen.push_back(*best);
+  }
+  return chosen;
+}
+
+bool
+NeedsNewGroup(const ProcessInfo& aSelf,
+              const std::vector<ProcessInfo>& aCurrent,
+              const std::vector<ProcessInfo>& aAlive)
+{
+  auto eligible = Eligible(aSelf.id, aAlive);
+  bool selfIncluded = Contains(aCurrent, aSelf.id);
+  bool memberGone = std::any_of(
+    aCurrent.begin(), aCurrent.end(), [&](const ProcessInfo& aMember) {
+      return aMember.id != aSelf.id && !Contains(eligible, aMember.id);
+    });
+  bool tooSmall = aCurrent.size() < std::min(kGroupSize, eligible.size() + 1);
+  // Without a second candidate nobody could take over.
+  bool noSuccessor = OtherEntries(aCurrent, aSelf.id) == 0 &&
+                     OtherEntries(eligible, aSelf.id) > 0;
+  return !selfIncluded || memberGone || tooSmall || noSuccessor;
+}
+
+}
--- a/src/coordination/messages.h
+++ b/src/coordination/messages.h
@@ -191,6 +191,10 @@
   std::vector<AgentInUse> newAgents;
   /** True for a candidate that needs the members' list of agents. */
   bool wantAgents = false;
+  /** True if the owner gave up its lease; nothing is granted. */
+  bool release = false;
+  /** True if newAgents is the whole list; it replaces the member's. */
+  bool allAgents = false;
   bool operator==(const LeaseRequest&) const = default;
 };
 
--- a/src/protocol/peer.capnp
+++ b/src/protocol/peer.capnp
@@ -82,6 +82,8 @@
   sequence @2 :UInt64;
   newAgents @3 :List(AgentInUse);
   wantAgents @4 :Bool;
+  release @5 :Bool;
+  allAgents @6 :Bool;
 }
 
 struct LeaseReply {
--- a/src/protocol/peer.capnp.h
+++ b/src/protocol/peer.capnp.h
@@ -2558,6 +2558,10 @@
 
   inline bool getWantAgents() const;
 
+  inline bool getRelease() const;
+
+  inline bool getAllAgents() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2609,6 +2613,12 @@
   inline bool getWantAgents();
   inline void setWantAgents(bool value);
 
+  inline bool getRelease();
+  inline void setRelease(bool value);
+
+  inline bool getAllAgents();
+  inline void setAllAgents(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5612,6 +5622,34 @@
       ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool LeaseRequest::Reader::getRelease() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+}
+
+inline bool LeaseRequest::Builder::getRelease() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+}
+inline void LeaseRequest::Builder::setRelease(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LeaseRequest::Reader::getAllAgents() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<34>() * ::capnp::ELEMENTS);
+}
+
+inline bool LeaseRequest::Builder::getAllAgents() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<34>() * ::capnp::ELEMENTS);
+}
+inline void LeaseRequest::Builder::setAllAgents(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<34>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool LeaseReply::Reader::hasMember() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/protocol/peer_decode.cpp
+++ b/src/protocol/peer_decode.cpp
@@ -223,6 +223,8 @@
   request.sequence = aReader.getSequence();
   request.newAgents = DecodeList(aReader.getNewAgents());
   request.wantAgents = aReader.getWantAgents();
+  request.release = aReader.getRelease();
+  request.allAgents = aReader.getAllAgents();
   return request;
 }
 
--- a/src/protocol/peer_encode.cpp
+++ b/src/protocol/peer_encode.cpp
@@ -271,6 +271,8 @@
     EncodeList(aMessage.newAgents,
                [&](unsigned aSize) { return request.initNewAgents(aSize); });
     request.setWantAgents(aMessage.wantAgents);
+    request.setRelease(aMessage.release);
+    request.setAllAgents(aMessage.allAgents);
   }
 
   void operator()(const LeaseReply& aMessage)
--- /dev/null
+++ b/tests/coordination/lease_world.cpp
@@ -0,0 +1,449 @@
+#include "lease_world.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace greengage::coordination {
+
+namespace {
+
+constexpr milliseconds kStep{ 5 };
+constexpr milliseconds kTick{ 50 };
+// Section 1.8 of the design: the range is served again within 3 s.
+constexpr milliseconds kMaxGap{ 3000 };
+// Per cent; the platform's network loses far less and is faster.
+constexpr unsigned kMaxLoss = 10;
+constexpr milliseconds kMaxDelay{ 50 };
+// Dead processes are noticed with a delay.
+constexpr milliseconds kMembershipPeriod{ 1000 };
+
+}
+
+LeaseWorld::LeaseWorld(unsigned aSeed, unsigned aEntries, unsigned aAgents)
+  : random_(aSeed)
+{
+  for (unsigned i = 0; i < aEntries + aAgents; ++i) {
+    auto process = std::make_unique<Process>();
+    process->info.role =
+      i < aEntries ? ProcessRole::eEntry : ProcessRole::eAgent;
+    process->info.dataCentre = fmt::format("dc{}", i % 3);
+    process->info.rack = fmt::format("rack{}", i);
+    process->clock.now = &now_;
+    processes_.push_back(std::move(process));
+    StartProcess(i);
+  }
+  TellProcesses();
+}
+
+unsigned
+LeaseWorld::Random(unsigned aBelow)
+{
+  return static_cast<unsigned>(random_() % aBelow);
+}
+
+void
+LeaseWorld::StartProcess(std::size_t aIndex)
+{
+  Process& process = *processes_[aIndex];
+  process.info.id = { 7, ++lastId_ };
+  process.alive = true;
+  process.paused = false;
+  process.logPosition = 0;
+  process.released = false;
+  process.clock.skew = milliseconds(Random(100'000));
+  process.lease = std::make_unique<OwnershipLease>(
+    0, process.info, process.clock, HooksOf(aIndex));
+}
+
+LeaseHooks
+LeaseWorld::HooksOf(std::size_t aIndex)
+{
+  Process& process = *processes_[aIndex];
+  LeaseHooks hooks;
+  hooks.sendRequest = [this, aIndex](const ProcessInfo& aMember,
+                                     LeaseRequest aRequest) {
+    Send(aIndex, aMember.id, std::move(aRequest));
+  };
+  hooks.becameOwner = [this, &process](const state::OwnershipToken&,
+                                       std::vector<AgentInUse> aAgents,
+                                       bool aComplete) {
+    ++process.owned;
+    process.agentsComplete = aComplete;
+    std::set<state::ProcessId> known;
+    for (const AgentInUse& agent : aAgents) {
+      known.insert(agent.process.id);
+    }
+    if (aComplete && !std::includes(known.begin(),
+                                    known.end(),
+                                    acknowledged_.begin(),
+                                    acknowledged_.end())) {
+      violations_.push_back(
+        fmt::format("{} ms: the new owner misses agents", now_.count()));
+    }
+    process.inherited = std::move(aAgents);
+  };
+  hooks.tokenChanged = [&process](const auto&) { ++process.tokenChanges; };
+  hooks.lostOwnership = [&process] { ++process.lost; };
+  hooks.agentAcknowledged = [this, &process](const ProcessInfo& aAgent) {
+    acknowledged_.insert(aAgent.id);
+    process.usable.push_back(aAgent);
+  };
+  hooks.propose = [this, aIndex](const OwnershipRecord& aRecord) {
+    Append(aIndex, aRecord);
+  };
+  hooks.proposeActivated = [this, aIndex](const OwnershipActivated& aRecord) {
+    Append(aIndex, aRecord);
+  };
+  hooks.random = [this] { return random_(); };
+  return hooks;
+}
+
+void
+LeaseWorld::Send(std::size_t aFrom,
+                 const state::ProcessId& aTo,
+                 const std::variant<LeaseRequest, LeaseReply>& aBody)
+{
+  unsigned copies = Random(100) < network.duplication ? 2 : 1;
+  for (unsigned i = 0; i < copies; ++i) {
+    if (Random(100) < network.loss) {
+      continue;
+    }
+    milliseconds delay(1 + Random(network.maxDelay.count()));
+    messages_.push_back(
+      { now_ + delay, aFrom, processes_[aFrom]->info.id, aTo, aBody });
+  }
+}
+
+void
+LeaseWorld::Append(std::size_t aFrom, Record aRecord)
+{
+  if (!logUp || processes_[aFrom]->logPosition != log_.size()) {
+    return;
+  }
+  if (const auto* record = std::get_if<OwnershipRecord>(&aRecord)) {
+    groups_.Add(*record);
+  } else {
+    groups_.Activate(std::get<OwnershipActivated>(aRecord));
+  }
+  log_.push_back(std::move(aRecord));
+}
+
+void
+LeaseWorld::Run(milliseconds aDuration)
+{
+  for (auto end = now_ + aDuration; now_ < end;) {
+    Step();
+  }
+}
+
+void
+LeaseWorld::Step()
+{
+  now_ += kStep;
+  Deliver();
+  for (std::size_t i = 0; i < processes_.size(); ++i) {
+    Process& process = *processes_[i];
+    if (!process.alive || process.paused) {
+      continue;
+    }
+    // Processes do not tick at the same moment.
+    if ((now_ + i * kStep) % kTick == milliseconds(0)) {
+      process.lease->SetLogUp(logUp);
+      ReadLog(process);
+      process.lease->Tick();
+    }
+  }
+  if (now_ % kMembershipPeriod == milliseconds(0)) {
+    TellProcesses();
+  }
+  Check();
+}
+
+void
+LeaseWorld::Deliver()
+{
+  std::vector<Message> due;
+  std::erase_if(messages_, [&](const Message& aMessage) {
+    bool now = aMessage.due <= now_;
+    if (now) {
+      due.push_back(aMessage);
+    }
+    return now;
+  });
+  for (const Message& message : due) {
+    DeliverOne(message);
+  }
+}
+
+void
+LeaseWorld::DeliverOne(const Message& aMessage)
+{
+  for (std::size_t i = 0; i < processes_.size(); ++i) {
+    Process& process = *processes_[i];
+    if (process.info.id != aMessage.to || !process.alive ||
+        process.side != processes_[aMessage.from]->side) {
+      continue;
+    }
+    if (process.paused) {
+      messages_.push_back(aMessage);
+      messages_.back().due = now_ + kStep;
+    } else if (const auto* request =
+                 std::get_if<LeaseRequest>(&aMessage.body)) {
+      Send(i,
+           aMessage.sender,
+           process.lease->OnLeaseRequest(aMessage.sender, *request));
+    } else {
+      process.lease->OnLeaseReply(std::get<LeaseReply>(aMessage.body));
+    }
+  }
+}
+
+void
+LeaseWorld::ReadLog(Process& aProcess)
+{
+  if (!logUp) {
+    return;
+  }
+  for (; aProcess.logPosition < log_.size(); ++aProcess.logPosition) {
+    const Record& entry = log_[aProcess.logPosition];
+    if (const auto* record = std::get_if<OwnershipRecord>(&entry)) {
+      aProcess.lease->OnRecord(*record, aProcess.clock.WallNow());
+    } else {
+      aProcess.lease->OnActivatedRecord(std::get<OwnershipActivated>(entry));
+    }
+  }
+}
+
+void
+LeaseWorld::TellProcesses()
+{
+  for (const auto& process : processes_) {
+    if (!process->alive || process->paused) {
+      continue;
+    }
+    std::vector<ProcessInfo> alive;
+    for (const auto& other : processes_) {
+      if (other->alive && other->side == process->side) {
+        alive.push_back(other->info);
+      }
+    }
+    process->lease->SetProcesses(std::move(alive));
+  }
+}
+
+int
+LeaseWorld::Owner() const
+{
+  for (std::size_t i = 0; i < processes_.size(); ++i) {
+    if (processes_[i]->alive && processes_[i]->lease->Valid()) {
+      return static_cast<int>(i);
+    }
+  }
+  return -1;
+}
+
+void
+LeaseWorld::Check()
+{
+  auto valid = std::count_if(
+    processes_.begin(), processes_.end(), [](const auto& aProcess) {
+      return aProcess->alive && aProcess->lease->Valid();
+    });
+  if (valid > 1) {
+    violations_.push_back(
+      fmt::format("{} ms: {} valid leases", now_.count(), valid));
+  }
+  if (valid > 0 || !OwnerPossible()) {
+    gapStart_ = now_;
+  }
+  longestGap_ = std::max(longestGap_, now_ - gapStart_);
+  if (now_ - gapStart_ > kMaxGap) {
+    violations_.push_back(fmt::format("{} ms: no owner", now_.count()));
+    gapStart_ = now_;
+  }
+}
+
+bool
+LeaseWorld::OwnerPossible() const
+{
+  // Processes on a worse network do not count as connected.
+  if (network.loss > kMaxLoss || network.maxDelay > kMaxDelay) {
+    return false;
+  }
+  if (groups_.Empty()) {
+    return logUp;
+  }
+  auto required = groups_.Required(UINT64_MAX);
+  LeaseClaim claim({}, required, {});
+  for (const auto& candidate : processes_) {
+    if (!candidate->alive || candidate->paused ||
+        !CandidateIndex(required.back(), candidate->info.id) ||
+        candidate->released ||
+        (!logUp && candidate->logPosition < log_.size())) {
+      continue;
+    }
+    bool majority = claim.Majority([&](const state::ProcessId& aId) {
+      return std::any_of(
+        processes_.begin(), processes_.end(), [&](const auto& aOther) {
+          return aOther->info.id == aId && aOther->alive && !aOther->paused &&
+                 aOther->side == candidate->side;
+        });
+    });
+    if (majority) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool
+LeaseWorld::MayLose(std::size_t aIndex) const
+{
+  LeaseClaim claim({}, groups_.Required(UINT64_MAX), {});
+  return claim.Majority([&](const state::ProcessId& aId) {
+    return aId != processes_[aIndex]->info.id &&
+           std::any_of(
+             processes_.begin(), processes_.end(), [&](const auto& aOther) {
+               return aOther->info.id == aId && aOther->alive;
+             });
+  });
+}
+
+void
+LeaseWorld::Kill(std::size_t aIndex)
+{
+  processes_[aIndex]->alive = false;
+  gapStart_ = now_;
+}
+
+void
+LeaseWorld::Restart(std::size_t aIndex)
+{
+  gapStart_ = now_;
+  auto earlier = processes_[aIndex]->info.id;
+  StartProcess(aIndex);
+  if (forgetful) {
+    processes_[aIndex]->info.id = earlier;
+    processes_[aIndex]->lease = std::make_unique<OwnershipLease>(
+      0, processes_[aIndex]->info, processes_[aIndex]->clock, HooksOf(aIndex));
+    return;
+  }
+  for (const auto& process : processes_) {
+    if (process->alive) {
+      process->lease->OnProcessReplaced(earlier);
+    }
+  }
+}
+
+void
+LeaseWorld::SetPaused(std::size_t aIndex, bool aPaused)
+{
+  gapStart_ = now_;
+  processes_[aIndex]->paused = aPaused;
+}
+
+void
+LeaseWorld::SetSide(std::size_t aIndex, unsigned aSide)
+{
+  gapStart_ = now_;
+  processes_[aIndex]->side = aSide;
+}
+
+void
+LeaseWorld::SetLogUp(bool aUp)
+{
+  gapStart_ = now_;
+  logUp = aUp;
+}
+
+void
+LeaseWorld::Force()
+{
+  std::vector<ProcessInfo> members;
+  for (std::size_t i = 0; i < processes_.size(); ++i) {
+    Restart(i);
+    members.push_back(processes_[i]->info);
+  }
+  members.resize(std::min(members.size(), kGroupSize));
+  acknowledged_.clear();
+  OwnershipRecord record{ 0, groups_.Latest()->epoch + 1, members, true };
+  groups_.Add(record);
+  log_.push_back(record);
+}
+
+void
+LeaseWorld::OfferNewAgent()
+{
+  ProcessInfo agent;
+  agent.id = { 8, ++lastAgent_ };
+  agent.role = ProcessRole::eAgent;
+  for (const auto& process : processes_) {
+    if (process->alive && !process->paused) {
+      process->lease->OfferAgent(agent);
+    }
+  }
+}
+
+void
+LeaseWorld::Disturb()
+{
+  OfferNewAgent();
+  std::size_t index = Random(processes_.size());
+  // Half of the faults hit the owner.
+  if (int owner = Owner(); owner >= 0 && Random(2) == 0) {
+    index = static_cast<std::size_t>(owner);
+  }
+  if (forgetful) {
+    Restart(Random(processes_.size()));
+  }
+  Process& process = *processes_[index];
+  switch (Random(9)) {
+    case 0:
+      SetPaused(index, true);
+      break;
+    case 1:
+      SetSide(index, Random(2));
+      break;
+    case 2:
+      SetLogUp(!logUp);
+      break;
+    case 3:
+    case 4:
+      if (!groups_.Empty() && MayLose(index)) {
+        Restart(index);
+      }
+      break;
+    case 5:
+      network = { Random(4) * 10,
+                  Random(3) * 20,
+                  milliseconds(Random(2) ? 5 : 400) };
+      break;
+    case 6:
+      process.clock.wallJump = milliseconds(Random(7'200'000));
+      if (process.paused || groups_.Empty() || !MayLose(index)) {
+        break;
+      }
+      process.released = true;
+      process.lease->Release();
+      break;
+    case 7:
+      if (Random(4) == 0 && !groups_.Empty() && logUp) {
+        Force();
+      }
+      break;
+    default:
+      network = {};
+      SetLogUp(true);
+      for (std::size_t i = 0; i < processes_.size(); ++i) {
+        SetPaused(i, false);
+        SetSide(i, 0);
+        if (processes_[i]->released && MayLose(i)) {
+          Restart(i);
+        }
+      }
+  }
+  gapStart_ = now_;
+}
+
+}
