--- a/src/daemon/agent_process.cpp
+++ b/src/daemon/agent_process.cpp
@@ -23,7 +23,7 @@
              { [this](const ProcessInfo& aFrom, const PeerMessage& aMessage) {
                 OnPeerMessage(aFrom, aMessage);
               },
-               [this](const state::ProcessId& aPeer) { OnPeerLost(aPeer); },
+               [this](const state::ProcessId& aPeer, bool) { OnPeerLost(aPeer); },
                [this](const auto& aMessages, std::size_t aBytes) {
                  sentTraffic_.Count(aMessages, aBytes);
                },
@@ -157,6 +157,10 @@
     runner_->OnFence(aFrom.id, *fence);
   } else if (const auto* query = std::get_if<HistoryQuery>(&aMessage)) {
     runner_->OnHistoryQuery(aFrom.id, *query);
+  } else if (const auto* request = std::get_if<LeaseRequest>(&aMessage)) {
+    auto [member, isNew] = leaseMembers_.try_emplace(
+      request->shard, request->shard, self_.id, clock_);
+    network_.Send(aFrom.id, member->second.OnRequest(aFrom.id, *request));
   }
 }
 
@@ -174,6 +178,9 @@
   if (runner_) {
     runner_->Tick();
   }
+  for (auto& [shard, member] : leaseMembers_) {
+    member.Expire();
+  }
   bool idle = !runner_ || runner_->RunningTasks() == 0;
   if (stopped_ && idle) {
     auto stopped = std::exchange(stopped_, nullptr);
--- a/src/daemon/agent_process.h
+++ b/src/daemon/agent_process.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <set>
 
+#include "coordination/lease_member.h"
 #include "coordination/task_runner.h"
 #include "daemon/agent_metrics.h"
 #include "daemon/backend_client.h"
@@ -61,6 +62,8 @@
   /** Empty until the backend server has told its capacity. */
   std::unique_ptr<coordination::TaskRunner> runner_;
   std::set<state::ProcessId> entries_;
+  /** This agent as a member of ownership groups, by shard. */
+  std::map<std::uint32_t, coordination::LeaseMember> leaseMembers_;
   std::function<void()> stopped_;
   /** Empty without a metrics address. */
   std::unique_ptr<StatusServer> statusServer_;
--- a/src/daemon/entry_operator_routes.cpp
+++ b/src/daemon/entry_operator_routes.cpp
@@ -68,13 +68,21 @@
   set("greengage_http_connections",
       "Open connections of callers and operators",
       http_.OpenConnections());
+  std::size_t queued = 0;
+  std::size_t running = 0;
+  std::size_t jobs = 0;
+  for (const auto& shard : shards_) {
+    queued += shard->Scheduler().QueuedTasks();
+    running += shard->Scheduler().RunningTasks();
+    jobs += shard->Owner().JobCount();
+  }
   set("greengage_queued_tasks",
       "Tasks that wait for a slot at this owner",
-      scheduler_.QueuedTasks());
+      queued);
   set("greengage_running_tasks",
       "Tasks that this owner has started and that have not ended",
-      scheduler_.RunningTasks());
-  set("greengage_known_jobs", "Jobs in this owner's memory", owner_.JobCount());
+      running);
+  set("greengage_known_jobs", "Jobs in this owner's memory", jobs);
   set("greengage_workers",
       "Backend servers that this process knows",
       workers_.List().size());
--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -18,8 +18,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kTickPeriod{ 50 };
-constexpr std::uint32_t kOnlyShard = 0;
-constexpr state::OwnershipToken kFirstToken{ 1, 0 };
+constexpr std::uint32_t kCarrierShard = 0;
 constexpr std::chrono::milliseconds kConnectPeriod{ 500 };
 
 ConfigurationFollowerSettings
@@ -42,7 +41,9 @@
              { [this](const ProcessInfo& aFrom, const PeerMessage& aMessage) {
                 OnPeerMessage(aFrom, aMessage);
               },
-               [this](const state::ProcessId& aPeer) { OnPeerLost(aPeer); },
+               [this](const state::ProcessId& aPeer, bool aReachable) {
+                 OnPeerLost(aPeer, aReachable);
+               },
                [this](const auto& aMessages, std::size_t aBytes) {
                  sentTraffic_.Count(aMessages, aBytes);
                },
@@ -54,25 +55,6 @@
             OnHttpRequest(std::move(aRequest), aRespond);
           })
   , routes_(MakeRouteHooks())
-  , scheduler_(clock_)
-  , owner_(kOnlyShard,
-           scheduler_,
-           clock_,
-           { [this](const state::ProcessId& aAgent, StartTasks aStart) {
-              network_.Send(aAgent, std::move(aStart));
-            },
-             [this](const state::ProcessId& aAgent, CancelTasks aCancel) {
-               network_.Send(aAgent, std::move(aCancel));
-             },
-             [this](const state::ProcessId& aAgent, Fence aFence) {
-               network_.Send(aAgent, std::move(aFence));
-             },
-             [this](const state::ProcessId& aAgent, HistoryQuery aQuery) {
-               network_.Send(aAgent, std::move(aQuery));
-             },
-             [this](const state::ProcessId& aRequester, JobAnswer aAnswer) {
-               network_.Send(aRequester, std::move(aAnswer));
-             } })
   , router_(aSettings.shardCount,
             clock_,
             { [this](const state::ProcessId& aOwner, PeerMessage aMessage) {
@@ -107,8 +89,17 @@
         [this](const state::ConfigurationChange& aChange) {
           OnConfigurationChanged(aChange);
         },
-        nullptr,
-        nullptr,
+        [this](const OwnershipRecord& aRecord) {
+          if (aRecord.shard < shards_.size()) {
+            shards_[aRecord.shard]->Lease().OnRecord(aRecord,
+                                                     clock_.WallNow());
+          }
+        },
+        [this](const OwnershipActivated& aRecord) {
+          if (aRecord.shard < shards_.size()) {
+            shards_[aRecord.shard]->Lease().OnActivatedRecord(aRecord);
+          }
+        },
         [this] {
           return std::vector<protocol::ProcessVersion>{
             { self_, configuration_.Follower().Version() }
@@ -142,8 +133,10 @@
     return tl::unexpected(DaemonError{ http.error().message });
   }
   network_.Start(self_);
-  owner_.Activate(kFirstToken, clock_.WallNow(), {}, true);
-  router_.OnOwner({ kOnlyShard, kFirstToken, self_ });
+  for (std::uint32_t shard = 0; shard < settings_.shardCount; ++shard) {
+    shards_.push_back(std::make_unique<ShardController>(
+      shard, self_, clock_, MakeShardHooks()));
+  }
   control_.Every(kTickPeriod, [this] { OnTick(); });
   control_.Every(kConnectPeriod, [this] { ConnectSeeds(); });
   configuration_.Start();
@@ -168,6 +161,9 @@
     stopping_ = true;
     stopped_ = done;
     http_.StopAccepting();
+    for (const auto& shard : shards_) {
+      shard->Lease().Release();
+    }
   });
 }
 
@@ -235,26 +231,156 @@
 EntryProcess::OnConfigurationChanged(const state::ConfigurationChange& aChange)
 {
   const std::string& name = aChange.key.name;
-  if (const auto* work = std::get_if<state::WorkTemplate>(&aChange.document)) {
-    scheduler_.SetTemplate(*work);
-  } else if (const auto* limits =
-               std::get_if<state::OrganisationParameters>(&aChange.document)) {
-    scheduler_.SetOrganisation(*limits);
-  } else if (aChange.key.kind == state::ConfigurationKind::eTemplate) {
-    scheduler_.RemoveTemplate(name);
-  } else {
-    scheduler_.RemoveOrganisation(name);
+  for (const auto& shard : shards_) {
+    TaskScheduler& scheduler = shard->Scheduler();
+    if (const auto* work =
+          std::get_if<state::WorkTemplate>(&aChange.document)) {
+      scheduler.SetTemplate(*work);
+    } else if (const auto* limits = std::get_if<state::OrganisationParameters>(
+                 &aChange.document)) {
+      scheduler.SetOrganisation(*limits);
+    } else if (aChange.key.kind == state::ConfigurationKind::eTemplate) {
+      scheduler.RemoveTemplate(name);
+    } else {
+      scheduler.RemoveOrganisation(name);
+    }
+  }
+}
+
+ShardHooks
+EntryProcess::MakeShardHooks()
+{
+  ShardHooks hooks;
+  hooks.introduce = [this](const ProcessInfo& aProcess) {
+    network_.SetPeer(aProcess);
+  };
+  hooks.send = [this](const state::ProcessId& aPeer, PeerMessage aMessage) {
+    network_.Send(aPeer, std::move(aMessage));
+  };
+  hooks.announce = [this](const OwnerAnnouncement& aAnnouncement) {
+    router_.OnOwner(aAnnouncement);
+    for (const auto& [id, process] : processes_) {
+      if (process.role == ProcessRole::eEntry) {
+        network_.Send(id, aAnnouncement);
+      }
+    }
+  };
+  hooks.propose = [this](const OwnershipRecord& aRecord) {
+    configuration_.Follower().ProposeOwnership(aRecord);
+  };
+  hooks.proposeActivated = [this](const OwnershipActivated& aRecord) {
+    configuration_.Follower().ProposeActivated(aRecord);
+  };
+  hooks.acquired = [this](std::uint32_t aShard,
+                          const state::OwnershipToken& aToken) {
+    if (aShard == kCarrierShard) {
+      configuration_.Follower().SetCarrier(true);
+    }
+    transport::LogEvent(transport::events::kOwnershipAcquired,
+                        "shard={} epoch={} term={}",
+                        aShard,
+                        aToken.epoch,
+                        aToken.term);
+  };
+  hooks.lost = [this](std::uint32_t aShard) {
+    if (aShard == kCarrierShard) {
+      configuration_.Follower().SetCarrier(false);
+    }
+    router_.OnProcessLost(self_.id);
+    transport::LogEvent(
+      transport::events::kOwnershipLost, "shard={}", aShard);
+  };
+  hooks.random = [] { return CreateProcessId().low; };
+  return hooks;
+}
+
+ShardController*
+EntryProcess::FindShard(const PeerMessage& aMessage)
+{
+  auto shard = std::visit(
+    [this](const auto& aValue) -> std::optional<std::uint32_t> {
+      if constexpr (requires { aValue.shard; }) {
+        return aValue.shard;
+      } else if constexpr (requires { aValue.spec; }) {
+        return aValue.spec.Key().Shard(settings_.shardCount);
+      } else if constexpr (requires { aValue.key; }) {
+        return aValue.key.Shard(settings_.shardCount);
+      } else {
+        return std::nullopt;
+      }
+    },
+    aMessage);
+  return shard && *shard < shards_.size() ? shards_[*shard].get() : nullptr;
+}
+
+void
+EntryProcess::OnProcessSeen(const ProcessInfo& aProcess)
+{
+  network_.SetPeer(aProcess);
+  auto known = processes_.find(aProcess.id);
+  if (known != processes_.end() && known->second == aProcess) {
+    return;
+  }
+  for (const auto& [id, process] : processes_) {
+    if (id != aProcess.id && process.peerAddress == aProcess.peerAddress) {
+      for (const auto& shard : shards_) {
+        shard->Lease().OnProcessReplaced(id);
+      }
+      OnProcessGone(id);
+      break;
+    }
+  }
+  processes_.insert_or_assign(aProcess.id, aProcess);
+  UpdateProcesses();
+  if (aProcess.role == ProcessRole::eAgent) {
+    for (const auto& shard : shards_) {
+      shard->OnAgent(aProcess);
+    }
+  }
+}
+
+void
+EntryProcess::OnProcessGone(const state::ProcessId& aProcess)
+{
+  workers_.OnProcessLost(aProcess);
+  router_.OnProcessLost(aProcess);
+  for (const auto& shard : shards_) {
+    shard->OnAgentGone(aProcess);
   }
+  network_.Forget(aProcess);
+  processes_.erase(aProcess);
+  UpdateProcesses();
 }
 
 void
-EntryProcess::OnPeerLost(const state::ProcessId& aPeer)
+EntryProcess::UpdateProcesses()
+{
+  std::vector<ProcessInfo> alive{ self_ };
+  std::vector<state::ProcessId> entries;
+  for (const auto& [id, process] : processes_) {
+    alive.push_back(process);
+    if (process.role == ProcessRole::eEntry) {
+      entries.push_back(id);
+    }
+  }
+  for (const auto& shard : shards_) {
+    shard->Lease().SetProcesses(alive);
+  }
+  configuration_.Follower().SetPeers(std::move(entries));
+}
+
+void
+EntryProcess::OnPeerLost(const state::ProcessId& aPeer, bool aReachable)
 {
-  workers_.OnProcessLost(aPeer);
   router_.OnProcessLost(aPeer);
-  owner_.OnAgentGone(aPeer);
-  if (entries_.erase(aPeer) > 0) {
-    configuration_.Follower().SetPeers({ entries_.begin(), entries_.end() });
+  if (!aReachable) {
+    OnProcessGone(aPeer);
+    return;
+  }
+  // Messages may be lost; a failing connection shows that the peer is gone.
+  network_.Connect(aPeer);
+  for (const auto& shard : shards_) {
+    shard->ResyncAgent(aPeer);
   }
 }
 
@@ -275,40 +401,31 @@
     return;
   }
   if (const auto* hello = std::get_if<Hello>(&aMessage)) {
-    network_.SetPeer(hello->process);
-    if (hello->process.role == ProcessRole::eAgent) {
-      owner_.AddAgent(hello->process);
-    } else if (entries_.insert(hello->process.id).second) {
-      configuration_.Follower().SetPeers({ entries_.begin(), entries_.end() });
-    }
+    OnProcessSeen(hello->process);
   } else if (const auto* status = std::get_if<AgentStatus>(&aMessage)) {
-    network_.SetPeer(status->process);
-    owner_.AddAgent(status->process);
-  } else if (const auto* submit = std::get_if<SubmitJob>(&aMessage)) {
-    owner_.OnSubmit(aFrom.id, *submit);
-  } else if (const auto* query = std::get_if<QueryJob>(&aMessage)) {
-    owner_.OnQuery(aFrom.id, *query);
-  } else if (const auto* cancel = std::get_if<CancelJob>(&aMessage)) {
-    owner_.OnCancel(aFrom.id, *cancel);
-  } else if (const auto* results = std::get_if<TaskResults>(&aMessage)) {
-    owner_.OnTaskResults(*results);
+    OnProcessSeen(status->process);
   } else if (const auto* answer = std::get_if<JobAnswer>(&aMessage)) {
     if (!responders_.contains(answer->submission)) {
       callerMetrics_.OnLateAnswer();
     }
     router_.OnAnswer(aFrom.id, *answer);
   } else if (const auto* owner = std::get_if<OwnerAnnouncement>(&aMessage)) {
+    network_.SetPeer(owner->owner);
     router_.OnOwner(*owner);
+  } else if (ShardController* shard = FindShard(aMessage)) {
+    shard->OnPeerMessage(aFrom, aMessage);
+    shard->Dispatch();
   }
-  owner_.Dispatch();
 }
 
 void
 EntryProcess::OnTick()
 {
-  owner_.Tick();
+  for (const auto& shard : shards_) {
+    shard->Lease().SetLogUp(configuration_.Follower().LogAvailable());
+    shard->Tick();
+  }
   router_.Tick();
-  owner_.Dispatch();
   if (stopping_ && router_.PendingCount() == 0) {
     FinishStop();
   }
--- a/src/daemon/entry_process.h
+++ b/src/daemon/entry_process.h
@@ -6,9 +6,8 @@
 #include <memory>
 #include <set>
 
-#include "coordination/job_owner.h"
 #include "coordination/request_router.h"
-#include "coordination/task_scheduler.h"
+#include "coordination/shard_controller.h"
 #include "daemon/caller_metrics.h"
 #include "daemon/configuration_service.h"
 #include "daemon/daemon_error.h"
@@ -50,7 +49,14 @@
   void AwaitAnswer(std::uint64_t aSubmission,
                    transport::HttpResponder aRespond);
   void OnConfigurationChanged(const state::ConfigurationChange& aChange);
-  void OnPeerLost(const state::ProcessId& aPeer);
+  void OnPeerLost(const state::ProcessId& aPeer, bool aReachable);
+  coordination::ShardHooks MakeShardHooks();
+  /** Shard that a message concerns, or null if it concerns none. */
+  coordination::ShardController* FindShard(
+    const coordination::PeerMessage& aMessage);
+  void OnProcessSeen(const coordination::ProcessInfo& aProcess);
+  void OnProcessGone(const state::ProcessId& aProcess);
+  void UpdateProcesses();
   void ConnectSeeds();
   void OnPeerMessage(const coordination::ProcessInfo& aFrom,
                      const coordination::PeerMessage& aMessage);
@@ -71,12 +77,11 @@
   transport::PeerNetwork network_;
   transport::HttpServer http_;
   EntryRoutes routes_;
-  coordination::TaskScheduler scheduler_;
-  coordination::JobOwner owner_;
   coordination::RequestRouter router_;
   ConfigurationService configuration_;
-  /** Other entries, from which configuration is pulled in a log outage. */
-  std::set<state::ProcessId> entries_;
+  std::vector<std::unique_ptr<coordination::ShardController>> shards_;
+  /** Other processes that are believed to be alive. */
+  std::map<state::ProcessId, coordination::ProcessInfo> processes_;
   std::map<std::uint64_t, transport::HttpResponder> responders_;
   std::atomic<bool> stopping_{ false };
   std::function<void()> stopped_;
--- a/src/transport/peer_network.cpp
+++ b/src/transport/peer_network.cpp
@@ -124,6 +124,16 @@
   }
 }
 
+void
+PeerNetwork::Connect(const state::ProcessId& aPeer)
+{
+  auto peer = peers_.find(aPeer);
+  if (peer != peers_.end() &&
+      !outbound_.contains(peer->second.peerAddress)) {
+    Open(peer->second.peerAddress, aPeer);
+  }
+}
+
 void
 PeerNetwork::Forget(const state::ProcessId& aPeer)
 {
@@ -272,9 +282,9 @@
     return;
   }
   if (aConnection->peer) {
-    hooks_.lost(aConnection->peer->id);
+    hooks_.lost(aConnection->peer->id, true);
   } else if (aConnection->expected != state::ProcessId{}) {
-    hooks_.lost(aConnection->expected);
+    hooks_.lost(aConnection->expected, false);
   }
 }
 
--- a/src/transport/peer_network.h
+++ b/src/transport/peer_network.h
@@ -21,8 +21,11 @@
   std::function<void(const coordination::ProcessInfo& aFrom,
                      const coordination::PeerMessage& aMessage)>
     received;
-  /** A connection from this peer ended or could not be opened. */
-  std::function<void(const state::ProcessId& aPeer)> lost;
+  /**
+   * A connection with this peer ended, or, if aReachable is false, could not
+   * be opened because nothing or another process listens on its address.
+   */
+  std::function<void(const state::ProcessId& aPeer, bool aReachable)> lost;
   /** Count frames; run in a traffic thread and may be empty. */
   FrameSession::FrameCounter sentFrame;
   FrameSession::FrameCounter receivedFrame;
@@ -61,6 +64,9 @@
   /** Opens a connection to an address whose process is not known yet. */
   void ConnectSeed(const std::string& aAddress);
 
+  /** Opens a connection to a known peer if there is none. */
+  void Connect(const state::ProcessId& aPeer);
+
   /** Closes connections to a peer that is gone. */
   void Forget(const state::ProcessId& aPeer);
 
