Add the event catalogue and the events of peers and agents

Cause: operators have to know which log lines exist and what to do about them. PeerNetwork logs connections, malformed input and missing introductions; WorkerTable logs lost, returned and draining agents. After a failed accept the peer listener waits 100 ms; without file descriptors it would spin.

--- a/src/daemon/backend_client.cpp
+++ b/src/daemon/backend_client.cpp
@@ -1,6 +1,10 @@
 #include "daemon/backend_client.h"
 
+#include <utility>
+
 #include "protocol/backend_json.h"
+#include "transport/endpoint.h"
+#include "transport/event_log.h"
 
 namespace greengage::daemon {
 
@@ -62,6 +66,7 @@
                              transport::ControlThread& aControl,
                              const boost::asio::ip::tcp::endpoint& aServer)
   : control_(aControl)
+  , address_(transport::ToString(aServer))
   , client_(aTraffic, aServer)
 {
 }
@@ -82,11 +87,19 @@
                                       decoded->accelerators };
         }
       }
-      control_.Post([this, done, capacity] {
+      std::string reason = aResult ? "the answer to GET /capacity is not valid"
+                                   : aResult.error().message;
+      control_.Post([this, done, capacity, reason] {
         if (capacity) {
           done(*capacity);
           return;
         }
+        if (!std::exchange(unreachableLogged_, true)) {
+          transport::LogEvent(transport::events::kBackendUnreachable,
+                              "backend={} reason={}",
+                              address_,
+                              transport::QuoteValue(reason));
+        }
         control_.After(kCapacityRetry, [this, done] { ReadCapacity(done); });
       });
     });
--- a/src/daemon/backend_client.h
+++ b/src/daemon/backend_client.h
@@ -54,6 +54,8 @@
   using TaskName = std::tuple<state::JobKey, std::uint32_t, std::uint32_t>;
 
   transport::ControlThread& control_;
+  std::string address_;
+  bool unreachableLogged_ = false;
   transport::HttpClient client_;
   std::map<TaskName, transport::HttpClient::Abort> running_;
 };
--- a/src/daemon/worker_table.cpp
+++ b/src/daemon/worker_table.cpp
@@ -1,27 +1,72 @@
 #include "daemon/worker_table.h"
 
+#include "transport/event_log.h"
+
 namespace greengage::daemon {
 
 using coordination::AgentStatus;
 using coordination::Hello;
 using coordination::ProcessRole;
+using protocol::WorkerStatus;
+namespace events = transport::events;
+
+namespace {
+
+// Agents that never return must not fill the memory.
+constexpr std::size_t kMaxLost = 10'000;
+
+}
 
 void
 WorkerTable::OnPeerMessage(const coordination::PeerMessage& aMessage)
 {
   if (const auto* hello = std::get_if<Hello>(&aMessage)) {
     if (hello->process.role == ProcessRole::eAgent) {
-      workers_[hello->process.id] = { hello->process };
+      Set({ hello->process });
     }
   } else if (const auto* status = std::get_if<AgentStatus>(&aMessage)) {
-    workers_[status->process.id] = { status->process, status->runningTasks };
+    Set({ status->process, status->runningTasks });
   }
 }
 
+void
+WorkerTable::Set(WorkerStatus aWorker)
+{
+  const coordination::ProcessInfo& process = aWorker.process;
+  auto known = workers_.find(process.id);
+  bool wasDraining = known != workers_.end() && known->second.process.draining;
+  if (lost_.erase(process.id) != 0) {
+    transport::LogEvent(events::kAgentReturned,
+                        "agent={} address={}",
+                        process.id.ToString(),
+                        process.peerAddress);
+  }
+  if (process.draining && !wasDraining) {
+    transport::LogEvent(events::kAgentDraining,
+                        "agent={} address={} running_tasks={}",
+                        process.id.ToString(),
+                        process.peerAddress,
+                        aWorker.runningTasks);
+  }
+  workers_[process.id] = std::move(aWorker);
+}
+
 void
 WorkerTable::OnProcessLost(const state::ProcessId& aProcess)
 {
-  workers_.erase(aProcess);
+  auto worker = workers_.extract(aProcess);
+  if (worker.empty()) {
+    return;
+  }
+  transport::LogEvent(events::kAgentLost,
+                      "agent={} address={} running_tasks={}",
+                      aProcess.ToString(),
+                      worker.mapped().process.peerAddress,
+                      worker.mapped().runningTasks);
+  if (lost_.size() >= kMaxLost) {
+    lost_.clear();
+  }
+  lost_.insert(aProcess);
 }
 
 std::vector<protocol::WorkerStatus>
--- a/src/daemon/worker_table.h
+++ b/src/daemon/worker_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <vector>
 
 #include "coordination/messages.h"
@@ -9,8 +10,8 @@
 namespace greengage::daemon {
 
 /**
- * Agents that announced themselves to this entry, for `GET /v1/workers`. Used
- * by the control thread.
+ * Agents that announced themselves to this entry, for `GET /v1/workers`. Logs
+ * when they leave and return. Used by the control thread.
  */
 class WorkerTable
 {
@@ -22,7 +23,11 @@
   std::vector<protocol::WorkerStatus> List() const;
 
 private:
+  void Set(protocol::WorkerStatus aWorker);
+
   std::map<state::ProcessId, protocol::WorkerStatus> workers_;
+  /** Agents that were lost, to tell a return from a first contact. */
+  std::set<state::ProcessId> lost_;
 };
 
 }
--- a/src/transport/events.h
+++ b/src/transport/events.h
@@ -23,9 +23,13 @@
   bool operator==(const EventKind&) const = default;
 };
 
-/** All events; docs/events.md describes each one. */
+/**
+ * All events; docs/events.md describes each one. Each group has a hundred
+ * numbers of its own.
+ */
 namespace events {
 
+// Process.
 inline constexpr EventKind kProcessStarted{ 1001,
                                             "process_started",
                                             LogLevel::eInfo };
@@ -38,6 +42,11 @@
 inline constexpr EventKind kStartFailed{ 1004,
                                          "start_failed",
                                          LogLevel::eError };
+inline constexpr EventKind kBackendUnreachable{ 1005,
+                                                "backend_unreachable",
+                                                LogLevel::eWarning };
+
+// Connections between processes.
 inline constexpr EventKind kPeerConnected{ 1101,
                                            "peer_connected",
                                            LogLevel::eInfo };
@@ -45,10 +54,77 @@
 inline constexpr EventKind kPeerIdentityChanged{ 1103,
                                                  "peer_identity_changed",
                                                  LogLevel::eWarning };
+inline constexpr EventKind kPeerMalformed{ 1104,
+                                           "peer_malformed",
+                                           LogLevel::eError };
+inline constexpr EventKind kPeerWithoutHello{ 1105,
+                                              "peer_without_hello",
+                                              LogLevel::eWarning };
+inline constexpr EventKind kClockDifference{ 1106,
+                                             "clock_difference",
+                                             LogLevel::eWarning };
+
+// HTTP front.
+inline constexpr EventKind kConnectionRefused{ 1201,
+                                               "connection_refused",
+                                               LogLevel::eWarning };
+inline constexpr EventKind kAcceptFailed{ 1202,
+                                          "accept_failed",
+                                          LogLevel::eError };
+
+// Ownership.
+inline constexpr EventKind kOwnerChanged{ 1301,
+                                          "owner_changed",
+                                          LogLevel::eInfo };
+inline constexpr EventKind kOwnershipGained{ 1302,
+                                             "ownership_gained",
+                                             LogLevel::eInfo };
+inline constexpr EventKind kOwnershipLost{ 1303,
+                                           "ownership_lost",
+                                           LogLevel::eWarning };
+inline constexpr EventKind kShardWithoutOwner{ 1304,
+                                               "shard_without_owner",
+                                               LogLevel::eError };
+
+// Agents and backend servers.
+inline constexpr EventKind kAgentLost{ 1401, "agent_lost", LogLevel::eWarning };
+inline constexpr EventKind kAgentReturned{ 1402,
+                                           "agent_returned",
+                                           LogLevel::eInfo };
+inline constexpr EventKind kAgentDraining{ 1403,
+                                           "agent_draining",
+                                           LogLevel::eInfo };
+inline constexpr EventKind kServerEjected{ 1404,
+                                           "server_ejected",
+                                           LogLevel::eWarning };
+inline constexpr EventKind kServerReadmitted{ 1405,
+                                              "server_readmitted",
+                                              LogLevel::eInfo };
+
+// Configuration and the platform's log.
+inline constexpr EventKind kConfigurationApplied{ 1501,
+                                                  "configuration_applied",
+                                                  LogLevel::eInfo };
+inline constexpr EventKind kConfigurationRefused{ 1502,
+                                                  "configuration_refused",
+                                                  LogLevel::eWarning };
+inline constexpr EventKind kLogOutageBegan{ 1503,
+                                            "log_outage_began",
+                                            LogLevel::eError };
+inline constexpr EventKind kLogOutageEnded{ 1504,
+                                            "log_outage_ended",
+                                            LogLevel::eInfo };
 
 inline constexpr std::array kAll{
-  kProcessStarted, kProcessStopping, kProcessStopped,      kStartFailed,
-  kPeerConnected,  kPeerLost,        kPeerIdentityChanged,
+  kProcessStarted,   kProcessStopping,      kProcessStopped,
+  kStartFailed,      kBackendUnreachable,   kPeerConnected,
+  kPeerLost,         kPeerIdentityChanged,  kPeerMalformed,
+  kPeerWithoutHello, kClockDifference,      kConnectionRefused,
+  kAcceptFailed,     kOwnerChanged,         kOwnershipGained,
+  kOwnershipLost,    kShardWithoutOwner,    kAgentLost,
+  kAgentReturned,    kAgentDraining,        kServerEjected,
+  kServerReadmitted, kConfigurationApplied, kConfigurationRefused,
+  kLogOutageBegan,   kLogOutageEnded,
 };
 
 }
--- a/src/transport/peer_network.cpp
+++ b/src/transport/peer_network.cpp
@@ -18,6 +18,9 @@
 // Messages kept while a connection is being opened.
 constexpr std::size_t kMaxWaitingMessages = 20'000;
 
+// Without a pause, a lack of file descriptors would make Accept() spin.
+constexpr std::chrono::milliseconds kAcceptRetry{ 100 };
+
 }
 
 /** Control-thread view of one connection. */
@@ -25,6 +28,8 @@
 {
   /** Address that this process connected to; empty if accepted. */
   std::string address;
+  /** Address of the other end, for log lines. */
+  std::string remote;
   /** Identity the peer must have; zero if any. */
   state::ProcessId expected;
   std::optional<ProcessInfo> peer;
@@ -158,6 +163,9 @@
 void
 PeerNetwork::Accept()
 {
+  if (stopped_) {
+    return;
+  }
   acceptor_.async_accept(
     [this](error_code aError, asio::ip::tcp::socket aSocket) {
       control_.Post([this,
@@ -167,11 +175,17 @@
         if (stopped_ || aError == asio::error::operation_aborted) {
           return;
         }
-        if (!aError) {
-          auto connection = std::make_shared<Connection>();
-          inbound_.emplace(connection.get(), connection);
-          OnConnected(connection, std::move(*socket));
+        if (aError) {
+          LogEvent(events::kAcceptFailed,
+                   "address={} reason={}",
+                   self_.peerAddress,
+                   QuoteValue(aError.message()));
+          control_.After(kAcceptRetry, [this] { Accept(); });
+          return;
         }
+        auto connection = std::make_shared<Connection>();
+        inbound_.emplace(connection.get(), connection);
+        OnConnected(connection, std::move(*socket));
         Accept();
       });
     });
@@ -187,20 +201,23 @@
   outbound_[aAddress] = connection;
   auto endpoint = ParseEndpoint(aAddress);
   if (!endpoint) {
-    control_.Post([this, connection] { OnClosed(connection); });
+    control_.Post([this, connection, error = endpoint.error()] {
+      OnClosed(connection, error);
+    });
     return;
   }
   auto socket = std::make_shared<asio::ip::tcp::socket>(traffic_.Context());
-  socket->async_connect(*endpoint,
-                        [this, connection, socket](error_code aError) {
-                          control_.Post([this, connection, socket, aError] {
-                            if (aError || stopped_) {
-                              OnClosed(connection);
-                              return;
-                            }
-                            OnConnected(connection, std::move(*socket));
-                          });
-                        });
+  socket->async_connect(
+    *endpoint, [this, connection, socket](error_code aError) {
+      control_.Post([this, connection, socket, aError] {
+        if (aError || stopped_) {
+          OnClosed(connection,
+                   { TransportErrorKind::eNotConnected, aError.message() });
+          return;
+        }
+        OnConnected(connection, std::move(*socket));
+      });
+    });
 }
 
 void
@@ -213,9 +230,13 @@
       OnReceived(aConnection, messages);
     });
   };
-  handlers.closed = [this, aConnection](const TransportError&) {
-    control_.Post([this, aConnection] { OnClosed(aConnection); });
+  handlers.closed = [this, aConnection](const TransportError& aReason) {
+    control_.Post(
+      [this, aConnection, aReason] { OnClosed(aConnection, aReason); });
   };
+  error_code ignored;
+  auto remote = aSocket.remote_endpoint(ignored);
+  aConnection->remote = ignored ? "unknown" : ToString(remote);
   handlers.sentFrame = hooks_.sentFrame;
   handlers.receivedFrame = hooks_.receivedFrame;
   aConnection->session =
@@ -233,23 +254,9 @@
       return;
     }
     if (const auto* hello = std::get_if<Hello>(&message)) {
-      const state::ProcessId none;
-      if (aConnection->expected != none &&
-          aConnection->expected != hello->process.id) {
-        // The address now belongs to another process.
-        LogEvent(events::kPeerIdentityChanged,
-                 "address={} expected={} found={}",
-                 aConnection->address,
-                 aConnection->expected.ToString(),
-                 hello->process.id.ToString());
-        aConnection->session->Close();
-        return;
-      }
-      aConnection->peer = hello->process;
-      for (PeerMessage& waiting : aConnection->waiting) {
-        aConnection->session->Send(std::move(waiting));
-      }
-      aConnection->waiting.clear();
+      OnHello(aConnection, *hello);
+    } else if (!aConnection->peer) {
+      LogEvent(events::kPeerWithoutHello, "address={}", aConnection->remote);
     }
     if (!aConnection->peer) {
       aConnection->session->Close();
@@ -260,7 +267,39 @@
 }
 
 void
-PeerNetwork::OnClosed(const std::shared_ptr<Connection>& aConnection)
+PeerNetwork::OnHello(const std::shared_ptr<Connection>& aConnection,
+                     const Hello& aHello)
+{
+  const state::ProcessId none;
+  if (aConnection->expected != none &&
+      aConnection->expected != aHello.process.id) {
+    // The address now belongs to another process.
+    LogEvent(events::kPeerIdentityChanged,
+             "address={} expected={} found={}",
+             aConnection->address,
+             aConnection->expected.ToString(),
+             aHello.process.id.ToString());
+    return;
+  }
+  if (!aConnection->peer) {
+    LogEvent(events::kPeerConnected,
+             "peer={} address={} role={}",
+             aHello.process.id.ToString(),
+             aHello.process.peerAddress,
+             aHello.process.role == coordination::ProcessRole::eEntry
+               ? "entry"
+               : "agent");
+  }
+  aConnection->peer = aHello.process;
+  for (PeerMessage& waiting : aConnection->waiting) {
+    aConnection->session->Send(std::move(waiting));
+  }
+  aConnection->waiting.clear();
+}
+
+void
+PeerNetwork::OnClosed(const std::shared_ptr<Connection>& aConnection,
+                      const TransportError& aReason)
 {
   aConnection->closed = true;
   inbound_.erase(aConnection.get());
@@ -271,6 +310,18 @@
   if (stopped_) {
     return;
   }
+  if (aReason.kind == TransportErrorKind::eMalformed) {
+    LogEvent(events::kPeerMalformed,
+             "address={} reason={}",
+             aConnection->remote,
+             QuoteValue(aReason.message));
+  } else if (aConnection->peer) {
+    LogEvent(events::kPeerLost,
+             "peer={} address={} reason={}",
+             aConnection->peer->id.ToString(),
+             aConnection->peer->peerAddress,
+             QuoteValue(aReason.message));
+  }
   if (aConnection->peer) {
     hooks_.lost(aConnection->peer->id);
   } else if (aConnection->expected != state::ProcessId{}) {
--- a/src/transport/peer_network.h
+++ b/src/transport/peer_network.h
@@ -75,7 +75,10 @@
                    boost::asio::ip::tcp::socket aSocket);
   void OnReceived(const std::shared_ptr<Connection>& aConnection,
                   const FrameSession::Messages& aMessages);
-  void OnClosed(const std::shared_ptr<Connection>& aConnection);
+  void OnHello(const std::shared_ptr<Connection>& aConnection,
+               const coordination::Hello& aHello);
+  void OnClosed(const std::shared_ptr<Connection>& aConnection,
+                const TransportError& aReason);
 
   TrafficPool& traffic_;
   ControlThread& control_;
