--- a/src/coordination/shard_controller.cpp
+++ b/src/coordination/shard_controller.cpp
@@ -124,8 +124,7 @@
 ShardController::MakeOwnerHooks()
 {
   JobOwnerHooks hooks;
-  hooks.startTasks = [this](const state::ProcessId& aAgent,
-                            StartTasks aStart) {
+  hooks.startTasks = [this](const state::ProcessId& aAgent, StartTasks aStart) {
     hooks_.send(aAgent, std::move(aStart));
   };
   hooks.cancelTasks = [this](const state::ProcessId& aAgent,
@@ -139,8 +138,7 @@
                               HistoryQuery aQuery) {
     hooks_.send(aAgent, std::move(aQuery));
   };
-  hooks.answer = [this](const state::ProcessId& aRequester,
-                        JobAnswer aAnswer) {
+  hooks.answer = [this](const state::ProcessId& aRequester, JobAnswer aAnswer) {
     hooks_.send(aRequester, std::move(aAnswer));
   };
   return hooks;
--- a/src/daemon/agent_process.cpp
+++ b/src/daemon/agent_process.cpp
@@ -18,18 +18,19 @@
 AgentProcess::AgentProcess(const AgentSettings& aSettings)
   : settings_(aSettings)
   , traffic_(aSettings.common.trafficThreads)
-  , network_(traffic_,
-             control_,
-             { [this](const ProcessInfo& aFrom, const PeerMessage& aMessage) {
-                OnPeerMessage(aFrom, aMessage);
-              },
-               [this](const state::ProcessId& aPeer, bool) { OnPeerLost(aPeer); },
-               [this](const auto& aMessages, std::size_t aBytes) {
-                 sentTraffic_.Count(aMessages, aBytes);
-               },
-               [this](const auto& aMessages, std::size_t aBytes) {
-                 receivedTraffic_.Count(aMessages, aBytes);
-               } })
+  , network_(
+      traffic_,
+      control_,
+      { [this](const ProcessInfo& aFrom, const PeerMessage& aMessage) {
+         OnPeerMessage(aFrom, aMessage);
+       },
+        [this](const state::ProcessId& aPeer, bool) { OnPeerLost(aPeer); },
+        [this](const auto& aMessages, std::size_t aBytes) {
+          sentTraffic_.Count(aMessages, aBytes);
+        },
+        [this](const auto& aMessages, std::size_t aBytes) {
+          receivedTraffic_.Count(aMessages, aBytes);
+        } })
   , backend_(traffic_,
              control_,
              *transport::ParseEndpoint(aSettings.backendAddress))
--- a/src/daemon/configuration_service.cpp
+++ b/src/daemon/configuration_service.cpp
@@ -80,7 +80,7 @@
   hooks.decode = DecodeRecord;
   hooks.encode = protocol::EncodeLogContent;
   hooks.changed = [this](const state::ConfigurationChange& aChange) {
-    transport::LogEvent(transport::events::kConfigurationChanged,
+    transport::LogEvent(transport::events::kConfigurationApplied,
                         "kind={} name={} deleted={} version={}",
                         aChange.key.kind == state::ConfigurationKind::eTemplate
                           ? "template"
@@ -103,14 +103,14 @@
     }
   };
   hooks.badRecord = [](std::uint64_t aOffset, const CoordinationError& aError) {
-    transport::LogEvent(transport::events::kBadLogRecord,
+    transport::LogEvent(transport::events::kConfigurationRefused,
                         "offset={} reason={}",
                         aOffset,
                         transport::QuoteValue(aError.message));
   };
   hooks.logAvailable = [](bool aAvailable) {
-    transport::LogEvent(aAvailable ? transport::events::kLogAvailable
-                                   : transport::events::kLogUnavailable,
+    transport::LogEvent(aAvailable ? transport::events::kLogOutageEnded
+                                   : transport::events::kLogOutageBegan,
                         "source=platform_log");
   };
   hooks.random = [] { return CreateProcessId().low; };
--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -91,8 +91,7 @@
         },
         [this](const OwnershipRecord& aRecord) {
           if (aRecord.shard < shards_.size()) {
-            shards_[aRecord.shard]->Lease().OnRecord(aRecord,
-                                                     clock_.WallNow());
+            shards_[aRecord.shard]->Lease().OnRecord(aRecord, clock_.WallNow());
           }
         },
         [this](const OwnershipActivated& aRecord) {
@@ -276,7 +275,7 @@
     if (aShard == kCarrierShard) {
       configuration_.Follower().SetCarrier(true);
     }
-    transport::LogEvent(transport::events::kOwnershipAcquired,
+    transport::LogEvent(transport::events::kOwnershipGained,
                         "shard={} epoch={} term={}",
                         aShard,
                         aToken.epoch,
@@ -287,8 +286,7 @@
       configuration_.Follower().SetCarrier(false);
     }
     router_.OnProcessLost(self_.id);
-    transport::LogEvent(
-      transport::events::kOwnershipLost, "shard={}", aShard);
+    transport::LogEvent(transport::events::kOwnershipLost, "shard={}", aShard);
   };
   hooks.random = [] { return CreateProcessId().low; };
   return hooks;
