--- a/src/coordination/shard_controller.cpp
+++ b/src/coordination/shard_controller.cpp
@@ -1,5 +1,7 @@
 #include "coordination/shard_controller.h"
 
+#include <utility>
+
 namespace greengage::coordination {
 
 ShardController::ShardController(std::uint32_t aShard,
@@ -22,7 +24,7 @@
 {
   CheckLease();
   if (const auto* submit = std::get_if<SubmitJob>(&aMessage)) {
-    owner_.OnSubmit(aFrom.id, *submit);
+    OnSubmit(aFrom.id, *submit);
   } else if (const auto* query = std::get_if<QueryJob>(&aMessage)) {
     owner_.OnQuery(aFrom.id, *query);
   } else if (const auto* cancel = std::get_if<CancelJob>(&aMessage)) {
@@ -67,6 +69,9 @@
 {
   CheckLease();
   lease_.Tick();
+  if (clock_.MonotonicNow() >= deferUntil_) {
+    SubmitDeferred();
+  }
   owner_.Tick();
   Announce();
   Dispatch();
@@ -96,19 +101,25 @@
     }
     owner_.Activate(
       aToken, clock_.WallNow(), std::move(aAgents), aAgentsComplete);
-    hooks_.acquired(shard_, aToken);
+    token_ = aToken;
+    deferUntil_ = clock_.MonotonicNow() + kAgentGrace;
     nextAnnouncement_ = {};
+    hooks_.acquired(shard_, aToken);
   };
   hooks.tokenChanged = [this](const state::OwnershipToken& aToken) {
     owner_.UpdateToken(aToken);
+    token_ = aToken;
     nextAnnouncement_ = {};
   };
   hooks.lostOwnership = [this] {
     owner_.Deactivate();
-    hooks_.lost(shard_);
+    // Their entries send them to the next owner.
+    deferred_.clear();
+    hooks_.lost(shard_, token_);
   };
   hooks.agentAcknowledged = [this](const ProcessInfo& aAgent) {
     owner_.AddAgent(aAgent);
+    SubmitDeferred();
   };
   hooks.propose = [this](const OwnershipRecord& aRecord) {
     hooks_.propose(aRecord);
@@ -152,6 +163,26 @@
   }
 }
 
+void
+ShardController::OnSubmit(const state::ProcessId& aRequester,
+                          const SubmitJob& aSubmit)
+{
+  if (owner_.Active() && scheduler_.ServerCount() == 0 &&
+      clock_.MonotonicNow() < deferUntil_) {
+    deferred_.emplace_back(aRequester, aSubmit);
+    return;
+  }
+  owner_.OnSubmit(aRequester, aSubmit);
+}
+
+void
+ShardController::SubmitDeferred()
+{
+  for (const auto& [requester, submit] : std::exchange(deferred_, {})) {
+    owner_.OnSubmit(requester, submit);
+  }
+}
+
 void
 ShardController::Announce()
 {
--- a/src/coordination/shard_controller.h
+++ b/src/coordination/shard_controller.h
@@ -14,6 +14,12 @@
 /** Pause between two announcements of the owner to the entries. */
 inline constexpr std::chrono::milliseconds kAnnouncePeriod{ 250 };
 
+/**
+ * How long a new owner keeps jobs back while the group has not yet
+ * acknowledged any agent; later they are refused with no_workers.
+ */
+inline constexpr std::chrono::milliseconds kAgentGrace{ 1000 };
+
 /** What a ShardController may ask its surroundings to do. */
 struct ShardHooks
 {
@@ -27,7 +33,7 @@
   /** This process became the owner with this token, or lost ownership. */
   std::function<void(std::uint32_t aShard, const state::OwnershipToken&)>
     acquired;
-  std::function<void(std::uint32_t aShard)> lost;
+  std::function<void(std::uint32_t aShard, const state::OwnershipToken&)> lost;
   std::function<std::uint64_t()> random;
 };
 
@@ -75,6 +81,9 @@
   /** Stops handling jobs if the lease has lapsed. */
   void CheckLease();
   void Announce();
+  void OnSubmit(const state::ProcessId& aRequester, const SubmitJob& aSubmit);
+  /** Hands over the jobs that were kept back. */
+  void SubmitDeferred();
 
   std::uint32_t shard_;
   ProcessInfo self_;
@@ -84,6 +93,9 @@
   JobOwner owner_;
   OwnershipLease lease_;
   state::MonotonicTime nextAnnouncement_;
+  state::OwnershipToken token_;
+  state::MonotonicTime deferUntil_;
+  std::vector<std::pair<state::ProcessId, SubmitJob>> deferred_;
 };
 
 }
--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -1,5 +1,7 @@
 #include "daemon/entry_process.h"
 
+#include <algorithm>
+
 #include <boost/asio/post.hpp>
 
 #include "daemon/process_identity.h"
@@ -160,9 +162,7 @@
     stopping_ = true;
     stopped_ = done;
     http_.StopAccepting();
-    for (const auto& shard : shards_) {
-      shard->Lease().Release();
-    }
+    ReleaseShards();
   });
 }
 
@@ -281,12 +281,18 @@
                         aToken.epoch,
                         aToken.term);
   };
-  hooks.lost = [this](std::uint32_t aShard) {
+  hooks.lost = [this](std::uint32_t aShard,
+                      const state::OwnershipToken& aToken) {
     if (aShard == kCarrierShard) {
       configuration_.Follower().SetCarrier(false);
     }
     router_.OnProcessLost(self_.id);
-    transport::LogEvent(transport::events::kOwnershipLost, "shard={}", aShard);
+    transport::LogEvent(transport::events::kOwnershipLost,
+                        "shard={} epoch={} term={} reason={}",
+                        aShard,
+                        aToken.epoch,
+                        aToken.term,
+                        stopping_ ? "handed_over" : "lease_lapsed");
   };
   hooks.random = [] { return CreateProcessId().low; };
   return hooks;
@@ -424,11 +430,31 @@
     shard->Tick();
   }
   router_.Tick();
+  if (stopping_) {
+    ReleaseShards();
+  }
   if (stopping_ && router_.PendingCount() == 0) {
     FinishStop();
   }
 }
 
+void
+EntryProcess::ReleaseShards()
+{
+  bool otherEntry =
+    std::any_of(processes_.begin(), processes_.end(), [](const auto& aEntry) {
+      return aEntry.second.role == ProcessRole::eEntry;
+    });
+  // The last entry keeps its shards until its own callers have answers.
+  if (released_ || (!otherEntry && router_.PendingCount() > 0)) {
+    return;
+  }
+  released_ = true;
+  for (const auto& shard : shards_) {
+    shard->Lease().Release();
+  }
+}
+
 void
 EntryProcess::FinishStop()
 {
--- a/src/daemon/entry_process.h
+++ b/src/daemon/entry_process.h
@@ -61,6 +61,8 @@
   void OnPeerMessage(const coordination::ProcessInfo& aFrom,
                      const coordination::PeerMessage& aMessage);
   void OnTick();
+  /** Hands the shards over to another entry, if there is one. */
+  void ReleaseShards();
   void FinishStop();
 
   EntrySettings settings_;
@@ -84,6 +86,7 @@
   std::map<state::ProcessId, coordination::ProcessInfo> processes_;
   std::map<std::uint64_t, transport::HttpResponder> responders_;
   std::atomic<bool> stopping_{ false };
+  bool released_ = false;
   std::function<void()> stopped_;
 };
 
