Measure module costs for the capacity page

Cause: docs/CAPACITY.md needs slopes of the decision modules. Change: benchmarks/capacity with points for owner, agent and messages.

--- /dev/null
+++ b/benchmarks/capacity_bench.cpp
@@ -0,0 +1,13 @@
+#include "benchmarks/capacity/agent_cost.h"
+#include "benchmarks/capacity/owner_cost.h"
+
+// Prints the points from which docs/CAPACITY.md derives its slopes.
+int
+main()
+{
+  using namespace greengage::benchmarks;
+  MeasureOwner();
+  MeasureAgent();
+  MeasureMessages();
+  return 0;
+}
