Measure the scheduler's policy in virtual time

Change: benchmarks/policy drives the real scheduler with a discrete-event loop and compares with the ideal and two baselines.

--- /dev/null
+++ b/benchmarks/policy/figure.cpp
@@ -0,0 +1,46 @@
+#include "policy/figure.h"
+
+#include <fmt/format.h>
+
+namespace greengage::policy {
+
+bool
+Figure::Met() const
+{
+  switch (kind) {
+    case BoundKind::eAtMost:
+      return value <= bound;
+    case BoundKind::eAtLeast:
+      return value >= bound;
+    case BoundKind::eNone:
+      return true;
+  }
+  return false;
+}
+
+std::string
+Figure::ToLine() const
+{
+  std::string line =
+    fmt::format("bench {} {:.4f} {} bound ", name, value, unit);
+  if (kind == BoundKind::eNone) {
+    return line + "none";
+  }
+  return line + fmt::format("{} {} {}",
+                            kind == BoundKind::eAtMost ? "<=" : ">=",
+                            bound,
+                            Met() ? "ok" : "short");
+}
+
+int
+Report(const Figures& aFigures)
+{
+  int status = 0;
+  for (const Figure& figure : aFigures) {
+    fmt::print("{}\n", figure.ToLine());
+    status = figure.Met() ? status : 1;
+  }
+  return status;
+}
+
+}
--- /dev/null
+++ b/benchmarks/policy/scenarios.cpp
@@ -0,0 +1,260 @@
+#include "policy/scenarios.h"
+
+#include <random>
+
+#include <fmt/format.h>
+
+#include "policy/fleet_simulation.h"
+#include "policy/reference_queues.h"
+#include "policy/scenario_support.h"
+#include "policy/workload.h"
+
+namespace greengage::policy {
+
+namespace {
+
+constexpr double kLoad = 0.8;
+
+// Targets of section 1.8 of the design page.
+constexpr double kMaxMeanRatio = 1.10;
+constexpr double kMaxP99Ratio = 1.25;
+constexpr double kMaxWastedAtLoad = 0.10;
+
+constexpr std::uint32_t kTasksPerJob = 100;
+
+/** Ratios of the response times to the ideal's, with their targets. */
+void
+AddRatios(Figures& aFigures,
+          const std::string& aName,
+          const ResponseTimes& aMeasured,
+          const ResponseTimes& aIdeal)
+{
+  aFigures.push_back({ aName + ".mean",
+                       aMeasured.mean / aIdeal.mean,
+                       "x_ideal",
+                       BoundKind::eAtMost,
+                       kMaxMeanRatio });
+  aFigures.push_back({ aName + ".p99",
+                       aMeasured.p99 / aIdeal.p99,
+                       "x_ideal",
+                       BoundKind::eAtMost,
+                       kMaxP99Ratio });
+}
+
+void
+AddBaseline(Figures& aFigures,
+            const std::string& aName,
+            const ResponseTimes& aMeasured,
+            const ResponseTimes& aIdeal)
+{
+  double mean = aMeasured.mean / aIdeal.mean;
+  double p99 = aMeasured.p99 / aIdeal.p99;
+  aFigures.push_back({ aName + ".mean", mean, "x_ideal" });
+  aFigures.push_back({ aName + ".p99", p99, "x_ideal" });
+}
+
+}
+
+Figures
+MeasureResponse(const Scale& aScale, std::uint32_t aTasksPerJob)
+{
+  auto fleet = MakeFleet(aScale.servers);
+  MeasuredTime measured = MeasuredTimeOf(aScale);
+  Stream stream;
+  stream.offeredRate = kLoad * Capacity(fleet);
+  stream.tasksPerJob = aTasksPerJob;
+  stream.end = measured.end;
+  auto arrivals = MakeArrivals({ stream }, aScale.seed);
+
+  FleetSimulation simulation(fleet, measured);
+  simulation.SetOrganisation(MakeOrganisation(stream.organisation, 0));
+  auto select = [&](const std::vector<JobResult>& aResults) {
+    return ResponsesOf(arrivals, aResults, measured);
+  };
+  auto ours = select(simulation.Run(arrivals));
+  auto ideal = select(RunIdeal(fleet, arrivals));
+  auto random =
+    select(RunBaseline(fleet, arrivals, ServerChoice::eRandom, aScale.seed));
+  auto ofTwo = select(
+    RunBaseline(fleet, arrivals, ServerChoice::eLeastLoadedOfTwo, aScale.seed));
+
+  Figures figures;
+  auto name =
+    fmt::format("response.{}_tasks.{}_servers", aTasksPerJob, aScale.servers);
+  AddRatios(figures, name, ours, ideal);
+  AddBaseline(figures, name + ".random", random, ideal);
+  AddBaseline(figures, name + ".least_of_two", ofTwo, ideal);
+  figures.push_back(CompletedShare(name, arrivals, ours, measured));
+  double slotSeconds = double(fleet.size() * 8) * aScale.seconds;
+  double busy = simulation.Counters().busySeconds / slotSeconds;
+  figures.push_back({ name + ".busy_slots", busy, "share" });
+  return figures;
+}
+
+Figures
+MeasureMixedResponse(const Scale& aScale)
+{
+  auto fleet = MakeFleet(aScale.servers);
+  MeasuredTime measured = MeasuredTimeOf(aScale);
+  Stream singles;
+  singles.offeredRate = kLoad * Capacity(fleet) / 2;
+  singles.end = measured.end;
+  Stream jobs = singles;
+  jobs.tasksPerJob = kTasksPerJob;
+  auto arrivals = MakeArrivals({ singles, jobs }, aScale.seed);
+
+  FleetSimulation simulation(fleet, measured);
+  simulation.SetOrganisation(MakeOrganisation(singles.organisation, 0));
+  auto ours = simulation.Run(arrivals);
+  auto ideal = RunIdeal(fleet, arrivals);
+
+  Figures figures;
+  for (std::uint32_t tasks : { 1U, kTasksPerJob }) {
+    auto select = [&](const std::vector<JobResult>& aResults) {
+      return ResponsesOf(
+        arrivals, aResults, measured, [&](const Arrival& aArrival) {
+          return aArrival.tasks.size() == tasks;
+        });
+    };
+    auto name = fmt::format("mixed.{}_tasks.{}_servers", tasks, aScale.servers);
+    AddRatios(figures, name, select(ours), select(ideal));
+  }
+  return figures;
+}
+
+Figures
+MeasureWaste(const Scale& aScale)
+{
+  auto fleet = MakeFleet(aScale.servers);
+  MeasuredTime measured = MeasuredTimeOf(aScale);
+  Stream singles;
+  singles.offeredRate = kLoad * Capacity(fleet) / 2;
+  singles.end = measured.end;
+  Stream jobs = singles;
+  jobs.tasksPerJob = kTasksPerJob;
+  auto arrivals = MakeArrivals({ singles, jobs }, aScale.seed);
+
+  SimulationHooks hooks;
+  std::mt19937_64 random(aScale.seed);
+  hooks.plan = [&](std::size_t aServer, double aWork, double) {
+    bool fails = std::bernoulli_distribution(0.001)(random);
+    return RunPlan{ aWork / fleet[aServer].speed, fails };
+  };
+  // A server leaves every 20 s and comes back 10 s later.
+  hooks.refusesStarts = [&](std::size_t aServer, double aNow) {
+    auto period = static_cast<std::size_t>(std::max(aNow, 0.0) / 20);
+    double inPeriod = aNow - double(period) * 20;
+    return aNow > 0 && period % fleet.size() == aServer && inPeriod > 10;
+  };
+  hooks.cancelAt = [&](std::size_t aArrival) {
+    return aArrival % 50 == 0 ? arrivals[aArrival].time + 0.2 : -1;
+  };
+  FleetSimulation simulation(fleet, measured, hooks);
+  simulation.SetOrganisation(MakeOrganisation(singles.organisation, 0));
+  simulation.Run(arrivals);
+  return WasteFigures(fmt::format("waste.load.{}_servers", aScale.servers),
+                      simulation.Counters(),
+                      kMaxWastedAtLoad);
+}
+
+Figures
+MeasureFailFast(const Scale& aScale)
+{
+  auto fleet = MakeFleet(aScale.servers);
+  MeasuredTime measured = MeasuredTimeOf(aScale);
+  Stream stream;
+  stream.offeredRate = 0.6 * Capacity(fleet);
+  stream.end = measured.end;
+  auto arrivals = MakeArrivals({ stream }, aScale.seed);
+  // The fastest server turns bad, as it attracts the most work.
+  std::size_t bad = 10;
+  SimulationHooks hooks;
+  hooks.plan = [&](std::size_t aServer, double aWork, double aNow) {
+    bool fails = aServer == bad && aNow > measured.start;
+    return fails ? RunPlan{ 0.002, true }
+                 : RunPlan{ aWork / fleet[aServer].speed, false };
+  };
+  FleetSimulation simulation(fleet, measured, hooks);
+  simulation.SetOrganisation(MakeOrganisation(stream.organisation, 0));
+  auto results = simulation.Run(arrivals);
+
+  std::size_t failed = 0;
+  std::size_t count = 0;
+  for (std::size_t i = 0; i < arrivals.size(); ++i) {
+    bool inside = arrivals[i].time >= measured.start;
+    count += inside ? 1 : 0;
+    failed += inside && !results[i].complete ? 1 : 0;
+  }
+  auto name = fmt::format("fail_fast.{}_servers", aScale.servers);
+  auto ejections = simulation.Scheduler().Counters().health.ejections;
+  // A server that failed at its normal pace would fail its share of the tasks.
+  double share = fleet[bad].speed * fleet[bad].slots / Capacity(fleet);
+  return { { name + ".failed",
+             double(failed) / double(count),
+             "share",
+             BoundKind::eAtMost,
+             share },
+           { name + ".ejections", double(ejections), "count" } };
+}
+
+Figures
+MeasureStragglers(const Scale& aScale)
+{
+  auto fleet = MakeFleet(aScale.servers);
+  MeasuredTime measured = MeasuredTimeOf(aScale);
+  Stream stream;
+  stream.offeredRate = 0.7 * Capacity(fleet);
+  stream.tasksPerJob = kTasksPerJob;
+  stream.end = measured.end;
+  auto arrivals = MakeArrivals({ stream }, aScale.seed);
+  std::mt19937_64 random(aScale.seed);
+  for (Arrival& arrival : arrivals) {
+    for (TaskSize& task : arrival.tasks) {
+      task.work *= std::bernoulli_distribution(0.01)(random) ? 10 : 1;
+    }
+  }
+  FleetSimulation simulation(fleet, measured);
+  simulation.SetOrganisation(MakeOrganisation(stream.organisation, 0));
+  auto ours = ResponsesOf(arrivals, simulation.Run(arrivals), measured);
+  auto ideal = ResponsesOf(arrivals, RunIdeal(fleet, arrivals), measured);
+  Figures figures;
+  AddBaseline(
+    figures, fmt::format("stragglers.{}_servers", aScale.servers), ours, ideal);
+  return figures;
+}
+
+Figures
+MeasureCancellations(const Scale& aScale)
+{
+  auto fleet = MakeFleet(aScale.servers);
+  MeasuredTime measured = MeasuredTimeOf(aScale);
+  Stream stream;
+  stream.offeredRate = 1.5 * Capacity(fleet);
+  stream.tasksPerJob = kTasksPerJob;
+  stream.end = measured.start + 10;
+  auto arrivals = MakeArrivals({ stream }, aScale.seed);
+  double wave = stream.end;
+  SimulationHooks hooks;
+  hooks.cancelAt = [&](std::size_t aArrival) {
+    return aArrival % 2 == 0 && arrivals[aArrival].time < wave ? wave : -1;
+  };
+  FleetSimulation simulation(fleet, measured, hooks);
+  simulation.SetOrganisation(MakeOrganisation(stream.organisation, 0));
+  auto results = simulation.Run(arrivals);
+  std::size_t cancelled = 0;
+  for (const JobResult& result : results) {
+    cancelled += result.code == state::RefusalCode::eCancelled ? 1 : 0;
+  }
+  const SimulationCounters& counters = simulation.Counters();
+  auto name = fmt::format("cancellations.{}_servers", aScale.servers);
+  double perJob = double(counters.cancelMessages) / double(cancelled);
+  return { { name + ".starts_after_cancel",
+             double(counters.startsAfterCancel),
+             "count",
+             BoundKind::eAtMost,
+             0 },
+           { name + ".cancelled", double(cancelled), "jobs" },
+           { name + ".messages_per_job", perJob, "messages" } };
+}
+
+}
--- a/cmake/layers.cmake
+++ b/cmake/layers.cmake
@@ -48,6 +48,14 @@
   gtest_discover_tests(${NAME}_tests DISCOVERY_TIMEOUT 60 PROPERTIES TIMEOUT 300)
 endfunction()
 
+# greengage_policy(FOLDER): library of the policy measurements, for programs and tests.
+function(greengage_policy FOLDER)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/${FOLDER}/*.cpp)
+  add_library(greengage_policy STATIC ${sources})
+  target_include_directories(greengage_policy PUBLIC ${CMAKE_SOURCE_DIR}/benchmarks)
+  target_link_libraries(greengage_policy PUBLIC greengage_coordination PRIVATE greengage_warnings)
+endfunction()
+
 # greengage_benchmarks(FOLDER LINKS lib...): one Google Benchmark program per FOLDER/*.cpp.
 function(greengage_benchmarks FOLDER)
   cmake_parse_arguments(ARG "" "" "LINKS" ${ARGN})
