Keep not_run true for copies and unread sendings of a submission

Change: the router reports unknown instead of not_run if an earlier sending was abandoned; the owner remembers the latest refused submissions. Conclusion: a token in SubmitJob would allow not_run in more of these cases.

--- a/src/coordination/job_owner.cpp
+++ b/src/coordination/job_owner.cpp
@@ -116,12 +116,17 @@
 {
   Requester requester{ aRequester, aSubmit.submission };
   const state::JobKey& key = aSubmit.spec.Key();
+  if (auto refused = refused_.Find(requester)) {
+    Answer(requester, key, *std::move(refused));
+    return;
+  }
   if (!active_) {
-    Answer(requester,
-           key,
-           JobOutcome::Failed(RefusalCode::eNotOwner,
-                              RunState::eNotRun,
-                              "this process does not own the job's shard"));
+    RefuseSubmit(
+      requester,
+      key,
+      JobOutcome::Failed(RefusalCode::eNotOwner,
+                         RunState::eNotRun,
+                         "this process does not own the job's shard"));
     return;
   }
   if (OwnedJob* known = table_.Find(key)) {
@@ -129,7 +134,7 @@
     return;
   }
   if (auto refused = CheckTime(key)) {
-    Answer(requester, key, *refused);
+    RefuseSubmit(requester, key, *std::move(refused));
     return;
   }
   if (!NeedsHistory(key)) {
@@ -256,6 +261,17 @@
                 { aRequester.submission, aKey, std::move(aOutcome) });
 }
 
+void
+JobOwner::RefuseSubmit(const Requester& aRequester,
+                       const state::JobKey& aKey,
+                       JobOutcome aOutcome)
+{
+  if (aOutcome.run == RunState::eNotRun) {
+    refused_.Add(aRequester, aOutcome);
+  }
+  Answer(aRequester, aKey, std::move(aOutcome));
+}
+
 std::optional<JobOutcome>
 JobOwner::CheckTime(const state::JobKey& aKey) const
 {
@@ -291,12 +307,12 @@
               aJob.fingerprint == SpecFingerprint::Of(aSpec);
   if (!same) {
     // An earlier owner may have run this content under the same ID.
-    Answer(aRequester,
-           aSpec.Key(),
-           JobOutcome::Failed(RefusalCode::eJobIdConflict,
-                              aJob.recovered ? RunState::eUnknown
-                                             : RunState::eNotRun,
-                              "the job ID is in use for another job"));
+    RefuseSubmit(aRequester,
+                 aSpec.Key(),
+                 JobOutcome::Failed(RefusalCode::eJobIdConflict,
+                                    aJob.recovered ? RunState::eUnknown
+                                                   : RunState::eNotRun,
+                                    "the job ID is in use for another job"));
     return;
   }
   if (aJob.outcome) {
@@ -318,12 +334,12 @@
   if (aAdmit) {
     auto admitted = scheduler_.Admit(aSpec);
     if (!admitted) {
-      Answer(aRequester,
-             aSpec.Key(),
-             JobOutcome::Failed(admitted.error().code,
-                                RunState::eNotRun,
-                                admitted.error().message,
-                                admitted.error().retryAfter));
+      RefuseSubmit(aRequester,
+                   aSpec.Key(),
+                   JobOutcome::Failed(admitted.error().code,
+                                      RunState::eNotRun,
+                                      admitted.error().message,
+                                      admitted.error().retryAfter));
       return nullptr;
     }
   }
--- a/src/coordination/job_owner.h
+++ b/src/coordination/job_owner.h
@@ -10,6 +10,7 @@
 #include "coordination/job_table.h"
 #include "coordination/messages.h"
 #include "coordination/owner_counters.h"
+#include "coordination/refused_submissions.h"
 #include "coordination/task_scheduler.h"
 #include "state/clock.h"
 
@@ -105,6 +106,10 @@
   void Answer(const Requester& aRequester,
               const state::JobKey& aKey,
               state::JobOutcome aOutcome);
+  /** Answers a submission that is not accepted. */
+  void RefuseSubmit(const Requester& aRequester,
+                    const state::JobKey& aKey,
+                    state::JobOutcome aOutcome);
   /** Empty if the job ID is neither too old nor in the future. */
   std::optional<state::JobOutcome> CheckTime(const state::JobKey& aKey) const;
   bool NeedsHistory(const state::JobKey& aKey) const;
@@ -138,6 +143,7 @@
   bool active_ = false;
   state::OwnershipToken token_;
   OwnerCounters counters_;
+  RefusedSubmissions refused_;
   JobTable table_;
   JobExecution execution_;
   HistoryRecovery recovery_;
--- a/src/coordination/request_router.cpp
+++ b/src/coordination/request_router.cpp
@@ -122,7 +122,13 @@
   }
   bool cancelled = std::holds_alternative<CancelJob>(pending.message) &&
                    aAnswer.outcome.code == RefusalCode::eCancelled;
-  Finish(submission, aAnswer.outcome);
+  JobOutcome outcome = aAnswer.outcome;
+  if (pending.maybeAccepted && outcome.run == RunState::eNotRun) {
+    // An earlier sending may lie unread at a paused process, which accepts it
+    // if it becomes the owner again.
+    outcome.run = RunState::eUnknown;
+  }
+  Finish(submission, outcome);
   if (cancelled) {
     FinishCancelled(aAnswer.key, aAnswer.outcome);
   }
--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -50,8 +50,8 @@
              [this](const state::ProcessId& aAgent, CancelTasks aCancel) {
                network_.Send(aAgent, std::move(aCancel));
              },
-             [this](const state::ProcessId& aAgent, Fence aFence) {
-               network_.Send(aAgent, std::move(aFence));
+             [this](const state::ProcessId& aAgent, const Fence& aFence) {
+               network_.Send(aAgent, aFence);
              },
              [this](const state::ProcessId& aAgent, HistoryQuery aQuery) {
                network_.Send(aAgent, std::move(aQuery));
--- a/tests/coordination/at_most_once_property_test.cpp
+++ b/tests/coordination/at_most_once_property_test.cpp
@@ -10,13 +10,17 @@
 using simulation::SimulationReport;
 
 constexpr std::uint64_t kShards = 10;
-constexpr std::uint64_t kSeedsPerShard = 1000;
+constexpr std::uint64_t kSeedsPerShard = 2000;
 constexpr std::uint64_t kMutationSeeds = 2000;
 
 SimulationReport
 RunSeed(SimulationOptions aOptions, std::uint64_t aSeed)
 {
   aOptions.seed = aSeed;
+  if (aSeed % 4 == 0) {
+    // Ended jobs are dropped at once and found again by history queries.
+    aOptions.owner.maxEndedBytes = 1000;
+  }
   SimulationReport report = AtMostOnceSimulation(aOptions).Run();
   if (report.violation.empty()) {
     return report;
--- a/tests/coordination/simulation/at_most_once_simulation.cpp
+++ b/tests/coordination/simulation/at_most_once_simulation.cpp
@@ -12,8 +12,6 @@
 constexpr Milliseconds kEnd{ 16'000 };
 constexpr Milliseconds kHeartbeat{ 250 };
 constexpr Milliseconds kTick{ 50 };
-// The membership protocol finds a dead agent within this time.
-constexpr Milliseconds kAgentDeadAfter{ 1500 };
 constexpr int kEntries = 3;
 constexpr int kAgents = 3;
 constexpr std::uint32_t kSlots = 3;
