--- a/src/coordination/job_owner.cpp
+++ b/src/coordination/job_owner.cpp
@@ -143,7 +143,7 @@
     }
     return;
   }
-  recovering_[key].submits.emplace_back(requester, aSubmit.spec);
+  recovering_[key].submits.try_emplace(requester, aSubmit.spec);
   recovery_.Ask(key);
 }
 
--- a/src/coordination/job_owner.h
+++ b/src/coordination/job_owner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -30,8 +31,12 @@
 /** How a JobOwner behaves. */
 struct JobOwnerOptions
 {
-  /** Bound of the memory of ended jobs, in bytes; complete ones go first. */
-  std::size_t maxEndedBytes = 32 * 1024 * 1024;
+  /**
+   * Bound of the memory of ended jobs, in bytes. Complete jobs beyond it are
+   * dropped and found again by history queries. 256 MB hold the 10 minutes of
+   * kJobMemory at 600 single requests a second.
+   */
+  std::size_t maxEndedBytes = 256 * 1024 * 1024;
   /** Ask agents about jobs of earlier owners; off only in fault tests. */
   bool queryHistory = true;
 
@@ -98,7 +103,7 @@
   /** Requests for a job whose history is being collected. */
   struct Recovering
   {
-    std::vector<std::pair<Requester, state::JobSpec>> submits;
+    std::map<Requester, state::JobSpec> submits;
     std::vector<Requester> queries;
     std::vector<Requester> cancels;
   };
