--- a/src/coordination/job_owner.h
+++ b/src/coordination/job_owner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -10,6 +11,7 @@
 #include "coordination/job_table.h"
 #include "coordination/messages.h"
 #include "coordination/owner_counters.h"
+#include "coordination/refused_submissions.h"
 #include "coordination/task_scheduler.h"
 #include "state/clock.h"
 
@@ -29,8 +31,12 @@
 /** How a JobOwner behaves. */
 struct JobOwnerOptions
 {
-  /** Bound of the memory of ended jobs, in bytes; complete ones go first. */
-  std::size_t maxEndedBytes = 32 * 1024 * 1024;
+  /**
+   * Bound of the memory of ended jobs, in bytes. Complete jobs beyond it are
+   * dropped and found again by history queries. 256 MB hold the 10 minutes of
+   * kJobMemory at 600 single requests a second.
+   */
+  std::size_t maxEndedBytes = 256 * 1024 * 1024;
   /** Ask agents about jobs of earlier owners; off only in fault tests. */
   bool queryHistory = true;
 
@@ -97,7 +103,7 @@
   /** Requests for a job whose history is being collected. */
   struct Recovering
   {
-    std::vector<std::pair<Requester, state::JobSpec>> submits;
+    std::map<Requester, state::JobSpec> submits;
     std::vector<Requester> queries;
     std::vector<Requester> cancels;
   };
@@ -105,6 +111,10 @@
   void Answer(const Requester& aRequester,
               const state::JobKey& aKey,
               state::JobOutcome aOutcome);
+  /** Answers a submission that is not accepted. */
+  void RefuseSubmit(const Requester& aRequester,
+                    const state::JobKey& aKey,
+                    state::JobOutcome aOutcome);
   /** Empty if the job ID is neither too old nor in the future. */
   std::optional<state::JobOutcome> CheckTime(const state::JobKey& aKey) const;
   bool NeedsHistory(const state::JobKey& aKey) const;
@@ -138,6 +148,7 @@
   bool active_ = false;
   state::OwnershipToken token_;
   OwnerCounters counters_;
+  RefusedSubmissions refused_;
   JobTable table_;
   JobExecution execution_;
   HistoryRecovery recovery_;
