--- a/cmake/layers.cmake
+++ b/cmake/layers.cmake
@@ -13,6 +13,7 @@
   target_link_libraries(greengage_${NAME} PUBLIC ${ARG_LINKS} PRIVATE greengage_warnings)
   # Generated Cap'n Proto code is not held to the project's warnings.
   set_source_files_properties(${CMAKE_SOURCE_DIR}/src/protocol/peer.capnp.c++
+    ${CMAKE_SOURCE_DIR}/src/protocol/membership.capnp.c++
     PROPERTIES COMPILE_OPTIONS "-w")
 endfunction()
 
--- /dev/null
+++ b/src/coordination/probe_tracker.cpp
@@ -0,0 +1,90 @@
+#include "coordination/probe_tracker.h"
+
+namespace greengage::coordination {
+
+using state::MonotonicTime;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds kDirectTimeout{ 200 };
+constexpr milliseconds kProbeTimeout{ 500 };
+
+}
+
+std::uint64_t
+ProbeTracker::Add(const MemberUpdate& aTarget, MonotonicTime aNow)
+{
+  std::uint64_t sequence = NextSequence();
+  probes_.emplace(
+    sequence,
+    Probe{
+      sequence, aTarget.process.id, aTarget.process.peerAddress, aNow, false });
+  return sequence;
+}
+
+std::uint64_t
+ProbeTracker::AddRelay(ProbeRelay aRelay)
+{
+  std::uint64_t sequence = NextSequence();
+  relays_.emplace(sequence, std::move(aRelay));
+  return sequence;
+}
+
+std::optional<ProbeRelay>
+ProbeTracker::OnAck(const Ack& aAck)
+{
+  auto probe = probes_.find(aAck.sequence);
+  if (probe != probes_.end()) {
+    if (probe->second.target == aAck.responder) {
+      probes_.erase(probe);
+    }
+    return std::nullopt;
+  }
+  auto found = relays_.find(aAck.sequence);
+  if (found == relays_.end() || found->second.target != aAck.responder) {
+    return std::nullopt;
+  }
+  ProbeRelay relay = std::move(found->second);
+  relays_.erase(found);
+  return relay;
+}
+
+std::vector<Probe>
+ProbeTracker::TakeDirectTimeouts(MonotonicTime aNow)
+{
+  std::vector<Probe> timeouts;
+  for (auto& [sequence, probe] : probes_) {
+    if (!probe.indirect && aNow - probe.sentAt >= kDirectTimeout) {
+      probe.indirect = true;
+      timeouts.push_back(probe);
+    }
+  }
+  return timeouts;
+}
+
+std::vector<Probe>
+ProbeTracker::TakeFailed(MonotonicTime aNow)
+{
+  std::vector<Probe> failed;
+  std::erase_if(probes_, [&](const auto& aEntry) {
+    bool late = aNow - aEntry.second.sentAt >= kProbeTimeout;
+    if (late) {
+      failed.push_back(aEntry.second);
+    }
+    return late;
+  });
+  std::erase_if(relays_, [&](const auto& aEntry) {
+    return aNow - aEntry.second.sentAt >= kProbeTimeout;
+  });
+  return failed;
+}
+
+void
+ProbeTracker::Clear()
+{
+  probes_.clear();
+  relays_.clear();
+}
+
+}
--- /dev/null
+++ b/tests/coordination/membership_world.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "coordination/membership.h"
+
+namespace greengage::coordination {
+
+/** Processes with a Membership on a message bus in virtual time. */
+class MembershipWorld
+{
+public:
+  struct Node
+  {
+    ProcessInfo info;
+    std::unique_ptr<Membership> membership;
+    bool alive = false;
+    bool paused = false;
+    unsigned side = 0;
+    unsigned replacements = 0;
+    /** Deaths of running members that this node believed in. */
+    unsigned falseDeaths = 0;
+    std::size_t packetsSent = 0;
+    std::size_t bytesSent = 0;
+    std::size_t bytesReceived = 0;
+  };
+
+  MembershipWorld(unsigned aSeed, std::size_t aCount);
+
+  /** Per cent of the packets. */
+  unsigned loss = 0;
+
+  Node& At(std::size_t aIndex) { return nodes_[aIndex]; }
+  std::size_t Count() const { return nodes_.size(); }
+  std::size_t Random(std::size_t aBelow) { return random_() % aBelow; }
+
+  /** Starts a node, with a new identity, that joins through aSeeds. */
+  void Start(std::size_t aIndex, std::vector<std::string> aSeeds);
+  void StartAll();
+  /** Tells every node of all others, as a completed join does. */
+  void IntroduceAll();
+  void Kill(std::size_t aIndex) { nodes_[aIndex].alive = false; }
+
+  void Run(std::chrono::milliseconds aDuration);
+  /** Runs until the condition holds for every running node; the time taken. */
+  std::chrono::milliseconds RunUntilAll(
+    const std::function<bool(Node&)>& aCondition,
+    std::chrono::milliseconds aLimit);
+
+  /** Condition: the node believes this state of another one. */
+  std::function<bool(Node&)> Believes(std::size_t aIndex, MemberState aState);
+  /** Condition: the node knows exactly the running ones. */
+  std::function<bool(Node&)> Complete();
+  unsigned FalseDeaths() const;
+  std::size_t LargestPacket() const { return largestPacket_; }
+
+private:
+  struct WorldClock : state::Clock
+  {
+    std::chrono::milliseconds now{ 10'000 };
+    state::MonotonicTime MonotonicNow() const override
+    {
+      return state::MonotonicTime(now);
+    }
+    state::WallTime WallNow() const override { return state::WallTime(now); }
+  };
+  struct Message
+  {
+    std::size_t from;
+    std::size_t to;
+    MembershipPacket packet;
+    std::size_t bytes;
+  };
+
+  void Send(std::size_t aFrom,
+            const std::string& aAddress,
+            const MembershipPacket& aPacket);
+  void Step();
+  void Deliver(const Message& aMessage);
+
+  WorldClock clock_;
+  std::mt19937_64 random_;
+  std::vector<Node> nodes_;
+  std::map<std::string, std::size_t> addresses_;
+  std::map<std::chrono::milliseconds, std::vector<Message>> messages_;
+  std::size_t largestPacket_ = 0;
+};
+
+}
