Test stale readers, a cut-off process and a log that loses records

Change: tests for a refusal by a stale reader, for a process cut off from the log and for a log that comes back shorter; one branch without effect removed. Conclusion: decisions on conflicts, gaps and outages are guarded.

--- a/src/coordination/configuration_publisher.cpp
+++ b/src/coordination/configuration_publisher.cpp
@@ -128,14 +128,12 @@
       hooks_.readLog();
       return;
     case AppendStatus::eRefused:
-      if (!proposal.uncertain) {
-        proposal.attemptedAt.reset();
-      }
       break;
     case AppendStatus::eUncertain:
       proposal.uncertain = true;
       break;
   }
+  // Either way it is repeated at the same offset, until the log passes that.
   proposal.backOff =
     std::clamp(2 * proposal.backOff, kFirstBackOff, kMaxBackOff);
   proposal.nextAttempt = clock_.MonotonicNow() + proposal.backOff;
--- a/tests/coordination/configuration_follower_test.cpp
+++ b/tests/coordination/configuration_follower_test.cpp
@@ -38,6 +38,70 @@
   world.ExpectSameEverywhere();
 }
 
+// Guards against a refusal by a process that has not read the version yet from
+// which the operator made the change.
+TEST(ConfigurationFollowerTest, ReadsBeforeItRefuses)
+{
+  ConfigurationWorld world(1);
+  auto& a = world.Add();
+  ConfigurationFollowerSettings slow;
+  slow.pollPeriod = 60s;
+  auto& b = world.Add(slow);
+  world.Run(1s);
+  world.Publish(a, MakePut("1", "t", 0));
+  while (!world.outcomes.contains("1")) {
+    world.Run(10ms);
+  }
+  ASSERT_EQ(b.follower->Version(), 0u);
+  world.Publish(b, MakePut("2", "t", 1));
+  world.Run(300ms);
+  EXPECT_EQ(world.outcomes["2"].code, RefusalCode::eNone);
+}
+
+// Guards against a reversion when the log comes back without its newest
+// records while a process has them from peers.
+TEST(ConfigurationFollowerTest, KeepsItsVersionWhenTheLogLosesRecords)
+{
+  ConfigurationWorld world(1);
+  auto& a = world.Add();
+  world.Run(1s);
+  world.Publish(a, MakePut("1", "t", 0));
+  world.Publish(a, MakePut("2", "t", 1));
+  world.Run(1s);
+  world.faults.outage = true;
+  world.Run(3s);
+  auto& b = world.Add();
+  world.Run(5s);
+  ASSERT_EQ(b.follower->Version(), 2u);
+  world.LoseRecords(1);
+  world.faults.outage = false;
+  world.Run(5s);
+  EXPECT_EQ(b.follower->Version(), 2u);
+  EXPECT_EQ(b.follower->Fold().Documents().KeyVersion(TemplateKey("t")), 2u);
+}
+
+// Guards against a process cut off from the log that falls behind, or that
+// differs from the others once it reads the log again.
+TEST(ConfigurationFollowerTest, FollowsPeersWhileCutOffFromTheLog)
+{
+  ConfigurationWorld world(1);
+  auto& a = world.Add();
+  auto& b = world.Add();
+  world.Run(1s);
+  b.logCutOff = true;
+  world.Run(3s);
+  world.Publish(a, MakePut("1", "t", 0));
+  world.Publish(a, MakeDelete("2", "t", 1));
+  world.Publish(a, MakePut("3", "u", 0));
+  world.Run(4s);
+  world.ExpectSameEverywhere();
+  b.logCutOff = false;
+  world.Run(5s);
+  EXPECT_EQ(b.follower->Fold().RecordsFrom(0),
+            a.follower->Fold().RecordsFrom(0));
+  EXPECT_EQ(b.follower->Fold().Documents().VersionOfChange("1"), 1u);
+}
+
 /** Operators that change a few keys at all processes at the same time. */
 void
 RunRacingOperators(ConfigurationWorld& aWorld, unsigned aRounds)
@@ -214,6 +278,8 @@
   world.Publish(c, MakePut("x", "x", 0));
   world.Run(3s);
   EXPECT_EQ(world.outcomes["x"].code, RefusalCode::eNone);
+  EXPECT_EQ(c.follower->Fold().RecordsFrom(0),
+            a.follower->Fold().RecordsFrom(0));
   // The fold of the log found nothing that peers had not passed on.
   EXPECT_EQ(c.changes, changes + 1);
   world.ExpectSameEverywhere();
--- a/tests/coordination/configuration_world.h
+++ b/tests/coordination/configuration_world.h
@@ -59,6 +59,8 @@
     std::vector<OwnershipRecord> groups;
     std::vector<OwnershipActivated> activated;
     std::uint64_t changes = 0;
+    /** Cut off from the log, not from its peers. */
+    bool logCutOff = false;
   };
 
   Process& Add(ConfigurationFollowerSettings aSettings = {})
@@ -160,6 +162,9 @@
     log_.push_back({ { NextOffset(), clock.WallNow() }, std::move(aData) });
   }
 
+  /** The log loses its newest records, which its contract excludes. */
+  void LoseRecords(std::size_t aCount) { log_.resize(log_.size() - aCount); }
+
   static constexpr milliseconds kStep{ 10 };
   static constexpr milliseconds kClientTimeout{ 2000 };
 
@@ -183,7 +188,7 @@
     ConfigurationFollowerHooks hooks;
     hooks.readLog = [this, process](std::uint64_t aFrom, std::uint32_t aLimit) {
       After(Latency(), [=, this] {
-        if (faults.outage) {
+        if (faults.outage || process->logCutOff) {
           After(Latency(), [=] { process->follower->OnLogReadFailed(); });
           return;
         }
