Add greengagectl

Cause: operators had no tool; a hand-written request cannot keep a job ID across entries. Change: commands for documents, configuration, jobs, workers, status, counters and shard recovery; the next entry is tried if one cannot be reached. Conclusion: a refusal by a second entry after a lost answer of the first is reported as unknown, not as not run.

--- /dev/null
+++ b/src/tools/greengagectl_commands.cpp
@@ -0,0 +1,341 @@
+#include "tools/greengagectl_commands.h"
+
+#include <boost/json/serialize.hpp>
+#include <fmt/format.h>
+
+#include "protocol/caller_json.h"
+#include "protocol/configuration_json.h"
+#include "protocol/json_reader.h"
+#include "state/names.h"
+#include "state/process_id.h"
+#include "tools/greengagectl_table.h"
+
+namespace greengage::tools {
+
+namespace json = boost::json;
+using state::ConfigurationKind;
+using transport::HttpRequest;
+using transport::HttpResponse;
+using transport::TransportErrorKind;
+
+namespace {
+
+// Longer than any answer of an entry to anything but a job.
+constexpr std::chrono::milliseconds kTimeout{ 10'000 };
+// The entry answers a job by its deadline plus 1 s.
+constexpr std::chrono::milliseconds kJobMargin{ 5'000 };
+
+std::string
+DocumentPath(ConfigurationKind aKind, const std::string& aName)
+{
+  return (aKind == ConfigurationKind::eTemplate ? "/v1/templates/"
+                                                : "/v1/organisations/") +
+         aName;
+}
+
+/** A field of a JSON object as text; empty if it is missing. */
+std::string
+TextField(const json::value& aBody, std::string_view aField)
+{
+  const json::object* object = aBody.if_object();
+  const json::value* value = object ? object->if_contains(aField) : nullptr;
+  return value && value->is_string() ? std::string(value->get_string())
+                                     : std::string();
+}
+
+ControlExit
+ToExit(const HttpResponse& aResponse, const json::value& aBody)
+{
+  if (aResponse.status < 300) {
+    return ControlExit::eSuccess;
+  }
+  std::string run = TextField(aBody, "run");
+  if (TextField(aBody, "code") == "version_conflict") {
+    return ControlExit::eVersionConflict;
+  }
+  if (run == "unknown") {
+    return ControlExit::eUnknown;
+  }
+  if (run == "ran") {
+    return ControlExit::eJobFailed;
+  }
+  return aResponse.status == 400 ? ControlExit::eInvalid
+                                 : ControlExit::eRefused;
+}
+
+}
+
+ControlCommands::ControlCommands(ControlHooks aHooks,
+                                 std::vector<std::string> aEntries,
+                                 bool aJson)
+  : hooks_(std::move(aHooks))
+  , client_(std::move(aEntries), hooks_.send, hooks_.printError)
+  , json_(aJson)
+{
+}
+
+ControlExit
+ControlCommands::Put(ConfigurationKind aKind,
+                     const DocumentArguments& aArguments)
+{
+  auto body = ReadBody(aKind, aArguments);
+  if (!body) {
+    return body.error();
+  }
+  return Send({ "PUT", DocumentPath(aKind, aArguments.name), *body },
+              kTimeout,
+              Repeat::eNever);
+}
+
+ControlExit
+ControlCommands::Delete(ConfigurationKind aKind,
+                        const DocumentArguments& aArguments)
+{
+  if (!state::IsValidName(aArguments.name)) {
+    return Invalid("name", state::kNameRule);
+  }
+  std::string body =
+    fmt::format("{{\"base_version\":{}}}", aArguments.baseVersion);
+  return Send({ "DELETE", DocumentPath(aKind, aArguments.name), body },
+              kTimeout,
+              Repeat::eNever);
+}
+
+ControlExit
+ControlCommands::Validate(ConfigurationKind aKind,
+                          const DocumentArguments& aArguments)
+{
+  auto body = ReadBody(aKind, aArguments);
+  if (!body) {
+    return body.error();
+  }
+  hooks_.print(json_ ? "{\"valid\":true}\n" : "valid\n");
+  return ControlExit::eSuccess;
+}
+
+ControlExit
+ControlCommands::Submit(const JobArguments& aArguments)
+{
+  auto job = ReadJob(aArguments);
+  if (!job) {
+    return job.error();
+  }
+  if (!job->contains("job_id")) {
+    (*job)["job_id"] = hooks_.createJobId().ToString();
+  }
+  std::string body = json::serialize(*job);
+  auto spec = protocol::DecodeJobRequest(body, hooks_.createJobId);
+  if (!spec) {
+    return Invalid(spec.error().field, spec.error().message);
+  }
+  // Before the request is sent, so that the job can always be resubmitted.
+  hooks_.printError(fmt::format("job_id: {}\n", spec->Key().id.ToString()));
+  std::string target = job->contains("payload") ? "/v1/requests" : "/v1/jobs";
+  return Send(
+    { "POST", target, body }, spec->Deadline() + kJobMargin, Repeat::eAllowed);
+}
+
+ControlExit
+ControlCommands::ShowJob(const std::string& aOrganisation,
+                         const std::string& aJobId)
+{
+  return JobRequest("GET", aOrganisation, aJobId);
+}
+
+ControlExit
+ControlCommands::CancelJob(const std::string& aOrganisation,
+                           const std::string& aJobId)
+{
+  return JobRequest("DELETE", aOrganisation, aJobId);
+}
+
+ControlExit
+ControlCommands::Show(const std::string& aPath)
+{
+  return Send({ "GET", aPath, "" }, kTimeout, Repeat::eAllowed);
+}
+
+ControlExit
+ControlCommands::ShowCounters()
+{
+  auto answer =
+    client_.Send({ "GET", "/metrics", "" }, kTimeout, Repeat::eAllowed);
+  if (!answer) {
+    return OnFailure(answer.error());
+  }
+  if (answer->status != 200) {
+    hooks_.printError(answer->body);
+    return ControlExit::eRefused;
+  }
+  hooks_.print(json_ ? MetricsToJson(answer->body)
+                     : FormatMetrics(answer->body));
+  return ControlExit::eSuccess;
+}
+
+ControlExit
+ControlCommands::Drain(const std::string& aProcessId)
+{
+  if (!state::ProcessId::Parse(aProcessId)) {
+    return Invalid("id", "must be 32 hexadecimal digits");
+  }
+  return Send({ "POST", "/v1/workers/" + aProcessId + "/drain", "{}" },
+              kTimeout,
+              Repeat::eAllowed);
+}
+
+ControlExit
+ControlCommands::RecoverShard(std::uint32_t aShard)
+{
+  return Send({ "POST", fmt::format("/v1/shards/{}/recover", aShard), "{}" },
+              kTimeout,
+              Repeat::eNever);
+}
+
+tl::expected<std::string, ControlExit>
+ControlCommands::ReadBody(ConfigurationKind aKind,
+                          const DocumentArguments& aArguments)
+{
+  auto document = ReadObject(aArguments.file, aArguments.inlineText);
+  if (!document) {
+    return tl::unexpected(document.error());
+  }
+  if (!document->contains("base_version")) {
+    (*document)["base_version"] = aArguments.baseVersion;
+  }
+  std::string body = json::serialize(*document);
+  auto change =
+    protocol::DecodePublication({ aKind, aArguments.name }, "validation", body);
+  if (!change) {
+    return tl::unexpected(
+      Invalid(change.error().field, change.error().message));
+  }
+  return body;
+}
+
+tl::expected<json::object, ControlExit>
+ControlCommands::ReadJob(const JobArguments& aArguments)
+{
+  auto job = ReadObject(aArguments.file, "{}");
+  if (!job) {
+    return job;
+  }
+  auto set = [&](const char* aField, const std::string& aText) {
+    if (!aText.empty()) {
+      (*job)[aField] = aText;
+    }
+  };
+  set("organisation", aArguments.organisation);
+  set("template", aArguments.templateName);
+  set("job_id", aArguments.jobId);
+  if (aArguments.deadlineMs) {
+    (*job)["deadline_ms"] = *aArguments.deadlineMs;
+  }
+  if (aArguments.urgency) {
+    (*job)["urgency"] = *aArguments.urgency;
+  }
+  if (aArguments.idempotent) {
+    (*job)["idempotent"] = true;
+  }
+  json::array tasks;
+  for (std::size_t i = 0; i < aArguments.tasks.size(); ++i) {
+    auto task = protocol::ParseJson(aArguments.tasks[i]);
+    if (!task) {
+      return tl::unexpected(
+        Invalid(fmt::format("tasks[{}]", i), task.error().message));
+    }
+    tasks.push_back(*std::move(task));
+  }
+  if (!tasks.empty()) {
+    (*job)["tasks"] = std::move(tasks);
+  }
+  return job;
+}
+
+tl::expected<json::object, ControlExit>
+ControlCommands::ReadObject(const std::string& aFile,
+                            const std::string& aInline)
+{
+  std::string text = aInline;
+  if (!aFile.empty()) {
+    auto content = hooks_.readFile(aFile);
+    if (!content) {
+      return tl::unexpected(Invalid(aFile, "cannot be read"));
+    }
+    text = *std::move(content);
+  }
+  auto value = protocol::ParseJson(text);
+  if (!value) {
+    return tl::unexpected(Invalid(value.error().field, value.error().message));
+  }
+  if (!value->is_object()) {
+    return tl::unexpected(Invalid("", "must be a JSON object"));
+  }
+  return std::move(value->as_object());
+}
+
+ControlExit
+ControlCommands::JobRequest(const std::string& aMethod,
+                            const std::string& aOrganisation,
+                            const std::string& aJobId)
+{
+  if (!state::IsValidName(aOrganisation)) {
+    return Invalid("organisation", state::kNameRule);
+  }
+  auto id = state::JobId::Parse(aJobId);
+  if (!id) {
+    return Invalid(id.error().field, id.error().message);
+  }
+  std::string target =
+    fmt::format("/v1/jobs/{}/{}", aOrganisation, id->ToString());
+  return Send({ aMethod, target, "" }, kTimeout, Repeat::eAllowed);
+}
+
+ControlExit
+ControlCommands::Send(const HttpRequest& aRequest,
+                      std::chrono::milliseconds aTimeout,
+                      Repeat aRepeat)
+{
+  auto answer = client_.Send(aRequest, aTimeout, aRepeat);
+  if (!answer) {
+    return OnFailure(answer.error());
+  }
+  auto body = protocol::ParseJson(answer->body);
+  if (!body) {
+    hooks_.printError(
+      fmt::format("HTTP status {}: the answer is not JSON: {}\n",
+                  answer->status,
+                  body.error().message));
+    return answer->status < 300 ? ControlExit::eSuccess : ControlExit::eRefused;
+  }
+  hooks_.print(json_ ? answer->body : FormatObject(*body));
+  ControlExit result = ToExit(*answer, *body);
+  bool refused = result == ControlExit::eRefused;
+  if (refused && client_.ReceivedBefore() && aRequest.method != "GET") {
+    hooks_.printError(
+      "an earlier entry may have received the request and carried it out\n");
+    return ControlExit::eUnknown;
+  }
+  return result;
+}
+
+ControlExit
+ControlCommands::OnFailure(const transport::TransportError& aError)
+{
+  if (aError.kind == TransportErrorKind::eNotConnected) {
+    hooks_.printError("no entry could be reached; nothing was done\n");
+    return ControlExit::eUnreachable;
+  }
+  hooks_.printError(
+    "no entry answered; the request may have been carried out\n");
+  return ControlExit::eUnknown;
+}
+
+ControlExit
+ControlCommands::Invalid(std::string_view aField, std::string_view aMessage)
+{
+  hooks_.printError(
+    fmt::format("{}{}{}\n", aField, aField.empty() ? "" : ": ", aMessage));
+  return ControlExit::eInvalid;
+}
+
+}
