Answer every bad HTTP request and close without losing the answer

Cause: connections above the limit were dropped in silence, slow requests got no 408 (the timeout of tcp_stream closes the socket), answers to oversized bodies were lost in a reset, POST /v1/workers/drain removed a suffix that was not there, StopAccepting closed the acceptor beside a running accept, a failed accept was repeated without a pause, and an entry could end while the last answers were still being written. PeerNetwork frees its sessions when it is destroyed.

--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -112,6 +112,7 @@
   if (!http) {
     return tl::unexpected(DaemonError{ http.error().message });
   }
+  httpEndpoint_ = *http;
   network_.Start(self_);
   owner_.Activate(kFirstToken);
   router_.OnOwner({ kOnlyShard, kFirstToken, self_ });
@@ -260,7 +261,9 @@
   owner_.Tick();
   router_.Tick();
   owner_.Dispatch();
-  if (stopping_ && router_.PendingCount() == 0) {
+  // A response counts as written before its request ends, so nothing is cut.
+  if (stopping_ && router_.PendingCount() == 0 &&
+      http_.RequestsInProgress() == 0) {
     FinishStop();
   }
 }
--- a/src/daemon/entry_process.h
+++ b/src/daemon/entry_process.h
@@ -36,6 +36,12 @@
   /** Finishes the requests in progress, then calls aDone once. */
   void Stop(std::function<void()> aDone);
 
+  /** Where callers connect; valid after Start(). */
+  const boost::asio::ip::tcp::endpoint& HttpEndpoint() const
+  {
+    return httpEndpoint_;
+  }
+
 private:
   EntryRouteHooks MakeRouteHooks();
   /** Hooks of the routes that show this process to operators. */
@@ -68,6 +74,7 @@
   transport::ControlThread control_;
   transport::PeerNetwork network_;
   transport::HttpServer http_;
+  boost::asio::ip::tcp::endpoint httpEndpoint_;
   EntryRoutes routes_;
   coordination::TaskScheduler scheduler_;
   coordination::JobOwner owner_;
--- a/src/daemon/entry_routes.cpp
+++ b/src/daemon/entry_routes.cpp
@@ -2,6 +2,7 @@
 
 #include "protocol/caller_json.h"
 #include "state/names.h"
+#include "transport/http_path.h"
 
 namespace greengage::daemon {
 
@@ -44,47 +45,74 @@
 void
 EntryRoutes::Handle(HttpRequest aRequest, const HttpResponder& aRespond) const
 {
-  const std::string& method = aRequest.method;
-  std::string_view path = aRequest.target;
-  if (method == "POST" && (path == "/v1/jobs" || path == "/v1/requests")) {
-    auto spec = protocol::DecodeJobRequest(aRequest.body, hooks_.createJobId);
-    if (!spec) {
-      Refuse(aRespond, 400, spec.error().field, spec.error().message);
-      return;
-    }
-    hooks_.submit(*std::move(spec), aRespond);
+  auto decoded = transport::DecodePath(aRequest.target);
+  if (!decoded) {
+    Refuse(aRespond, 400, "", decoded.error().message);
     return;
   }
-  if (path.starts_with(kJobs)) {
-    HandleJobPath(method, path.substr(kJobs.size()), aRespond);
+  std::string_view path = *decoded;
+  if (path == "/v1/jobs" || path == "/v1/requests") {
+    HandleSubmit(aRequest, aRespond);
+  } else if (path.starts_with(kJobs)) {
+    HandleJobPath(aRequest.method, path.substr(kJobs.size()), aRespond);
+  } else if (path.starts_with(kTemplates)) {
+    path.remove_prefix(kTemplates.size());
+    HandlePublish(DocumentKind::eTemplate, path, aRequest, aRespond);
+  } else if (path.starts_with(kOrganisations)) {
+    path.remove_prefix(kOrganisations.size());
+    HandlePublish(DocumentKind::eOrganisation, path, aRequest, aRespond);
+  } else if (path.starts_with(kWorkers)) {
+    path.remove_prefix(kWorkers.size());
+    HandleWorkerPath(aRequest.method, path, aRespond);
+  } else {
+    HandleShow(aRequest.method, path, aRespond);
+  }
+}
+
+void
+EntryRoutes::HandleSubmit(const HttpRequest& aRequest,
+                          const HttpResponder& aRespond) const
+{
+  if (aRequest.method != "POST") {
+    Refuse(aRespond, 405, "", "the allowed method is POST");
     return;
   }
-  if (method == "PUT" && path.starts_with(kTemplates)) {
-    hooks_.publish(DocumentKind::eTemplate,
-                   std::string(path.substr(kTemplates.size())),
-                   std::move(aRequest.body),
-                   aRespond);
+  auto spec = protocol::DecodeJobRequest(aRequest.body, hooks_.createJobId);
+  if (!spec) {
+    Refuse(aRespond, 400, spec.error().field, spec.error().message);
     return;
   }
-  if (method == "PUT" && path.starts_with(kOrganisations)) {
-    hooks_.publish(DocumentKind::eOrganisation,
-                   std::string(path.substr(kOrganisations.size())),
-                   std::move(aRequest.body),
-                   aRespond);
+  hooks_.submit(*std::move(spec), aRespond);
+}
+
+void
+EntryRoutes::HandlePublish(DocumentKind aKind,
+                           std::string_view aName,
+                           const HttpRequest& aRequest,
+                           const HttpResponder& aRespond) const
+{
+  if (aRequest.method != "PUT") {
+    Refuse(aRespond, 405, "", "the allowed method is PUT");
     return;
   }
-  if (method == "POST" && path.starts_with(kWorkers) &&
-      path.ends_with(kDrain)) {
-    path.remove_prefix(kWorkers.size());
-    path.remove_suffix(kDrain.size());
-    if (!hooks_.drainWorker) {
-      Refuse(aRespond, 404, "", kUnknownPath);
-      return;
-    }
-    hooks_.drainWorker(std::string(path), aRespond);
+  hooks_.publish(aKind, std::string(aName), aRequest.body, aRespond);
+}
+
+void
+EntryRoutes::HandleWorkerPath(const std::string& aMethod,
+                              std::string_view aPath,
+                              const HttpResponder& aRespond) const
+{
+  if (!aPath.ends_with(kDrain) || !hooks_.drainWorker) {
+    Refuse(aRespond, 404, "", kUnknownPath);
+    return;
+  }
+  if (aMethod != "POST") {
+    Refuse(aRespond, 405, "", "the allowed method is POST");
     return;
   }
-  HandleShow(method, path, aRespond);
+  aPath.remove_suffix(kDrain.size());
+  hooks_.drainWorker(std::string(aPath), aRespond);
 }
 
 void
--- a/src/daemon/entry_routes.h
+++ b/src/daemon/entry_routes.h
@@ -57,6 +57,15 @@
               unsigned aStatus,
               std::string_view aField,
               std::string_view aMessage) const;
+  void HandleSubmit(const transport::HttpRequest& aRequest,
+                    const transport::HttpResponder& aRespond) const;
+  void HandlePublish(DocumentKind aKind,
+                     std::string_view aName,
+                     const transport::HttpRequest& aRequest,
+                     const transport::HttpResponder& aRespond) const;
+  void HandleWorkerPath(const std::string& aMethod,
+                        std::string_view aPath,
+                        const transport::HttpResponder& aRespond) const;
   /** Routes that only show something. */
   void HandleShow(const std::string& aMethod,
                   std::string_view aPath,
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -3,10 +3,12 @@
 #include <atomic>
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <tl/expected.hpp>
 
 #include "transport/traffic_pool.h"
@@ -54,13 +56,22 @@
 {
   std::size_t maxHeaderBytes = 16 * 1024;
   std::size_t maxBodyBytes = 8 * 1024 * 1024;
+  /** From the first byte of a request to the end of its header. */
   std::chrono::milliseconds headerTimeout{ 10'000 };
+  /** For the body of a request, and for writing a response. */
   std::chrono::milliseconds bodyTimeout{ 10'000 };
+  /** Between two requests of a connection. */
   std::chrono::milliseconds idleTimeout{ 60'000 };
+  /** Connections above this are answered 503. */
   std::size_t maxConnections = 4096;
 };
 
-/** HTTP/1.1 server on the traffic threads. */
+struct HttpServerState;
+
+/**
+ * HTTP/1.1 server on the traffic threads. It must outlive the run of the
+ * traffic threads.
+ */
 class HttpServer
 {
 public:
@@ -72,19 +83,31 @@
   tl::expected<boost::asio::ip::tcp::endpoint, TransportError> Start(
     const boost::asio::ip::tcp::endpoint& aEndpoint);
 
-  /** Accepts no more connections; open requests are still answered. */
+  /**
+   * Accepts no more connections; requests in progress are still answered and
+   * their connections closed.
+   */
   void StopAccepting();
 
-  std::size_t OpenConnections() const { return *connections_; }
+  /** Connections that are open, with those that are being refused. */
+  std::size_t OpenConnections() const;
+  /** Requests that were read and whose response is not written yet. */
+  std::size_t RequestsInProgress() const;
 
 private:
   void Accept();
+  void AcceptLater(boost::system::error_code aError);
+  void Serve(boost::asio::ip::tcp::socket aSocket);
+  void ReportRefusal();
 
   TrafficPool& traffic_;
-  HttpHandler handler_;
-  HttpServerLimits limits_;
+  /** The acceptor and the members below it are used on its strand only. */
   boost::asio::ip::tcp::acceptor acceptor_;
-  std::shared_ptr<std::atomic<std::size_t>> connections_;
+  boost::asio::steady_timer acceptRetry_;
+  std::string address_;
+  std::uint64_t unreportedRefusals_ = 0;
+  std::chrono::steady_clock::time_point lastRefusalReport_;
+  std::shared_ptr<HttpServerState> state_;
 };
 
 }
--- a/src/transport/peer_network.cpp
+++ b/src/transport/peer_network.cpp
@@ -51,6 +51,14 @@
 PeerNetwork::~PeerNetwork()
 {
   Stop();
+  // A session holds its connection through its handlers; without this they
+  // would keep each other, and the socket, for ever.
+  for (auto& [address, connection] : outbound_) {
+    connection->session.reset();
+  }
+  for (auto& [pointer, connection] : inbound_) {
+    connection->session.reset();
+  }
 }
 
 tl::expected<asio::ip::tcp::endpoint, TransportError>
--- a/src/transport/peer_network.h
+++ b/src/transport/peer_network.h
@@ -40,6 +40,7 @@
   PeerNetwork(TrafficPool& aTraffic,
               ControlThread& aControl,
               PeerNetworkHooks aHooks);
+  /** The control and traffic threads must have ended. */
   ~PeerNetwork();
 
   /** Binds the listener; port 0 selects a free port. */
--- /dev/null
+++ b/tests/transport/peer_network_test.cpp
@@ -0,0 +1,147 @@
+#include "transport/peer_network.h"
+
+#include <condition_variable>
+#include <mutex>
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "support/raw_client.h"
+#include "transport/endpoint.h"
+
+namespace greengage::transport {
+namespace {
+
+using namespace std::chrono_literals;
+using coordination::AgentStatus;
+using coordination::Hello;
+using coordination::PeerMessage;
+using coordination::ProcessInfo;
+using testing_support::RawClient;
+
+constexpr auto kPatience = 10s;
+
+/** One process with a PeerNetwork that records what happens. */
+class Node
+{
+public:
+  explicit Node(std::uint64_t aId, const std::string& aAddress = "127.0.0.1:0")
+  {
+    endpoint = *network.Listen(*ParseEndpoint(aAddress));
+    self.id = { aId, aId };
+    self.peerAddress = ToString(endpoint);
+    network.Start(self);
+    control.Start();
+    traffic.Start();
+  }
+
+  ~Node()
+  {
+    control.Stop();
+    traffic.Stop();
+  }
+
+  void Run(const std::function<void()>& aFunction) { control.Post(aFunction); }
+
+  bool WaitFor(const std::function<bool()>& aCondition)
+  {
+    std::unique_lock lock(mutex);
+    return changed.wait_for(lock, kPatience, aCondition);
+  }
+
+  ProcessInfo self;
+  boost::asio::ip::tcp::endpoint endpoint;
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::vector<std::uint32_t> statuses;
+  std::vector<state::ProcessId> lost;
+  TrafficPool traffic{ 2 };
+  ControlThread control;
+  PeerNetwork network{
+    traffic,
+    control,
+    { [this](const ProcessInfo&, const PeerMessage& aMessage) {
+       std::lock_guard lock(mutex);
+       if (const auto* hello = std::get_if<Hello>(&aMessage)) {
+         network.SetPeer(hello->process);
+       } else if (const auto* status = std::get_if<AgentStatus>(&aMessage)) {
+         statuses.push_back(status->runningTasks);
+       }
+       changed.notify_all();
+     },
+      [this](const state::ProcessId& aPeer) {
+        std::lock_guard lock(mutex);
+        lost.push_back(aPeer);
+        changed.notify_all();
+      },
+      {},
+      {} }
+  };
+};
+
+// Guards against messages that are lost or reordered while the connection is
+// being opened, and against a lost peer that is not reported.
+TEST(PeerNetworkTest, DeliversInOrderAndReportsLoss)
+{
+  Node receiver(1);
+  auto sender = std::make_unique<Node>(2);
+  sender->Run([&] {
+    sender->network.SetPeer(receiver.self);
+    for (std::uint32_t i = 0; i < 1000; ++i) {
+      sender->network.Send(receiver.self.id, AgentStatus{ sender->self, i });
+    }
+  });
+  ASSERT_TRUE(
+    receiver.WaitFor([&] { return receiver.statuses.size() == 1000; }));
+  EXPECT_TRUE(
+    std::is_sorted(receiver.statuses.begin(), receiver.statuses.end()));
+  state::ProcessId senderId = sender->self.id;
+  sender.reset();
+  ASSERT_TRUE(receiver.WaitFor([&] { return !receiver.lost.empty(); }));
+  EXPECT_EQ(receiver.lost.front(), senderId);
+}
+
+// Guards against messages for a dead process that reach the process which now
+// has its address.
+TEST(PeerNetworkTest, SendsNothingToAnotherIdentity)
+{
+  auto first = std::make_unique<Node>(1);
+  ProcessInfo old = first->self;
+  first.reset();
+  Node second(7, old.peerAddress);
+  Node sender(2);
+  sender.Run([&] {
+    sender.network.SetPeer(old);
+    sender.network.Send(old.id, AgentStatus{ sender.self, 1 });
+  });
+  ASSERT_TRUE(sender.WaitFor([&] { return !sender.lost.empty(); }));
+  EXPECT_EQ(sender.lost.front(), old.id);
+  EXPECT_TRUE(second.statuses.empty());
+}
+
+// Guards against malformed frames that end the process or keep a connection.
+TEST(PeerNetworkTest, ClosesConnectionsWithMalformedFrames)
+{
+  Node node(1);
+  const std::string frames[] = {
+    std::string(4, '\0'),
+    "\xff\xff\xff\xff",
+    std::string("\x08\0\0\0", 4) + "notcapnp",
+    std::string("\x03\0\0\0", 4) + "abc",
+  };
+  for (const std::string& frame : frames) {
+    RawClient client(node.endpoint);
+    client.Send(frame);
+    client.ReadAll(kPatience);
+    EXPECT_TRUE(client.Closed());
+  }
+  Node sender(2);
+  sender.Run([&] {
+    sender.network.SetPeer(node.self);
+    sender.network.Send(node.self.id, AgentStatus{ sender.self, 5 });
+  });
+  EXPECT_TRUE(node.WaitFor([&] { return node.statuses.size() == 1; }));
+}
+
+}
+}
