--- a/src/protocol/json_reader.cpp
+++ b/src/protocol/json_reader.cpp
@@ -1,6 +1,7 @@
 #include "protocol/json_reader.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <vector>
 
@@ -14,8 +15,8 @@
 
 namespace json = boost::json;
 
-/** SAX handler that only looks for duplicate keys of an object. */
-struct DuplicateKeyHandler
+/** SAX handler that looks for what the parser itself would let through. */
+struct StrictHandler
 {
   static constexpr std::size_t max_object_size = std::size_t(-1);
   static constexpr std::size_t max_array_size = std::size_t(-1);
@@ -25,6 +26,7 @@
   std::vector<std::set<std::string>> openObjects;
   std::string key;
   std::string duplicate;
+  bool numberOutOfRange = false;
 
   bool on_document_begin(json::error_code&) { return true; }
   bool on_document_end(json::error_code&) { return true; }
@@ -73,7 +75,15 @@
   {
     return true;
   }
-  bool on_double(double, json::string_view, json::error_code&) { return true; }
+  bool on_double(double aValue, json::string_view, json::error_code& aError)
+  {
+    // Infinity has no JSON text and would be written as another number.
+    if (!std::isfinite(aValue)) {
+      numberOutOfRange = true;
+      aError = json::error::syntax;
+    }
+    return !numberOutOfRange;
+  }
   bool on_bool(bool, json::error_code&) { return true; }
   bool on_null(json::error_code&) { return true; }
   bool on_comment_part(json::string_view, json::error_code&) { return true; }
@@ -87,7 +97,7 @@
 {
   json::parse_options options;
   options.max_depth = kMaxJsonDepth;
-  json::basic_parser<DuplicateKeyHandler> checker(options);
+  json::basic_parser<StrictHandler> checker(options);
   json::error_code error;
   std::size_t used =
     checker.write_some(false, aText.data(), aText.size(), error);
@@ -96,6 +106,10 @@
       checker.handler().duplicate,
       fmt::format("field appears twice, second near byte {}", used) });
   }
+  if (checker.handler().numberOutOfRange) {
+    return tl::unexpected(ProtocolError{
+      "", fmt::format("number near byte {} is out of range", used) });
+  }
   if (error || used != aText.size()) {
     return tl::unexpected(
       ProtocolError{ "",
--- a/src/protocol/json_reader.h
+++ b/src/protocol/json_reader.h
@@ -17,8 +17,9 @@
 inline constexpr std::size_t kMaxJsonDepth = 16;
 
 /**
- * Parses one JSON text. Duplicate keys of an object, trailing bytes and
- * nesting beyond kMaxJsonDepth are errors with their byte position.
+ * Parses one JSON text. Duplicate keys of an object, trailing bytes, numbers
+ * beyond the range of a double and nesting beyond kMaxJsonDepth are errors with
+ * their byte position.
  */
 tl::expected<boost::json::value, ProtocolError>
 ParseJson(std::string_view aText);
--- a/src/protocol/peer_decode.cpp
+++ b/src/protocol/peer_decode.cpp
@@ -13,6 +13,13 @@
 using state::RefusalCode;
 using state::TaskRecord;
 
+// Year 2248. The nanoseconds of WallTime overflow in 2262; the distance leaves
+// room for adding durations.
+constexpr std::int64_t kLatestTimeMs = std::int64_t{ 1 } << 43;
+
+// 104 days; far above every task timeout, and safe to multiply by 1000.
+constexpr std::uint64_t kMaxRunTimeUs = std::uint64_t{ 9'000'000'000'000 };
+
 /** Thrown for values out of range; caught in DecodeMessage(). */
 struct InvalidValue
 {
@@ -81,9 +88,12 @@
 {
   AgentInUse agent;
   agent.process = Decode(aReader.getProcess());
-  if (aReader.getGoneSinceMs() != 0) {
-    agent.goneSince =
-      state::WallTime(std::chrono::milliseconds(aReader.getGoneSinceMs()));
+  auto goneSinceMs = aReader.getGoneSinceMs();
+  if (goneSinceMs < 0 || goneSinceMs > kLatestTimeMs) {
+    Reject("goneSinceMs", "time is out of range");
+  }
+  if (goneSinceMs != 0) {
+    agent.goneSince = state::WallTime(std::chrono::milliseconds(goneSinceMs));
   }
   return agent;
 }
@@ -133,6 +143,9 @@
     ToEnum(aReader.getTaskState(), state::TaskState::eFailed, "taskState");
   record.code = ToEnum(aReader.getCode(), RefusalCode::eLast, "code");
   record.body = ToString(aReader.getBody());
+  if (aReader.getRunTimeUs() > kMaxRunTimeUs) {
+    Reject("runTimeUs", "duration is out of range");
+  }
   record.runTime = std::chrono::microseconds(aReader.getRunTimeUs());
   return record;
 }
--- a/src/state/job_id.cpp
+++ b/src/state/job_id.cpp
@@ -1,5 +1,7 @@
 #include "state/job_id.h"
 
+#include <algorithm>
+
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
@@ -9,6 +11,10 @@
 
 namespace {
 
+// Year 2248, in ms. The 48 bits of an ID reach the year 10889, but the
+// nanoseconds of WallTime overflow in 2262, where a far future would look past.
+constexpr std::uint64_t kLatestTime = std::uint64_t{ 1 } << 43;
+
 constexpr std::size_t kUuidLength = 36;
 constexpr std::uint64_t kVersionMask = 0xf000;
 constexpr std::uint64_t kVersion7 = 0x7000;
@@ -102,7 +108,8 @@
 WallTime
 JobId::CreationTime() const
 {
-  return WallTime(std::chrono::milliseconds(high_ >> kTimeShift));
+  std::uint64_t time = std::min(high_ >> kTimeShift, kLatestTime);
+  return WallTime(std::chrono::milliseconds(time));
 }
 
 std::string
--- a/tests/state/job_id_test.cpp
+++ b/tests/state/job_id_test.cpp
@@ -34,6 +34,16 @@
   }
 }
 
+// Guards against a far future ID whose time overflows and looks like the past.
+TEST(JobIdTest, KeepsTheOrderOfFarFutureTimes)
+{
+  auto latest = JobId::Parse("ffffffff-ffff-7d40-a18b-42bf5c80806d");
+  ASSERT_TRUE(latest);
+  EXPECT_GT(latest->CreationTime(),
+            WallTime(std::chrono::hours(24 * 365 * 250)));
+  EXPECT_GT(latest->CreationTime() + kJobMemory, latest->CreationTime());
+}
+
 // Guards against a hash that differs between hosts, which would let two
 // entries send one job to two owners.
 TEST(JobIdTest, ShardIsStable)
