--- a/benchmarks/capacity/agent_cost.cpp
+++ b/benchmarks/capacity/agent_cost.cpp
@@ -45,8 +45,7 @@
   double cost = (ThreadNanoseconds() - start) / kRounds / 1000;
   std::string name(aName);
   PrintPoint(name + "_time_by_tasks", aTasks, cost, "us");
-  PrintPoint(
-    name + "_bytes_by_tasks", aTasks, static_cast<double>(bytes), "B");
+  PrintPoint(name + "_bytes_by_tasks", aTasks, static_cast<double>(bytes), "B");
 }
 
 }
@@ -57,7 +56,9 @@
   FixedClock clock;
   for (std::uint32_t tasks : { 3000u, 10'000u, 30'000u, 100'000u }) {
     std::size_t before = HeapBytes();
-    state::StartLedger ledger(kResultBytes);
+    state::StartLedgerOptions options;
+    options.maxResultBytes = kResultBytes;
+    state::StartLedger ledger(options);
     double start = ThreadNanoseconds();
     for (std::uint32_t i = 0; i < tasks; ++i) {
       auto record = MakeRecord(clock.WallNow(), i);
--- a/src/coordination/group_keeper.cpp
+++ b/src/coordination/group_keeper.cpp
@@ -107,6 +107,14 @@
   ProposeNext(*latest, ChooseMembers(*successor, latest->members, others));
 }
 
+OwnershipRecord
+GroupKeeper::ForcedRecord(const OwnershipGroups& aGroups) const
+{
+  const OwnershipRecord* latest = aGroups.Latest();
+  std::uint64_t epoch = latest ? latest->epoch + 1 : 1;
+  return { shard_, epoch, ChooseMembers(self_, {}, alive_), true };
+}
+
 const ProcessInfo*
 GroupKeeper::FirstOtherEntry() const
 {
--- a/src/coordination/group_keeper.h
+++ b/src/coordination/group_keeper.h
@@ -49,6 +49,9 @@
   /** Proposes a group led by another entry, without this process. */
   void ProposeSuccessor(const OwnershipGroups& aGroups);
 
+  /** Record of an operator who states that all earlier members are dead. */
+  OwnershipRecord ForcedRecord(const OwnershipGroups& aGroups) const;
+
 private:
   const ProcessInfo* FirstOtherEntry() const;
   bool MayPropose();
--- a/src/coordination/messages.h
+++ b/src/coordination/messages.h
@@ -246,6 +246,13 @@
   bool operator==(const ConfigurationRecords&) const = default;
 };
 
+/** Entry to agent: an operator takes the backend server out of service. */
+struct DrainAgent
+{
+  state::ProcessId agent;
+  bool operator==(const DrainAgent&) const = default;
+};
+
 using PeerMessage = std::variant<Hello,
                                  SubmitJob,
                                  JobAnswer,
@@ -263,6 +270,7 @@
                                  LeaseReply,
                                  OwnerAnnouncement,
                                  ConfigurationPull,
-                                 ConfigurationRecords>;
+                                 ConfigurationRecords,
+                                 DrainAgent>;
 
 }
--- a/src/coordination/ownership_lease.h
+++ b/src/coordination/ownership_lease.h
@@ -61,6 +61,9 @@
    */
   void Release();
 
+  /** Next record of an operator who states that all members are dead. */
+  OwnershipRecord ForcedRecord() const { return keeper_.ForcedRecord(groups_); }
+
   /** Call every 50 ms. */
   void Tick();
 
--- a/src/daemon/agent_process.cpp
+++ b/src/daemon/agent_process.cpp
@@ -97,15 +97,21 @@
                         "running_tasks={}",
                         runner_ ? runner_->RunningTasks() : 0);
     stopped_ = done;
-    self_.draining = true;
-    if (runner_) {
-      runner_->StartDraining();
-      network_.SetSelf(self_);
-      Announce();
-    }
+    Drain();
   });
 }
 
+void
+AgentProcess::Drain()
+{
+  self_.draining = true;
+  if (runner_) {
+    runner_->StartDraining();
+    network_.SetSelf(self_);
+    Announce();
+  }
+}
+
 void
 AgentProcess::OnCapacity(const BackendCapacity& aCapacity)
 {
@@ -150,6 +156,10 @@
         entries_.insert(hello->process.id).second) {
       configuration_.Follower().SetPeers({ entries_.begin(), entries_.end() });
     }
+  } else if (const auto* drain = std::get_if<DrainAgent>(&aMessage)) {
+    if (drain->agent == self_.id) {
+      Drain();
+    }
   } else if (const auto* start = std::get_if<StartTasks>(&aMessage)) {
     runner_->OnStartTasks(aFrom.id, *start);
   } else if (const auto* cancel = std::get_if<CancelTasks>(&aMessage)) {
--- a/src/daemon/agent_process.h
+++ b/src/daemon/agent_process.h
@@ -43,6 +43,8 @@
   void OnPeerLost(const state::ProcessId& aPeer);
   tl::expected<void, DaemonError> StartStatusServer();
   protocol::ProcessStatus Status() const;
+  /** Refuses new tasks from now on and tells the entries. */
+  void Drain();
   void OnTick();
   void Announce();
 
--- a/src/daemon/entry_operator_routes.cpp
+++ b/src/daemon/entry_operator_routes.cpp
@@ -1,12 +1,14 @@
 #include "daemon/entry_process.h"
 
 #include "daemon/status_server.h"
+#include "protocol/configuration_json.h"
 #include "protocol/operator_json.h"
 
 // The routes of EntryProcess that show the process to operators.
 namespace greengage::daemon {
 
 using transport::HttpResponder;
+using transport::HttpResponse;
 
 void
 EntryProcess::AddOperatorHooks(EntryRouteHooks& aHooks)
@@ -20,6 +22,17 @@
       respond(MetricsResponse(metrics_.ToPrometheusText()));
     });
   };
+  aHooks.drainWorker = [this](std::string aProcessId, HttpResponder aRespond) {
+    control_.Post(
+      [this, id = std::move(aProcessId), respond = std::move(aRespond)] {
+        DrainWorker(id, respond);
+      });
+  };
+  aHooks.recoverShard = [this](std::uint32_t aShard, HttpResponder aRespond) {
+    control_.Post([this, aShard, respond = std::move(aRespond)] {
+      RecoverShard(aShard, respond);
+    });
+  };
   aHooks.showStatus = [this](HttpResponder aRespond) {
     control_.Post([this, respond = std::move(aRespond)] {
       respond({ 200, protocol::EncodeProcessStatus(Status()) });
@@ -32,6 +45,42 @@
   };
 }
 
+void
+EntryProcess::DrainWorker(const std::string& aProcessId,
+                          const HttpResponder& aRespond)
+{
+  auto id = state::ProcessId::Parse(aProcessId);
+  auto known = id ? processes_.find(*id) : processes_.end();
+  if (known == processes_.end() ||
+      known->second.role != coordination::ProcessRole::eAgent) {
+    aRespond(RefusalResponse(404,
+                             state::RefusalCode::eBadRequest,
+                             "worker",
+                             "no agent with this identity is known"));
+    return;
+  }
+  network_.Send(*id, coordination::DrainAgent{ *id });
+  aRespond({ 200, "{\"status\":\"complete\"}\n" });
+}
+
+void
+EntryProcess::RecoverShard(std::uint32_t aShard, const HttpResponder& aRespond)
+{
+  if (aShard >= shards_.size()) {
+    aRespond(RefusalResponse(
+      404, state::RefusalCode::eBadRequest, "shard", "there is no such shard"));
+    return;
+  }
+  configuration_.Follower().ProposeOwnership(
+    shards_[aShard]->Lease().ForcedRecord(),
+    [aRespond](const coordination::PublishOutcome& aOutcome) {
+      HttpResponse response;
+      response.status = protocol::HttpStatus(aOutcome);
+      response.body = protocol::EncodePublishOutcome("", aOutcome);
+      aRespond(std::move(response));
+    });
+}
+
 protocol::ProcessStatus
 EntryProcess::Status() const
 {
--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -133,6 +133,7 @@
   if (!http) {
     return tl::unexpected(DaemonError{ http.error().message });
   }
+  httpEndpoint_ = *http;
   network_.Start(self_);
   for (std::uint32_t shard = 0; shard < settings_.shardCount; ++shard) {
     shards_.push_back(std::make_unique<ShardController>(
@@ -433,7 +434,9 @@
   if (stopping_) {
     ReleaseShards();
   }
-  if (stopping_ && router_.PendingCount() == 0) {
+  // A response counts as written before its request ends, so nothing is cut.
+  if (stopping_ && router_.PendingCount() == 0 &&
+      http_.RequestsInProgress() == 0) {
     FinishStop();
   }
 }
--- a/src/daemon/entry_process.h
+++ b/src/daemon/entry_process.h
@@ -37,10 +37,20 @@
   /** Finishes the requests in progress, then calls aDone once. */
   void Stop(std::function<void()> aDone);
 
+  /** Where callers connect; valid after Start(). */
+  const boost::asio::ip::tcp::endpoint& HttpEndpoint() const
+  {
+    return httpEndpoint_;
+  }
+
 private:
   EntryRouteHooks MakeRouteHooks();
   /** Hooks of the routes that show this process to operators. */
   void AddOperatorHooks(EntryRouteHooks& aHooks);
+  void DrainWorker(const std::string& aProcessId,
+                   const transport::HttpResponder& aRespond);
+  void RecoverShard(std::uint32_t aShard,
+                    const transport::HttpResponder& aRespond);
   protocol::ProcessStatus Status() const;
   void UpdateGauges();
   void OnHttpRequest(transport::HttpRequest aRequest,
@@ -78,6 +88,7 @@
   transport::ControlThread control_;
   transport::PeerNetwork network_;
   transport::HttpServer http_;
+  boost::asio::ip::tcp::endpoint httpEndpoint_;
   EntryRoutes routes_;
   coordination::RequestRouter router_;
   ConfigurationService configuration_;
--- a/src/daemon/entry_routes.cpp
+++ b/src/daemon/entry_routes.cpp
@@ -4,6 +4,7 @@
 
 #include "protocol/caller_json.h"
 #include "state/names.h"
+#include "transport/http_path.h"
 
 namespace greengage::daemon {
 
@@ -49,54 +50,68 @@
 void
 EntryRoutes::Handle(HttpRequest aRequest, const HttpResponder& aRespond) const
 {
-  const std::string& method = aRequest.method;
-  std::string_view path = aRequest.target;
-  if (method == "POST" && (path == "/v1/jobs" || path == "/v1/requests")) {
-    auto spec = protocol::DecodeJobRequest(aRequest.body, hooks_.createJobId);
-    if (!spec) {
-      Refuse(aRespond, 400, spec.error().field, spec.error().message);
-      return;
-    }
-    hooks_.submit(*std::move(spec), aRespond);
-    return;
-  }
-  if (path.starts_with(kJobs)) {
-    HandleJobPath(method, path.substr(kJobs.size()), aRespond);
+  auto decoded = transport::DecodePath(aRequest.target);
+  if (!decoded) {
+    Refuse(aRespond, 400, "", decoded.error().message);
     return;
   }
-  if (path.starts_with(kTemplates)) {
+  std::string_view path = *decoded;
+  if (path == "/v1/jobs" || path == "/v1/requests") {
+    HandleSubmit(aRequest, aRespond);
+  } else if (path.starts_with(kJobs)) {
+    HandleJobPath(aRequest.method, path.substr(kJobs.size()), aRespond);
+  } else if (path.starts_with(kTemplates)) {
     path.remove_prefix(kTemplates.size());
     HandleDocument(std::move(aRequest),
                    { ConfigurationKind::eTemplate, std::string(path) },
                    aRespond);
-    return;
-  }
-  if (path.starts_with(kOrganisations)) {
+  } else if (path.starts_with(kOrganisations)) {
     path.remove_prefix(kOrganisations.size());
     HandleDocument(std::move(aRequest),
                    { ConfigurationKind::eOrganisation, std::string(path) },
                    aRespond);
+  } else if (path.starts_with(kShards)) {
+    path.remove_prefix(kShards.size());
+    HandleShardPath(aRequest.method, path, aRespond);
+  } else if (path.starts_with(kWorkers)) {
+    path.remove_prefix(kWorkers.size());
+    HandleWorkerPath(aRequest.method, path, aRespond);
+  } else {
+    HandleShow(aRequest.method, path, aRespond);
+  }
+}
+
+void
+EntryRoutes::HandleSubmit(const HttpRequest& aRequest,
+                          const HttpResponder& aRespond) const
+{
+  if (aRequest.method != "POST") {
+    Refuse(aRespond, 405, "", "the allowed method is POST");
     return;
   }
-  if (method == "POST" && path.starts_with(kShards) &&
-      path.ends_with(kRecover)) {
-    path.remove_prefix(kShards.size());
-    path.remove_suffix(kRecover.size());
-    HandleRecovery(path, aRespond);
+  auto spec = protocol::DecodeJobRequest(aRequest.body, hooks_.createJobId);
+  if (!spec) {
+    Refuse(aRespond, 400, spec.error().field, spec.error().message);
     return;
   }
-  if (method == "POST" && path.starts_with(kWorkers) &&
-      path.ends_with(kDrain)) {
-    path.remove_prefix(kWorkers.size());
-    path.remove_suffix(kDrain.size());
-    if (!hooks_.drainWorker) {
-      Refuse(aRespond, 404, "", kUnknownPath);
-      return;
-    }
-    hooks_.drainWorker(std::string(path), aRespond);
+  hooks_.submit(*std::move(spec), aRespond);
+}
+
+void
+EntryRoutes::HandleWorkerPath(const std::string& aMethod,
+                              std::string_view aPath,
+                              const HttpResponder& aRespond) const
+{
+  if (!aPath.ends_with(kDrain) || !hooks_.drainWorker) {
+    Refuse(aRespond, 404, "", kUnknownPath);
     return;
   }
-  HandleShow(method, path, aRespond);
+  if (aMethod != "POST") {
+    Refuse(aRespond, 405, "", "the allowed method is POST");
+    return;
+  }
+  aPath.remove_suffix(kDrain.size());
+  hooks_.drainWorker(std::string(aPath), aRespond);
 }
 
 void
@@ -149,21 +164,29 @@
   } else if (aRequest.method == "DELETE") {
     hooks_.unpublish(std::move(aKey), std::move(aRequest.body), aRespond);
   } else {
-    aRespond(RefusalResponse(
-      405, RefusalCode::eBadRequest, "", "allowed methods are PUT and DELETE"));
+    Refuse(aRespond, 405, "", "allowed methods are PUT and DELETE");
   }
 }
 
 void
-EntryRoutes::HandleRecovery(std::string_view aShard,
-                            const HttpResponder& aRespond) const
+EntryRoutes::HandleShardPath(const std::string& aMethod,
+                             std::string_view aPath,
+                             const HttpResponder& aRespond) const
 {
+  if (!aPath.ends_with(kRecover)) {
+    Refuse(aRespond, 404, "", kUnknownPath);
+    return;
+  }
+  if (aMethod != "POST") {
+    Refuse(aRespond, 405, "", "the allowed method is POST");
+    return;
+  }
+  aPath.remove_suffix(kRecover.size());
   std::uint32_t shard = 0;
-  const char* end = aShard.data() + aShard.size();
-  auto [next, error] = std::from_chars(aShard.data(), end, shard);
+  const char* end = aPath.data() + aPath.size();
+  auto [next, error] = std::from_chars(aPath.data(), end, shard);
   if (error != std::errc() || next != end) {
-    aRespond(RefusalResponse(
-      400, RefusalCode::eBadRequest, "shard", "must be a shard number"));
+    Refuse(aRespond, 400, "shard", "must be a shard number");
     return;
   }
   hooks_.recoverShard(shard, aRespond);
--- a/src/daemon/entry_routes.h
+++ b/src/daemon/entry_routes.h
@@ -57,6 +57,11 @@
               unsigned aStatus,
               std::string_view aField,
               std::string_view aMessage) const;
+  void HandleSubmit(const transport::HttpRequest& aRequest,
+                    const transport::HttpResponder& aRespond) const;
+  void HandleWorkerPath(const std::string& aMethod,
+                        std::string_view aPath,
+                        const transport::HttpResponder& aRespond) const;
   /** Routes that only show something. */
   void HandleShow(const std::string& aMethod,
                   std::string_view aPath,
@@ -68,8 +73,9 @@
   void HandleDocument(transport::HttpRequest aRequest,
                       state::ConfigurationKey aKey,
                       const transport::HttpResponder& aRespond) const;
-  void HandleRecovery(std::string_view aShard,
-                      const transport::HttpResponder& aRespond) const;
+  void HandleShardPath(const std::string& aMethod,
+                       std::string_view aPath,
+                       const transport::HttpResponder& aRespond) const;
 
   EntryRouteHooks hooks_;
 };
--- a/src/protocol/peer.capnp
+++ b/src/protocol/peer.capnp
@@ -122,6 +122,7 @@
     ownerAnnouncement @15 :OwnerAnnouncement;
     configurationPull @16 :ConfigurationPull;
     configurationRecords @17 :ConfigurationRecords;
+    drainAgent @18 :ProcessId;
   }
 }
 
--- a/src/protocol/peer.capnp.h
+++ b/src/protocol/peer.capnp.h
@@ -467,6 +467,7 @@
     OWNER_ANNOUNCEMENT,
     CONFIGURATION_PULL,
     CONFIGURATION_RECORDS,
+    DRAIN_AGENT,
   };
 
   struct _capnpPrivate {
@@ -3216,6 +3217,10 @@
   inline bool hasConfigurationRecords() const;
   inline  ::greengage::protocol::wire::ConfigurationRecords::Reader getConfigurationRecords() const;
 
+  inline bool isDrainAgent() const;
+  inline bool hasDrainAgent() const;
+  inline  ::greengage::protocol::wire::ProcessId::Reader getDrainAgent() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3389,6 +3394,14 @@
   inline void adoptConfigurationRecords(::capnp::Orphan< ::greengage::protocol::wire::ConfigurationRecords>&& value);
   inline ::capnp::Orphan< ::greengage::protocol::wire::ConfigurationRecords> disownConfigurationRecords();
 
+  inline bool isDrainAgent();
+  inline bool hasDrainAgent();
+  inline  ::greengage::protocol::wire::ProcessId::Builder getDrainAgent();
+  inline void setDrainAgent( ::greengage::protocol::wire::ProcessId::Reader value);
+  inline  ::greengage::protocol::wire::ProcessId::Builder initDrainAgent();
+  inline void adoptDrainAgent(::capnp::Orphan< ::greengage::protocol::wire::ProcessId>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::ProcessId> disownDrainAgent();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7040,6 +7053,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Message::Reader::isDrainAgent() const {
+  return which() == Message::DRAIN_AGENT;
+}
+inline bool Message::Builder::isDrainAgent() {
+  return which() == Message::DRAIN_AGENT;
+}
+inline bool Message::Reader::hasDrainAgent() const {
+  if (which() != Message::DRAIN_AGENT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasDrainAgent() {
+  if (which() != Message::DRAIN_AGENT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::greengage::protocol::wire::ProcessId::Reader Message::Reader::getDrainAgent() const {
+  KJ_IREQUIRE((which() == Message::DRAIN_AGENT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::greengage::protocol::wire::ProcessId::Builder Message::Builder::getDrainAgent() {
+  KJ_IREQUIRE((which() == Message::DRAIN_AGENT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setDrainAgent( ::greengage::protocol::wire::ProcessId::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::DRAIN_AGENT);
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::greengage::protocol::wire::ProcessId::Builder Message::Builder::initDrainAgent() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::DRAIN_AGENT);
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptDrainAgent(
+    ::capnp::Orphan< ::greengage::protocol::wire::ProcessId>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::DRAIN_AGENT);
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::greengage::protocol::wire::ProcessId> Message::Builder::disownDrainAgent() {
+  KJ_IREQUIRE((which() == Message::DRAIN_AGENT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Frame::Reader::hasMessages() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/protocol/peer_encode.cpp
+++ b/src/protocol/peer_encode.cpp
@@ -303,6 +303,11 @@
     builder.initConfigurationPull().setFromVersion(aMessage.fromVersion);
   }
 
+  void operator()(const DrainAgent& aMessage)
+  {
+    Encode(aMessage.agent, builder.initDrainAgent());
+  }
+
   void operator()(const ConfigurationRecords& aMessage)
   {
     auto records = builder.initConfigurationRecords();
--- a/src/transport/peer_traffic.cpp
+++ b/src/transport/peer_traffic.cpp
@@ -38,6 +38,7 @@
   MessageKind{ "owner_announcement", TrafficClass::eControl },
   MessageKind{ "configuration_pull", TrafficClass::eControl },
   MessageKind{ "configuration_records", TrafficClass::eControl },
+  MessageKind{ "drain_agent", TrafficClass::eControl },
 };
 static_assert(kMessageKinds.size() == std::variant_size_v<PeerMessage>,
               "every kind of peer message needs a name and a class");
