Fail a job whose answer fits no frame

Cause: 1,100 results of up to 64 KB or a few large ones exceed the frame limit of 16 MB, and the answer would never reach its entry. Change: results of more than 12 MB in total end the job as result_unavailable, ran. Conclusion: larger answers need a message of their own.

--- a/src/coordination/job_execution_records.cpp
+++ b/src/coordination/job_execution_records.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <fmt/format.h>
+
 /** What the agents report of the tasks of a job. */
 namespace greengage::coordination {
 
@@ -18,6 +20,9 @@
 constexpr std::uint32_t kMaxMoves = 10;
 constexpr std::chrono::milliseconds kFirstBackOff{ 10 };
 constexpr std::chrono::milliseconds kMaxBackOff{ 500 };
+// The answer has to fit into one frame of 16 MB with its encoding.
+constexpr std::size_t kMaxAnswerBytes = 12 * 1024 * 1024;
+
 std::chrono::milliseconds
 BackOff(std::uint32_t aMoves)
 {
@@ -133,9 +138,21 @@
     return;
   }
   std::vector<std::string> results;
+  std::size_t bytes = 0;
   for (TaskProgress& task : aJob.tasks) {
+    bytes += task.result->size();
     results.push_back(*std::move(task.result));
   }
+  if (bytes > kMaxAnswerBytes) {
+    End(aJob,
+        JobOutcome::Failed(RefusalCode::eResultUnavailable,
+                           RunState::eRan,
+                           fmt::format("the results have {} bytes, allowed "
+                                       "are {}",
+                                       bytes,
+                                       kMaxAnswerBytes)));
+    return;
+  }
   End(aJob, JobOutcome::Complete(std::move(results)));
 }
 
--- a/tests/coordination/job_owner_test.cpp
+++ b/tests/coordination/job_owner_test.cpp
@@ -339,6 +339,22 @@
   EXPECT_EQ(starts_[2], starts_[1]);
 }
 
+// Guards against an answer that no frame can carry: its caller would wait for
+// nothing.
+TEST_F(ActiveJobOwnerTest, RefusesAnswerThatFitsNoFrame)
+{
+  auto spec = Spec(2);
+  Submit(spec);
+  auto record = Record(spec, 0, TaskState::eSucceeded);
+  record.body = std::string(7 * 1024 * 1024, '1');
+  Report(record);
+  record.task = 1;
+  Report(record);
+  ASSERT_EQ(answers_.size(), 1u);
+  EXPECT_EQ(answers_[0].outcome.code, RefusalCode::eResultUnavailable);
+  EXPECT_EQ(answers_[0].outcome.run, RunState::eRan);
+}
+
 // Guards against running another job's content under a known job ID.
 TEST_F(ActiveJobOwnerTest, RefusesOtherContentUnderTheSameId)
 {
