Keep the agents of an owner in one table

Cause: a job adopted from an agent that went while the other agents were still being asked waited until its deadline, and an agent that returned late was not fenced before its next start. Change: AgentTable holds the agents and what became of them; a recovered job ends at once if its agent was lost meanwhile; returning agents are fenced.

--- /dev/null
+++ b/src/coordination/agent_table.cpp
@@ -0,0 +1,106 @@
+#include "coordination/agent_table.h"
+
+#include "state/job_id.h"
+
+namespace greengage::coordination {
+
+void
+AgentTable::Start(std::vector<AgentInUse> aAgents)
+{
+  agents_.clear();
+  inherited_.clear();
+  usable_.clear();
+  lost_.clear();
+  for (AgentInUse& agent : aAgents) {
+    state::ProcessId id = agent.process.id;
+    inherited_.insert(id);
+    agents_.insert_or_assign(id, std::move(agent));
+  }
+}
+
+void
+AgentTable::Add(const ProcessInfo& aAgent)
+{
+  agents_.insert_or_assign(aAgent.id, AgentInUse{ aAgent, std::nullopt });
+  usable_.insert(aAgent.id);
+  lost_.erase(aAgent.id);
+}
+
+void
+AgentTable::SetGone(const state::ProcessId& aAgent, state::WallTime aNow)
+{
+  auto agent = agents_.find(aAgent);
+  if (agent == agents_.end()) {
+    return;
+  }
+  if (!agent->second.goneSince) {
+    agent->second.goneSince = aNow;
+  }
+  usable_.erase(aAgent);
+  lost_.insert(aAgent);
+}
+
+const AgentInUse*
+AgentTable::Find(const state::ProcessId& aAgent) const
+{
+  auto agent = agents_.find(aAgent);
+  return agent == agents_.end() ? nullptr : &agent->second;
+}
+
+bool
+AgentTable::Usable(const state::ProcessId& aAgent) const
+{
+  return usable_.contains(aAgent);
+}
+
+bool
+AgentTable::Lost(const state::ProcessId& aAgent) const
+{
+  return lost_.contains(aAgent);
+}
+
+std::vector<state::ProcessId>
+AgentTable::All() const
+{
+  std::vector<state::ProcessId> all;
+  for (const auto& [id, agent] : agents_) {
+    all.push_back(id);
+  }
+  return all;
+}
+
+std::set<state::ProcessId>
+AgentTable::HoldersOfRecords(state::WallTime aCreated,
+                             bool aByEarlierOwner,
+                             bool aByThisOwner) const
+{
+  std::set<state::ProcessId> holders;
+  for (const auto& [id, agent] : agents_) {
+    bool goneBefore =
+      agent.goneSince && aCreated > *agent.goneSince + state::kClockMargin;
+    bool used = aByThisOwner || (aByEarlierOwner && inherited_.contains(id));
+    if (used && !goneBefore) {
+      holders.insert(id);
+    }
+  }
+  return holders;
+}
+
+std::vector<state::ProcessId>
+AgentTable::DropGoneBefore(state::WallTime aOldest)
+{
+  std::vector<state::ProcessId> dropped;
+  for (const auto& [id, agent] : agents_) {
+    if (agent.goneSince && *agent.goneSince < aOldest) {
+      dropped.push_back(id);
+    }
+  }
+  for (const state::ProcessId& id : dropped) {
+    agents_.erase(id);
+    inherited_.erase(id);
+    lost_.erase(id);
+  }
+  return dropped;
+}
+
+}
--- a/src/coordination/history_recovery.cpp
+++ b/src/coordination/history_recovery.cpp
@@ -32,9 +32,11 @@
 
 HistoryRecovery::HistoryRecovery(std::uint32_t aShard,
                                  const state::Clock& aClock,
+                                 AgentTable& aAgents,
                                  HistoryRecoveryHooks aHooks)
   : shard_(aShard)
   , clock_(aClock)
+  , agents_(aAgents)
   , hooks_(std::move(aHooks))
 {
 }
@@ -42,7 +44,6 @@
 void
 HistoryRecovery::Start(const state::OwnershipToken& aToken,
                        state::WallTime aActivatedAt,
-                       std::vector<AgentInUse> aAgents,
                        bool aAgentsComplete)
 {
   Stop();
@@ -52,22 +53,16 @@
   agentsComplete_ = aAgentsComplete;
   startedAt_ = clock_.MonotonicNow();
   fencedAt_ = startedAt_;
-  for (AgentInUse& agent : aAgents) {
-    state::ProcessId id = agent.process.id;
-    agents_.insert_or_assign(id, std::move(agent));
-    inherited_.insert(id);
-    unfenced_.insert(id);
-    hooks_.fence(id, { id, shard_, token_ });
+  for (const state::ProcessId& agent : agents_.All()) {
+    unfenced_.insert(agent);
+    hooks_.fence(agent, { agent, shard_, token_ });
   }
 }
 
 void
 HistoryRecovery::Stop()
 {
-  agents_.clear();
-  inherited_.clear();
   unfenced_.clear();
-  acknowledged_.clear();
   queries_.clear();
   openQueries_.clear();
   batches_.clear();
@@ -76,34 +71,11 @@
 }
 
 void
-HistoryRecovery::AddAgent(const ProcessInfo& aAgent)
-{
-  agents_.insert_or_assign(aAgent.id, AgentInUse{ aAgent, std::nullopt });
-  acknowledged_.insert(aAgent.id);
-}
-
-void
-HistoryRecovery::OnAgentGone(const state::ProcessId& aAgent)
+HistoryRecovery::OnAgentAdded(const state::ProcessId& aAgent)
 {
-  auto agent = agents_.find(aAgent);
-  if (agent != agents_.end() && !agent->second.goneSince) {
-    agent->second.goneSince = clock_.WallNow();
-  }
-  acknowledged_.erase(aAgent);
-}
-
-bool
-HistoryRecovery::Usable(const state::ProcessId& aAgent) const
-{
-  return acknowledged_.contains(aAgent);
-}
-
-void
-HistoryRecovery::SetDraining(const state::ProcessId& aAgent)
-{
-  auto agent = agents_.find(aAgent);
-  if (agent != agents_.end()) {
-    agent->second.process.draining = true;
+  bool returned = clock_.MonotonicNow() - startedAt_ >= kHistoryTimeout;
+  if (returned && unfenced_.contains(aAgent)) {
+    hooks_.fence(aAgent, { aAgent, shard_, token_ });
   }
 }
 
@@ -120,18 +92,6 @@
   return created <= earlierOwnerUntil_ || created <= droppedUntil_;
 }
 
-bool
-HistoryRecovery::MayHoldRecords(const AgentInUse& aAgent,
-                                state::WallTime aCreated) const
-{
-  if (aAgent.goneSince && aCreated > *aAgent.goneSince + state::kClockMargin) {
-    return false;
-  }
-  bool inherited = inherited_.contains(aAgent.process.id);
-  return (inherited && aCreated <= earlierOwnerUntil_) ||
-         aCreated <= droppedUntil_;
-}
-
 void
 HistoryRecovery::Ask(const state::JobKey& aKey)
 {
@@ -144,11 +104,8 @@
   pending.askedAt = clock_.MonotonicNow();
   askedOrder_.emplace_back(pending.askedAt, aKey);
   pending.complete = agentsComplete_ || created > earlierOwnerUntil_;
-  for (const auto& [id, agent] : agents_) {
-    if (MayHoldRecords(agent, created)) {
-      pending.awaited.insert(id);
-    }
-  }
+  pending.awaited = agents_.HoldersOfRecords(
+    created, created <= earlierOwnerUntil_, created <= droppedUntil_);
   if (pending.awaited.empty()) {
     Resolve(aKey);
     return;
@@ -360,8 +317,7 @@
   }
   for (Query& query : repeats) {
     if (query.resync) {
-      auto agent = agents_.find(query.agent);
-      if (agent != agents_.end() && !agent->second.goneSince) {
+      if (agents_.Usable(query.agent)) {
         SendQuery(query.agent, std::move(query.keys), true);
       }
       continue;
@@ -390,9 +346,10 @@
 HistoryRecovery::DropOldAgents()
 {
   auto oldest = clock_.WallNow() - state::kJobMemory - state::kClockMargin;
-  std::erase_if(agents_, [&](const auto& aEntry) {
-    return aEntry.second.goneSince && *aEntry.second.goneSince < oldest;
-  });
+  for (const state::ProcessId& agent : agents_.DropGoneBefore(oldest)) {
+    unfenced_.erase(agent);
+    openQueries_.erase(agent);
+  }
 }
 
 }
--- a/src/coordination/history_recovery.h
+++ b/src/coordination/history_recovery.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "coordination/agent_table.h"
 #include "coordination/messages.h"
 #include "state/clock.h"
 
@@ -56,27 +57,18 @@
 public:
   HistoryRecovery(std::uint32_t aShard,
                   const state::Clock& aClock,
+                  AgentTable& aAgents,
                   HistoryRecoveryHooks aHooks);
 
-  /** Forgets everything and fences all aAgents. */
+  /** Forgets everything and fences all agents of the table. */
   void Start(const state::OwnershipToken& aToken,
              state::WallTime aActivatedAt,
-             std::vector<AgentInUse> aAgents,
              bool aAgentsComplete);
   void Stop();
   void UpdateToken(const state::OwnershipToken& aToken) { token_ = aToken; }
 
-  void AddAgent(const ProcessInfo& aAgent);
-  void OnAgentGone(const state::ProcessId& aAgent);
-  /** True for an acknowledged agent that is not gone. */
-  bool Usable(const state::ProcessId& aAgent) const;
-  void SetDraining(const state::ProcessId& aAgent);
-  /** All agents, with those that are gone. */
-  const std::map<state::ProcessId, AgentInUse>& Agents() const
-  {
-    return agents_;
-  }
-
+  /** An agent is in use, perhaps again: fences it if that is still due. */
+  void OnAgentAdded(const state::ProcessId& aAgent);
   /** This owner dropped jobs created up to then; the agents know them. */
   void OnJobDropped(state::WallTime aCreated);
 
@@ -118,7 +110,6 @@
     bool repeated = false;
   };
 
-  bool MayHoldRecords(const AgentInUse& aAgent, state::WallTime aCreated) const;
   void Flush(const state::ProcessId& aAgent);
   void SendQuery(const state::ProcessId& aAgent,
                  std::vector<state::JobKey> aKeys,
@@ -134,6 +125,7 @@
 
   std::uint32_t shard_;
   const state::Clock& clock_;
+  AgentTable& agents_;
   HistoryRecoveryHooks hooks_;
   state::OwnershipToken token_;
   state::WallTime earlierOwnerUntil_;
@@ -141,11 +133,7 @@
   state::MonotonicTime startedAt_;
   state::MonotonicTime fencedAt_;
   bool agentsComplete_ = true;
-  std::map<state::ProcessId, AgentInUse> agents_;
-  /** Agents that earlier owners may have used. */
-  std::set<state::ProcessId> inherited_;
   std::set<state::ProcessId> unfenced_;
-  std::set<state::ProcessId> acknowledged_;
   std::uint64_t lastQuery_ = 0;
   std::map<std::uint64_t, Query> queries_;
   std::map<state::ProcessId, std::size_t> openQueries_;
--- a/src/coordination/job_owner.cpp
+++ b/src/coordination/job_owner.cpp
@@ -30,6 +30,7 @@
                  [this](OwnedJob& aJob) { OnJobEnded(aJob); } })
   , recovery_(aShard,
               aClock,
+              agents_,
               { hooks_.fence,
                 hooks_.queryHistory,
                 [this](const state::JobKey& aKey, const JobHistory& aHistory) {
@@ -53,7 +54,8 @@
   active_ = true;
   token_ = aToken;
   execution_.SetToken(aToken);
-  recovery_.Start(aToken, aActivatedAt, std::move(aAgents), aAgentsComplete);
+  agents_.Start(std::move(aAgents));
+  recovery_.Start(aToken, aActivatedAt, aAgentsComplete);
 }
 
 void
@@ -69,9 +71,10 @@
 {
   active_ = false;
   execution_.Clear();
-  for (const auto& [id, agent] : recovery_.Agents()) {
-    scheduler_.RemoveServer(id);
+  for (const state::ProcessId& agent : agents_.All()) {
+    scheduler_.RemoveServer(agent);
   }
+  agents_.Start({});
   recovery_.Stop();
   recovering_.clear();
 }
@@ -82,14 +85,15 @@
   if (!active_) {
     return;
   }
-  recovery_.AddAgent(aAgent);
+  agents_.Add(aAgent);
+  recovery_.OnAgentAdded(aAgent.id);
   scheduler_.SetServer(aAgent);
 }
 
 void
 JobOwner::UpdateAgent(const ProcessInfo& aAgent)
 {
-  if (recovery_.Usable(aAgent.id)) {
+  if (agents_.Usable(aAgent.id)) {
     AddAgent(aAgent);
   }
 }
@@ -97,7 +101,7 @@
 void
 JobOwner::OnAgentGone(const state::ProcessId& aAgent)
 {
-  recovery_.OnAgentGone(aAgent);
+  agents_.SetGone(aAgent, clock_.WallNow());
   execution_.OnAgentGone(aAgent);
 }
 
@@ -193,11 +197,11 @@
   for (const state::TaskRecord& record : aResults.records) {
     recovery_.OnResult(aResults.agent, record);
     execution_.OnRecord(aResults.agent, record);
-    if (record.code == RefusalCode::eDraining) {
-      recovery_.SetDraining(aResults.agent);
-      if (recovery_.Usable(aResults.agent)) {
-        scheduler_.SetServer(recovery_.Agents().at(aResults.agent).process);
-      }
+    if (record.code == RefusalCode::eDraining &&
+        agents_.Usable(aResults.agent)) {
+      ProcessInfo agent = agents_.Find(aResults.agent)->process;
+      agent.draining = true;
+      AddAgent(agent);
     }
   }
 }
@@ -292,12 +296,6 @@
   return std::nullopt;
 }
 
-bool
-JobOwner::NeedsHistory(const state::JobKey& aKey) const
-{
-  return options_.queryHistory && recovery_.Needed(aKey);
-}
-
 void
 JobOwner::Attach(OwnedJob& aJob,
                  const Requester& aRequester,
--- a/src/coordination/job_owner.h
+++ b/src/coordination/job_owner.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "coordination/agent_table.h"
 #include "coordination/history_recovery.h"
 #include "coordination/job_execution.h"
 #include "coordination/job_table.h"
@@ -149,6 +150,7 @@
   state::OwnershipToken token_;
   OwnerCounters counters_;
   RefusedSubmissions refused_;
+  AgentTable agents_;
   JobTable table_;
   JobExecution execution_;
   HistoryRecovery recovery_;
--- a/src/coordination/job_owner_recovery.cpp
+++ b/src/coordination/job_owner_recovery.cpp
@@ -8,6 +8,12 @@
 using state::RunState;
 using state::TaskState;
 
+bool
+JobOwner::NeedsHistory(const state::JobKey& aKey) const
+{
+  return options_.queryHistory && recovery_.Needed(aKey);
+}
+
 void
 JobOwner::OnHistory(const state::JobKey& aKey, const JobHistory& aHistory)
 {
@@ -53,6 +59,12 @@
   }
   job->recovered = true;
   execution_.Resume(*job, merged, aHistory.complete);
+  for (const AgentRecord& entry : aHistory.records) {
+    // The agent went after it had answered.
+    if (agents_.Lost(entry.agent)) {
+      execution_.OnAgentGone(entry.agent);
+    }
+  }
 }
 
 void
--- a/tests/coordination/job_owner_test.cpp
+++ b/tests/coordination/job_owner_test.cpp
@@ -181,6 +181,20 @@
   EXPECT_TRUE(starts_.empty());
 }
 
+// Guards against a job that waits until its deadline for an agent that went
+// while the other agents were still being asked.
+TEST_F(JobOwnerTest, EndsJobOfAgentThatWentDuringRecovery)
+{
+  Activate();
+  auto spec = Spec(1);
+  Submit(spec);
+  Reply(kAgent, { Record(spec, 0, TaskState::eRunning) });
+  owner_.OnAgentGone(kAgent);
+  Reply(kOtherAgent, {});
+  ASSERT_EQ(answers_.size(), 1u);
+  EXPECT_EQ(answers_[0].outcome.code, RefusalCode::eOutcomeUnknown);
+}
+
 // Guards against outcomes made unknown by agents that were gone long before
 // the job was created.
 TEST_F(JobOwnerTest, NeedsNoAnswerOfAgentGoneBeforeTheJob)
