Touch less memory per placement decision

Change: the best slot is found once per search and template; at most three first jobs are offered; last jobs are ordered by an estimate kept in the lane; the search for an ended task scans a compact list.

--- a/src/coordination/fair_queue.cpp
+++ b/src/coordination/fair_queue.cpp
@@ -11,7 +11,8 @@
 // Bounds of the search for a use of a slow slot. Beyond them the slot stays
 // free until the next event, which looks again.
 constexpr int kMaxOrganisationsOffered = 8;
-constexpr int kMaxLanesOffered = 16;
+constexpr int kMaxFirstJobsOffered = 3;
+constexpr std::size_t kMaxLastJobsOffered = 16;
 
 }
 
@@ -111,9 +112,9 @@
   for (const QueuedTask& task : aTasks) {
     AccountQueued(job, task, 1);
   }
-  if (job.Empty()) {
+  bool joins = job.Empty();
+  if (joins) {
     job.tasks = std::move(aTasks);
-    JoinLane(aJob);
   } else {
     job.tasks.erase(job.tasks.begin(), job.tasks.begin() + job.first);
     job.tasks.insert(job.tasks.end(), aTasks.begin(), aTasks.end());
@@ -124,6 +125,9 @@
                    [](const QueuedTask& aLeft, const QueuedTask& aRight) {
                      return aLeft.work > aRight.work;
                    });
+  if (joins) {
+    JoinLane(aJob);
+  }
   Reposition(job.facts.organisation);
 }
 
@@ -195,11 +199,11 @@
   double passed = 0;
   int offered = 0;
   for (const auto& [key, workTemplate] : aOrganisation.heads) {
-    const Lane& lane = aOrganisation.lanes.at(workTemplate);
+    const Lane& lane = aOrganisation.lanes[workTemplate];
     if (aOffer.Blocked(lane.needs)) {
       continue;
     }
-    if (++offered > kMaxLanesOffered) {
+    if (++offered > kMaxFirstJobsOffered) {
       break;
     }
     JobIndex index = lane.jobs.begin()->second;
@@ -221,21 +225,21 @@
 std::optional<TakenTask>
 FairQueue::TakeLast(OrganisationState& aOrganisation, Offer& aOffer)
 {
-  lastJobs_.clear();
+  lanesByWork_.clear();
   for (const auto& [key, workTemplate] : aOrganisation.heads) {
-    const Lane& lane = aOrganisation.lanes.at(workTemplate);
-    if (!aOffer.Blocked(lane.needs) && lastJobs_.size() < kMaxLanesOffered) {
-      lastJobs_.push_back(lane.jobs.rbegin()->second);
+    const Lane& lane = aOrganisation.lanes[workTemplate];
+    if (lanesByWork_.size() == kMaxLastJobsOffered) {
+      break;
+    }
+    if (!aOffer.Blocked(lane.needs)) {
+      lanesByWork_.emplace_back(lane.shortestWork, workTemplate);
     }
   }
   // A slow server costs a short task the least time.
-  std::sort(lastJobs_.begin(),
-            lastJobs_.end(),
-            [this](JobIndex aLeft, JobIndex aRight) {
-              return jobs_[aLeft].tasks.back().work <
-                     jobs_[aRight].tasks.back().work;
-            });
-  for (JobIndex index : lastJobs_) {
+  std::sort(lanesByWork_.begin(), lanesByWork_.end());
+  for (const auto& [work, workTemplate] : lanesByWork_) {
+    const Lane& lane = aOrganisation.lanes[workTemplate];
+    JobIndex index = lane.jobs.rbegin()->second;
     double ahead = aOrganisation.totalWork - jobs_[index].queuedWork;
     Choice choice = OfferJob(aOrganisation, index, ahead, aOffer);
     if (choice == Choice::eTakeLongest || choice == Choice::eTakeShortest) {
@@ -407,8 +411,12 @@
 {
   const Job& job = jobs_[aJob];
   OrganisationState& organisation = organisations_[job.facts.organisation];
+  if (job.facts.workTemplate >= organisation.lanes.size()) {
+    organisation.lanes.resize(job.facts.workTemplate + 1);
+  }
   Lane& lane = organisation.lanes[job.facts.workTemplate];
   lane.needs = job.facts.needs;
+  lane.shortestWork = job.tasks.back().work;
   if (lane.jobs.empty() || job.orderKey < lane.jobs.begin()->first) {
     if (!lane.jobs.empty()) {
       organisation.heads.erase(
--- a/src/coordination/fair_queue.h
+++ b/src/coordination/fair_queue.h
@@ -138,6 +138,8 @@
   struct Lane
   {
     TaskNeeds needs;
+    /** Least work of a task of the job that joined last, in seconds. */
+    double shortestWork = 0;
     std::map<OrderKey, JobIndex> jobs;
   };
 
@@ -183,7 +185,7 @@
     double totalWork = 0;
     /** By template, so that a task that fits nowhere does not block others,
      * and a slow slot finds the short tasks. */
-    std::map<TemplateIndex, Lane> lanes;
+    std::vector<Lane> lanes;
     /** Lanes with jobs, by the key of their first job. */
     std::set<std::pair<OrderKey, TemplateIndex>> heads;
     std::optional<ActiveKey> active;
@@ -217,7 +219,7 @@
   double activeWeight_ = 0;
   double virtualTime_ = 0;
   /** Kept between searches to avoid allocations. */
-  std::vector<JobIndex> lastJobs_;
+  std::vector<std::pair<double, TemplateIndex>> lanesByWork_;
   std::vector<Job> jobs_;
   std::vector<JobIndex> unusedJobs_;
   std::unordered_map<JobHandle, JobIndex> jobsByHandle_;
--- a/src/coordination/server_table.cpp
+++ b/src/coordination/server_table.cpp
@@ -93,6 +93,7 @@
 {
   Server& server = servers_[aServer];
   server.running.push_back(aTask);
+  server.runningRefs.push_back(aTask.task);
   server.used.memoryMb += aTask.needs.memoryMb;
   server.used.accelerators += aTask.needs.accelerators;
   ++running_;
@@ -103,16 +104,17 @@
 ServerTable::End(ServerIndex aServer, const TaskRef& aTask)
 {
   Server& server = servers_[aServer];
-  auto task =
-    std::find_if(server.running.begin(),
-                 server.running.end(),
-                 [&](const auto& aRunning) { return aRunning.task == aTask; });
-  if (task == server.running.end()) {
+  auto& refs = server.runningRefs;
+  auto ref = std::find(refs.begin(), refs.end(), aTask);
+  if (ref == refs.end()) {
     return std::nullopt;
   }
+  auto task = server.running.begin() + (ref - refs.begin());
   RunningTask ended = *task;
   *task = server.running.back();
   server.running.pop_back();
+  *ref = refs.back();
+  refs.pop_back();
   server.used.memoryMb -= ended.needs.memoryMb;
   server.used.accelerators -= ended.needs.accelerators;
   --running_;
@@ -328,6 +330,10 @@
   for (std::size_t c = kRateClasses; c-- > 0;) {
     sum.rate += slots_[c] * SpeedOfClass(c);
     sum.slots += slots_[c];
+    if (sum.slots > 0) {
+      sum.secondsPerWork = 1 / sum.rate;
+      sum.slotSecondsPerWork = sum.slots / sum.rate;
+    }
     atLeast_[c] = sum;
     if (slots_[c] > 0) {
       usedClasses_ |= std::uint64_t{ 1 } << c;
--- a/src/coordination/server_table.h
+++ b/src/coordination/server_table.h
@@ -48,6 +48,10 @@
   /** Work per second of these slots. */
   double rate = 0;
   std::uint32_t slots = 0;
+  /** Kept beside the rate because divisions dominate the choice of a slot:
+   * seconds per unit of work of all slots together, and of one slot. */
+  double secondsPerWork = 0;
+  double slotSecondsPerWork = 0;
 
   auto operator<=>(const FasterSlots&) const = default;
 };
@@ -119,6 +123,8 @@
   {
     ProcessInfo info;
     std::vector<RunningTask> running;
+    /** The tasks of running in the same order, compact for the search. */
+    std::vector<TaskRef> runningRefs;
     std::uint32_t held = 0;
     std::uint32_t limit = kNoLimit;
     std::uint32_t generation = 0;
--- a/src/coordination/slot_choice.cpp
+++ b/src/coordination/slot_choice.cpp
@@ -29,8 +29,8 @@
     int lowest = std::countr_zero(left);
     left &= left - 1;
     const FasterSlots& faster = aServers.AtLeast(lowest);
-    double wait = (aWorkAhead + aMeanWork) / faster.rate;
-    double run = aTaskWork * faster.slots / faster.rate;
+    double wait = (aWorkAhead + aMeanWork) * faster.secondsPerWork;
+    double run = aTaskWork * faster.slotSecondsPerWork;
     if (wait + run < here) {
       return true;
     }
--- a/src/coordination/task_scheduler.cpp
+++ b/src/coordination/task_scheduler.cpp
@@ -191,6 +191,7 @@
   ReleaseHeldSlots();
   ApplyLimits(health_.Tick(now_));
   while (servers_.AnyFree()) {
+    ++round_;
     auto taken = queue_.Take(chooser_, now_);
     if (!taken) {
       break;
@@ -322,23 +323,35 @@
 Choice
 TaskScheduler::Choose(const Candidate& aCandidate)
 {
-  FreeServers free = servers_.FindFree(aCandidate.job.needs);
-  if (free.count == 0) {
+  const BestSlot& best = FindBestSlot(aCandidate.job);
+  if (!best.found) {
     return Choice::eSkipNeeds;
   }
-  FreeSlot best{ 0, 0 };
+  chosenServer_ = best.server;
+  if (!settings_.waitForFaster) {
+    return Choice::eTakeLongest;
+  }
+  return ChooseTask(servers_, best.slot, aCandidate, meanWork_);
+}
+
+const TaskScheduler::BestSlot&
+TaskScheduler::FindBestSlot(const JobFacts& aJob)
+{
+  bestSlots_.resize(templates_.size());
+  BestSlot& best = bestSlots_[aJob.workTemplate];
+  if (best.round == round_) {
+    return best;
+  }
+  best = { round_, false, 0, { 0, 0 } };
+  FreeServers free = servers_.FindFree(aJob.needs);
   for (std::size_t i = 0; i < free.count; ++i) {
     ServerIndex server = free.servers[i];
-    double speed = rates_.Speed(server, aCandidate.job.workTemplate);
-    if (speed > best.speed) {
-      best = { speed, servers_.ClassOf(server) };
-      chosenServer_ = server;
+    double speed = rates_.Speed(server, aJob.workTemplate);
+    if (speed > best.slot.speed) {
+      best = { round_, true, server, { speed, servers_.ClassOf(server) } };
     }
   }
-  if (!settings_.waitForFaster) {
-    return Choice::eTakeLongest;
-  }
-  return ChooseTask(servers_, best, aCandidate, meanWork_);
+  return best;
 }
 
 Assignment
--- a/src/coordination/task_scheduler.h
+++ b/src/coordination/task_scheduler.h
@@ -128,6 +128,15 @@
     bool published = false;
   };
 
+  /** Best free slot for a template, valid until a slot is taken. */
+  struct BestSlot
+  {
+    std::uint64_t round = 0;
+    bool found = false;
+    ServerIndex server = 0;
+    FreeSlot slot;
+  };
+
   /** A slot that is kept out of use after a failure. */
   struct HeldSlot
   {
@@ -148,6 +157,7 @@
                            TemplateIndex aTemplate) const;
   bool FitsAnyServer(const TaskNeeds& aNeeds);
   Choice Choose(const Candidate& aCandidate);
+  const BestSlot& FindBestSlot(const JobFacts& aJob);
   Assignment Bind(const TakenTask& aTaken);
   void ReleaseHeldSlots();
   void Learn(ServerIndex aServer,
@@ -173,6 +183,9 @@
   /** Server chosen by the last call of Choose. */
   ServerIndex chosenServer_ = 0;
   double meanWork_ = 0;
+  /** Number of the search for a task; all offers of one see the same slots. */
+  std::uint64_t round_ = 0;
+  std::vector<BestSlot> bestSlots_;
   std::priority_queue<HeldSlot, std::vector<HeldSlot>, std::greater<>> held_;
   std::map<TaskNeeds, bool> fits_;
   SchedulerCounters counters_;
