--- a/src/coordination/fair_queue.cpp
+++ b/src/coordination/fair_queue.cpp
@@ -1,6 +1,7 @@
 #include "coordination/fair_queue.h"
 
 #include <algorithm>
+#include <limits>
 #include <numeric>
 
 namespace greengage::coordination {
@@ -10,7 +11,8 @@
 // Bounds of the search for a use of a slow slot. Beyond them the slot stays
 // free until the next event, which looks again.
 constexpr int kMaxOrganisationsOffered = 8;
-constexpr int kMaxJobsOffered = 16;
+constexpr int kMaxFirstJobsOffered = 3;
+constexpr std::size_t kMaxLastJobsOffered = 16;
 
 }
 
@@ -18,10 +20,17 @@
 struct FairQueue::Offer
 {
   const Chooser& chooser;
+  state::MonotonicTime now;
   /** Work inside quotas that was passed over, in seconds. */
   double workInsideQuotas = 0;
   /** Needs for which no server has room. */
   std::vector<TaskNeeds> blockedNeeds = {};
+
+  bool Blocked(const TaskNeeds& aNeeds) const
+  {
+    return std::find(blockedNeeds.begin(), blockedNeeds.end(), aNeeds) !=
+           blockedNeeds.end();
+  }
 };
 
 FairQueue::FairQueue(std::chrono::milliseconds aAgingPeriod)
@@ -100,13 +109,12 @@
     return;
   }
   Job& job = jobs_[aJob];
-  OrganisationState& organisation = organisations_[job.facts.organisation];
   for (const QueuedTask& task : aTasks) {
     AccountQueued(job, task, 1);
   }
-  if (job.Empty()) {
+  bool joins = job.Empty();
+  if (joins) {
     job.tasks = std::move(aTasks);
-    organisation.lanes[job.facts.needs].emplace(job.orderKey, aJob);
   } else {
     job.tasks.erase(job.tasks.begin(), job.tasks.begin() + job.first);
     job.tasks.insert(job.tasks.end(), aTasks.begin(), aTasks.end());
@@ -117,6 +125,9 @@
                    [](const QueuedTask& aLeft, const QueuedTask& aRight) {
                      return aLeft.work > aRight.work;
                    });
+  if (joins) {
+    JoinLane(aJob);
+  }
   Reposition(job.facts.organisation);
 }
 
@@ -142,26 +153,29 @@
 }
 
 std::optional<TakenTask>
-FairQueue::Take(const Chooser& aChooser)
+FairQueue::Take(const Chooser& aChooser, state::MonotonicTime aNow)
 {
-  Offer offer{ aChooser };
-  int offered = 0;
-  for (const ActiveKey& key : active_) {
-    if (key.tier == Tier::eAtHardCap || ++offered > kMaxOrganisationsOffered) {
-      break;
+  Offer offer{ aChooser, aNow };
+  for (Tier tier : { Tier::eInsideQuota, Tier::eByWeight }) {
+    double lowest = std::numeric_limits<double>::lowest();
+    auto next = active_.lower_bound({ tier, lowest, 0 });
+    int offered = 0;
+    for (; next != active_.end() && next->tier == tier; ++next) {
+      if (++offered > kMaxOrganisationsOffered) {
+        break;
+      }
+      auto taken = TakeFrom(organisations_[next->organisation], offer);
+      if (!taken) {
+        continue;
+      }
+      // Service inside a quota is not part of the sharing by weight, unless
+      // nobody else waits; then virtual time must not fall behind.
+      if (tier == Tier::eByWeight ||
+          active_.rbegin()->tier == Tier::eInsideQuota) {
+        virtualTime_ = std::max(virtualTime_, next->tag);
+      }
+      return taken;
     }
-    OrganisationState& organisation = organisations_[key.organisation];
-    auto taken = TakeFrom(organisation, offer);
-    if (!taken) {
-      continue;
-    }
-    // Service inside a quota is not part of the sharing by weight, unless
-    // nobody else waits; then virtual time must not fall behind.
-    if (key.tier == Tier::eByWeight ||
-        active_.rbegin()->tier == Tier::eInsideQuota) {
-      virtualTime_ = std::max(virtualTime_, key.tag);
-    }
-    return taken;
   }
   return std::nullopt;
 }
@@ -169,53 +183,70 @@
 std::optional<TakenTask>
 FairQueue::TakeFrom(OrganisationState& aOrganisation, Offer& aOffer)
 {
-  OpenCursors(aOrganisation, aOffer);
+  auto taken = TakeFirst(aOrganisation, aOffer);
+  if (!taken) {
+    taken = TakeLast(aOrganisation, aOffer);
+  }
+  if (!taken && aOrganisation.active->tier == Tier::eInsideQuota) {
+    aOffer.workInsideQuotas += aOrganisation.totalWork;
+  }
+  return taken;
+}
+
+std::optional<TakenTask>
+FairQueue::TakeFirst(OrganisationState& aOrganisation, Offer& aOffer)
+{
   double passed = 0;
-  for (int i = 1; i <= kMaxJobsOffered && !cursors_.empty(); ++i) {
-    auto cursor =
-      std::min_element(cursors_.begin(),
-                       cursors_.end(),
-                       [](const Cursor& aLeft, const Cursor& aRight) {
-                         return aLeft.next->first < aRight.next->first;
-                       });
-    JobIndex index = cursor->next->second;
-    double jobWork = jobs_[index].queuedWork;
-    // The last job offered stands for all that are not.
-    double ahead =
-      i == kMaxJobsOffered ? aOrganisation.totalWork - jobWork : passed;
-    Choice choice = OfferJob(aOrganisation, index, ahead, aOffer);
+  int offered = 0;
+  for (const auto& [key, workTemplate] : aOrganisation.heads) {
+    const Lane& lane = aOrganisation.lanes[workTemplate];
+    if (aOffer.Blocked(lane.needs)) {
+      continue;
+    }
+    if (++offered > kMaxFirstJobsOffered) {
+      break;
+    }
+    JobIndex index = lane.jobs.begin()->second;
+    Choice choice = OfferJob(aOrganisation, index, passed, aOffer);
     if (choice == Choice::eTakeLongest || choice == Choice::eTakeShortest) {
       return TakeTask(index, choice == Choice::eTakeLongest);
     }
     if (choice == Choice::eSkipNeeds) {
-      aOffer.blockedNeeds.push_back(cursor->needs);
-      cursors_.erase(cursor);
-      continue;
+      aOffer.blockedNeeds.push_back(lane.needs);
     }
-    passed += jobWork;
-    if (++cursor->next == cursor->lane->end()) {
-      cursors_.erase(cursor);
+    if (choice == Choice::eSkipJob && !jobs_[index].refusingSince) {
+      jobs_[index].refusingSince = aOffer.now;
     }
-  }
-  if (aOrganisation.active->tier == Tier::eInsideQuota) {
-    aOffer.workInsideQuotas += passed;
+    passed += jobs_[index].queuedWork;
   }
   return std::nullopt;
 }
 
-void
-FairQueue::OpenCursors(const OrganisationState& aOrganisation,
-                       const Offer& aOffer)
+std::optional<TakenTask>
+FairQueue::TakeLast(OrganisationState& aOrganisation, Offer& aOffer)
 {
-  cursors_.clear();
-  const auto& blocked = aOffer.blockedNeeds;
-  for (const auto& [needs, lane] : aOrganisation.lanes) {
-    bool isBlocked =
-      std::find(blocked.begin(), blocked.end(), needs) != blocked.end();
-    if (!lane.empty() && !isBlocked) {
-      cursors_.push_back({ needs, &lane, lane.begin() });
+  lanesByWork_.clear();
+  for (const auto& [key, workTemplate] : aOrganisation.heads) {
+    const Lane& lane = aOrganisation.lanes[workTemplate];
+    if (lanesByWork_.size() == kMaxLastJobsOffered) {
+      break;
+    }
+    if (!aOffer.Blocked(lane.needs)) {
+      lanesByWork_.emplace_back(lane.shortestWork, workTemplate);
+    }
+  }
+  // A slow server costs a short task the least time.
+  std::sort(lanesByWork_.begin(), lanesByWork_.end());
+  for (const auto& [work, workTemplate] : lanesByWork_) {
+    const Lane& lane = aOrganisation.lanes[workTemplate];
+    JobIndex index = lane.jobs.rbegin()->second;
+    double ahead = aOrganisation.totalWork - jobs_[index].queuedWork;
+    Choice choice = OfferJob(aOrganisation, index, ahead, aOffer);
+    if (choice == Choice::eTakeLongest || choice == Choice::eTakeShortest) {
+      return TakeTask(index, choice == Choice::eTakeLongest);
     }
   }
+  return std::nullopt;
 }
 
 Choice
@@ -228,6 +259,9 @@
   Candidate candidate{ job.facts, job.tasks[job.first], job.tasks.back() };
   candidate.workAhead = aOffer.workInsideQuotas + aOwnWorkAhead;
   candidate.jobWork = job.queuedWork;
+  if (job.refusingSince) {
+    candidate.refusingFor = aOffer.now - *job.refusingSince;
+  }
   if (aOrganisation.active->tier == Tier::eByWeight) {
     // The others' tasks are started in between, as far as there are any.
     double slowdown = activeWeight_ / aOrganisation.parameters.Weight();
@@ -248,6 +282,7 @@
   } else {
     job.tasks.pop_back();
   }
+  job.refusingSince.reset();
   AccountQueued(job, taken.task, -1);
   if (job.Empty()) {
     job.tasks.clear();
@@ -371,12 +406,44 @@
   }
 }
 
+void
+FairQueue::JoinLane(JobIndex aJob)
+{
+  const Job& job = jobs_[aJob];
+  OrganisationState& organisation = organisations_[job.facts.organisation];
+  if (job.facts.workTemplate >= organisation.lanes.size()) {
+    organisation.lanes.resize(job.facts.workTemplate + 1);
+  }
+  Lane& lane = organisation.lanes[job.facts.workTemplate];
+  lane.needs = job.facts.needs;
+  lane.shortestWork = job.tasks.back().work;
+  if (lane.jobs.empty() || job.orderKey < lane.jobs.begin()->first) {
+    if (!lane.jobs.empty()) {
+      organisation.heads.erase(
+        { lane.jobs.begin()->first, job.facts.workTemplate });
+    }
+    organisation.heads.emplace(job.orderKey, job.facts.workTemplate);
+  }
+  lane.jobs.emplace(job.orderKey, aJob);
+}
+
 void
 FairQueue::LeaveLane(JobIndex aJob)
 {
   const Job& job = jobs_[aJob];
-  auto& lanes = organisations_[job.facts.organisation].lanes;
-  lanes[job.facts.needs].erase(job.orderKey);
+  OrganisationState& organisation = organisations_[job.facts.organisation];
+  Lane& lane = organisation.lanes[job.facts.workTemplate];
+  bool wasFirst = lane.jobs.begin()->second == aJob;
+  lane.jobs.erase(job.orderKey);
+  if (!wasFirst) {
+    return;
+  }
+  auto head =
+    organisation.heads.extract({ job.orderKey, job.facts.workTemplate });
+  if (!lane.jobs.empty()) {
+    head.value().first = lane.jobs.begin()->first;
+    organisation.heads.insert(std::move(head));
+  }
 }
 
 void
