--- a/src/coordination/configuration_fold.cpp
+++ b/src/coordination/configuration_fold.cpp
@@ -43,6 +43,7 @@
 ConfigurationFold::Skip(std::uint64_t aOffset)
 {
   version_ = aOffset + 1;
+  ++skippedRecords_;
 }
 
 std::vector<LiveRecord>
@@ -91,9 +92,10 @@
       records.push_back({ item.record, { item.version, item.content } });
     }
   }
-  std::sort(records.begin(), records.end(), [](const auto& a, const auto& b) {
-    return a.record < b.record;
-  });
+  std::sort(
+    records.begin(), records.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.record < aRight.record;
+    });
   return records;
 }
 
--- a/src/coordination/configuration_fold.h
+++ b/src/coordination/configuration_fold.h
@@ -57,6 +57,8 @@
   std::set<state::ConfigurationKey> LiveDocumentKeys() const;
 
   std::uint64_t Version() const { return version_; }
+  /** Records that could not be decoded. */
+  std::uint64_t SkippedRecords() const { return skippedRecords_; }
   const state::ConfigurationStore& Documents() const { return documents_; }
   const ConfigurationOwnership& Ownership() const { return ownership_; }
 
@@ -65,6 +67,7 @@
                     const CarriedRecord& aCarried);
 
   std::uint64_t version_;
+  std::uint64_t skippedRecords_ = 0;
   state::ConfigurationStore documents_;
   ConfigurationOwnership ownership_;
 };
--- a/src/coordination/configuration_follower.cpp
+++ b/src/coordination/configuration_follower.cpp
@@ -17,6 +17,8 @@
 // Repairs what gossip missed; with one pull every 2 s a change reaches a
 // process within 500 ms + 2 s.
 constexpr milliseconds kPeerPullPeriod{ 2000 };
+// Many peers report the same new version at about the same time.
+constexpr milliseconds kGossipPullPeriod{ 200 };
 constexpr unsigned kMaxDoublings = 8;
 constexpr unsigned kJitterPercent = 20;
 
@@ -286,9 +288,12 @@
 ConfigurationFollower::OnPeerVersion(const state::ProcessId& aPeer,
                                      std::uint64_t aVersion)
 {
-  if (!LogAvailable() && aVersion > fold_.Version()) {
-    hooks_.pullFromPeer(aPeer, { fold_.Version() });
+  auto now = clock_.MonotonicNow();
+  if (LogAvailable() || aVersion <= fold_.Version() || now < nextGossipPull_) {
+    return;
   }
+  nextGossipPull_ = now + kGossipPullPeriod;
+  hooks_.pullFromPeer(aPeer, { fold_.Version() });
 }
 
 void
@@ -360,7 +365,6 @@
 {
   auto content = hooks_.decode(aData);
   if (!content) {
-    ++badRecords_;
     hooks_.badRecord(aOffset, content.error());
     return std::nullopt;
   }
--- a/src/coordination/configuration_follower.h
+++ b/src/coordination/configuration_follower.h
@@ -107,7 +107,7 @@
   const ConfigurationFold& Fold() const { return fold_; }
   /** False while reads of the log fail, or without a log. */
   bool LogAvailable() const { return settings_.hasLog && failures_ == 0; }
-  std::uint64_t BadRecords() const { return badRecords_; }
+  std::uint64_t BadRecords() const { return fold_.SkippedRecords(); }
   bool HasOpenPublications() const { return !publisher_.IsIdle(); }
 
 private:
@@ -137,10 +137,10 @@
   bool readAgain_ = false;
   bool carrier_ = false;
   unsigned failures_ = 0;
-  std::uint64_t badRecords_ = 0;
   state::MonotonicTime nextRead_;
   state::MonotonicTime lastFailure_;
   state::MonotonicTime nextPull_;
+  state::MonotonicTime nextGossipPull_;
   std::vector<state::ProcessId> peers_;
 };
 
--- a/src/daemon/entry_routes.cpp
+++ b/src/daemon/entry_routes.cpp
@@ -138,6 +138,10 @@
       400, RefusalCode::eBadRequest, "shard", "must be a shard number"));
     return;
   }
+  if (!hooks_.recoverShard) {
+    RefuseUnknownPath(aRespond);
+    return;
+  }
   hooks_.recoverShard(shard, aRespond);
 }
 
--- a/tests/coordination/configuration_follower_test.cpp
+++ b/tests/coordination/configuration_follower_test.cpp
@@ -102,6 +102,25 @@
   EXPECT_EQ(b.follower->Fold().Documents().VersionOfChange("1"), 1u);
 }
 
+// Guards against an agent that learns a new version from gossip only at its
+// next regular pull, and against a pull for every gossip message.
+TEST(ConfigurationFollowerTest, PullsOnceWhenGossipShowsAVersion)
+{
+  ConfigurationWorld world(1);
+  auto& a = world.Add();
+  auto& agent = world.AddAgent();
+  world.Run(100ms);
+  world.Publish(a, MakePut("1", "t", 0));
+  world.Run(500ms);
+  ASSERT_EQ(agent.follower->Version(), 0u);
+  for (int i = 0; i < 10; ++i) {
+    agent.follower->OnPeerVersion(a.id, 1);
+  }
+  EXPECT_EQ(agent.pulls, 2u);
+  world.Run(100ms);
+  EXPECT_EQ(agent.follower->Version(), 1u);
+}
+
 /** Operators that change a few keys at all processes at the same time. */
 void
 RunRacingOperators(ConfigurationWorld& aWorld, unsigned aRounds)
@@ -131,13 +150,14 @@
 {};
 
 // Guards against readers that end with different configurations, changes that
-// apply twice, and refusals of changes that took effect, under lost and late
-// answers and outages of the log.
+// apply twice, and refusals of changes that took effect, under slow, lost
+// and late answers and outages of the log.
 TEST_P(RacingOperatorsTest, EndWithOneConfigurationAndTrueAnswers)
 {
   ConfigurationWorld world(GetParam());
   world.faults.lostPercent = 20;
   world.faults.latePercent = 5;
+  world.faults.slow = milliseconds(GetParam() % 4 * 400);
   for (int i = 0; i < 3; ++i) {
     world.Add();
   }
--- a/tests/coordination/configuration_world.h
+++ b/tests/coordination/configuration_world.h
@@ -34,6 +34,8 @@
   unsigned lostPercent = 0;
   /** Percent of appends that take effect only after the client gave up. */
   unsigned latePercent = 0;
+  /** Added to every answer. */
+  milliseconds slow{ 0 };
   std::uint64_t retentionRecords = 0;
   milliseconds retention{ 0 };
 };
@@ -59,6 +61,7 @@
     std::vector<OwnershipRecord> groups;
     std::vector<OwnershipActivated> activated;
     std::uint64_t changes = 0;
+    std::uint64_t pulls = 0;
     /** Cut off from the log, not from its peers. */
     bool logCutOff = false;
   };
@@ -198,7 +201,8 @@
              ++i) {
           page.records.push_back(log_[i - firstOffset_]);
         }
-        After(Latency(), [=] { process->follower->OnLogPage(page); });
+        After(Latency() + faults.slow,
+              [=] { process->follower->OnLogPage(page); });
       });
     };
     hooks.appendLog = [this, process](std::uint64_t aTicket,
@@ -213,7 +217,7 @@
       After(late ? kClientTimeout + Latency() : Latency(), [=, this] {
         AppendStatus status = Append(aOffset, aData);
         if (!late) {
-          After(Latency(),
+          After(Latency() + faults.slow,
                 [=] { process->follower->OnAppended(aTicket, status); });
         }
       });
@@ -221,6 +225,7 @@
     hooks.pullFromPeer = [this, process](const state::ProcessId& aPeer,
                                          ConfigurationPull aPull) {
       Process* peer = processes[aPeer.low - 1].get();
+      ++process->pulls;
       After(Latency(), [=, this] {
         auto reply = peer->follower->OnPull(aPull);
         After(Latency(),
