Do not append again a change whose first record may have expired

Cause: an append whose answer was lost took effect, the log dropped the record before the process read it, and the fold from the oldest record on made it look as if it had never been appended; the change was appended twice. Change: such a change is answered as unknown. Measured: ExpiredAttemptIsUnknown failed with two appends before and passes now; 112 coordination tests pass, half of the races with a log of 30 records and two carriers. Conclusion: a change is appended once at most, also with a short retention.

--- a/src/coordination/configuration_publisher.cpp
+++ b/src/coordination/configuration_publisher.cpp
@@ -163,6 +163,15 @@
   if (first.inFlight || clock_.MonotonicNow() < first.nextAttempt) {
     return false;
   }
+  if (first.attemptedAt && *first.attemptedAt < aFold.Documents().Horizon()) {
+    // The log has dropped the record at that offset, perhaps this one.
+    Finish(0,
+           { RefusalCode::eLogUnavailable,
+             RunState::eUnknown,
+             "the record of this change was dropped by the platform's log "
+             "before it could be read" });
+    return true;
+  }
   if (first.attemptedAt && aFold.Version() > *first.attemptedAt) {
     // Another record has the offset, so this one was never appended.
     first.attemptedAt.reset();
