--- a/src/tools/fake_backend.cpp
+++ b/src/tools/fake_backend.cpp
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr std::uint64_t kMaxRunTimeMs = 120'000;
+constexpr double kMaxStragglerFactor = 100.0;
 
 }
 
@@ -53,6 +54,14 @@
     aRespond({ 200, StartsJson() });
     return;
   }
+  if (aRequest.target == "/summary") {
+    aRespond({ 200, SummaryJson() });
+    return;
+  }
+  if (aRequest.method == "POST" && aRequest.target == "/admin") {
+    Administer(aRequest.body, aRespond);
+    return;
+  }
   if (aRequest.method == "POST" && aRequest.target == "/run") {
     Run(aRequest.body, std::move(aRespond));
     return;
@@ -77,22 +86,21 @@
     aRespond({ 400, "{}" });
     return;
   }
-  std::uint64_t runTimeMs = settings_.runTimeMs;
+  FakeBackendSettings settings = RecordStart(fmt::format("{}/{}", job, task));
+  std::uint64_t runTimeMs = settings.runTimeMs;
   if (payload->is_object() && payload->as_object().contains("run_time_ms")) {
     protocol::JsonReader payloadReader(*payload, "payload");
     runTimeMs = payloadReader.ReadUnsigned("run_time_ms", 0, kMaxRunTimeMs);
   }
-  {
-    std::lock_guard lock(mutex_);
-    ++starts_[fmt::format("{}/{}", job, task)];
-  }
   thread_local std::mt19937_64 random(std::random_device{}());
-  if (std::uniform_real_distribution<>(0, 1)(random) < settings_.failureShare) {
+  if (std::bernoulli_distribution(settings.failureShare)(random)) {
     aRespond({ 500, "{}" });
     return;
   }
-  auto runTime = std::chrono::microseconds(
-    static_cast<std::int64_t>(1000.0 * runTimeMs / settings_.speedFactor));
+  bool straggles = std::bernoulli_distribution(settings.stragglerShare)(random);
+  double factor = straggles ? settings.stragglerFactor : 1.0;
+  auto runTime = std::chrono::microseconds(static_cast<std::int64_t>(
+    1000.0 * static_cast<double>(runTimeMs) * factor / settings.speedFactor));
   auto timer =
     std::make_shared<boost::asio::steady_timer>(traffic_.Context(), runTime);
   std::string result = fmt::format("{{\"result\":{{\"task\":{},\"echo\":{}}}}}",
@@ -104,6 +112,60 @@
   });
 }
 
+FakeBackendSettings
+FakeBackend::RecordStart(const std::string& aTask)
+{
+  std::lock_guard lock(mutex_);
+  ++starts_[aTask];
+  ++startCount_;
+  lastStart_ = std::chrono::system_clock::now();
+  return settings_;
+}
+
+void
+FakeBackend::Administer(const std::string& aBody, const HttpResponder& aRespond)
+{
+  auto parsed = protocol::ParseJson(aBody);
+  if (!parsed) {
+    aRespond({ 400, "{}" });
+    return;
+  }
+  protocol::JsonReader reader(*parsed, "");
+  reader.AllowOnly({ "failure_share", "straggler_share", "straggler_factor" });
+  std::lock_guard lock(mutex_);
+  FakeBackendSettings changed = settings_;
+  auto read = [&](const char* aField, double aMax, double& aValue) {
+    if (!reader.Has(aField)) {
+      return;
+    }
+    aValue = reader.ReadNumber(aField);
+    if (aValue < 0 || aValue > aMax) {
+      reader.Fail(aField, fmt::format("must be from 0 to {}", aMax));
+    }
+  };
+  read("failure_share", 1.0, changed.failureShare);
+  read("straggler_share", 1.0, changed.stragglerShare);
+  read("straggler_factor", kMaxStragglerFactor, changed.stragglerFactor);
+  if (!reader.Ok()) {
+    aRespond({ 400, "{}" });
+    return;
+  }
+  settings_ = changed;
+  aRespond({ 200, "{}" });
+}
+
+std::string
+FakeBackend::SummaryJson()
+{
+  std::lock_guard lock(mutex_);
+  auto lastStart = std::chrono::duration_cast<std::chrono::milliseconds>(
+    lastStart_.time_since_epoch());
+  return fmt::format("{{\"starts\":{},\"tasks\":{},\"last_start_ms\":{}}}\n",
+                     startCount_,
+                     starts_.size(),
+                     lastStart.count());
+}
+
 std::string
 FakeBackend::StartsJson()
 {
--- a/src/tools/fake_backend.h
+++ b/src/tools/fake_backend.h
@@ -27,13 +27,18 @@
   double speedFactor = 1.0;
   /** Share of tasks that fail at once, 0 to 1. */
   double failureShare = 0.0;
+  /** Share of tasks that take stragglerFactor times as long, 0 to 1. */
+  double stragglerShare = 0.0;
+  double stragglerFactor = 5.0;
 
   bool operator==(const FakeBackendSettings&) const = default;
 };
 
 /**
  * Stand-in for a backend server. It counts the starts of every task, which
- * `GET /starts` returns, so that tests can look for second starts.
+ * `GET /starts` returns, so that tests can look for second starts. `GET
+ * /summary` shows totals and the time of the last start; `POST /admin` changes
+ * the shares of failures and stragglers at run time.
  */
 class FakeBackend
 {
@@ -48,13 +53,20 @@
   void Handle(transport::HttpRequest aRequest,
               transport::HttpResponder aRespond);
   void Run(const std::string& aBody, transport::HttpResponder aRespond);
+  void Administer(const std::string& aBody, const transport::HttpResponder&);
   std::string StartsJson();
+  std::string SummaryJson();
+  /** Counts the start; returns the settings in force. */
+  FakeBackendSettings RecordStart(const std::string& aTask);
 
   transport::TrafficPool& traffic_;
+  /** Guarded by mutex_ after Start(). */
   FakeBackendSettings settings_;
   transport::HttpServer http_;
   std::mutex mutex_;
   std::map<std::string, std::uint32_t> starts_;
+  std::uint64_t startCount_ = 0;
+  std::chrono::system_clock::time_point lastStart_;
 };
 
 }
--- a/src/tools/programs/fake_backend.cpp
+++ b/src/tools/programs/fake_backend.cpp
@@ -40,6 +40,18 @@
                 "Share of tasks that fail at once")
     ->check(CLI::Range(0.0, 1.0))
     ->capture_default_str();
+  app
+    .add_option("--straggler-share",
+                settings.stragglerShare,
+                "Share of tasks that take longer")
+    ->check(CLI::Range(0.0, 1.0))
+    ->capture_default_str();
+  app
+    .add_option("--straggler-factor",
+                settings.stragglerFactor,
+                "How many times as long these tasks take")
+    ->check(CLI::Range(0.0, 100.0))
+    ->capture_default_str();
   CLI11_PARSE(app, aCount, aArguments);
 
   transport::TrafficPool traffic(2);
--- /dev/null
+++ b/tests/daemon/process_fleet_test.cpp
@@ -0,0 +1,132 @@
+#include <csignal>
+
+#include <gtest/gtest.h>
+
+#include "support/fleet_load.h"
+
+namespace greengage::daemon {
+namespace {
+
+using namespace std::chrono_literals;
+using namespace testing_support;
+
+constexpr auto kExitTimeout = 30s;
+// Section 1.8 of the design page: last new start after a server says it leaves.
+constexpr auto kLeaveAllowance = 3000ms;
+
+/** Field of `GET /summary` of a backend server. */
+std::int64_t
+ReadSummary(const FleetAgent& aAgent, const std::string& aField)
+{
+  auto body = CallHttp(aAgent.backendAddress, "GET", "/summary", "", 10s).body;
+  std::size_t at = body.find("\"" + aField + "\":");
+  return at == std::string::npos
+           ? -1
+           : std::atoll(body.c_str() + at + aField.size() + 3);
+}
+
+std::int64_t
+WallMilliseconds()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
+// Guards against jobs that are lost or run twice on the ordinary path, and
+// against a resubmission that runs again or gets another answer.
+TEST(ProcessFleetTest, RunsJobsOnce)
+{
+  ProcessFleet fleet({});
+  FleetLoadOptions options;
+  FleetLoad load(fleet, options);
+  ASSERT_TRUE(load.AwaitAnswers(100));
+  auto jobs = load.Stop();
+  EXPECT_EQ(CountCodes(jobs)["none"], jobs.size());
+  const SubmittedJob& first = jobs.front();
+  auto again = CallHttp(
+    fleet.Entries().back().http, "GET", "/v1/jobs/org/" + first.id, "", 10s);
+  EXPECT_EQ(again.body, first.reply.body);
+  ExpectInvariants(fleet, jobs, options);
+}
+
+// Guards against requests that are cut, and against starts that go on, when a
+// backend server leaves in an orderly way.
+TEST(ProcessFleetTest, AgentLeavesWithoutInterruption)
+{
+  ProcessFleet fleet({});
+  FleetLoadOptions options;
+  FleetLoad load(fleet, options);
+  ASSERT_TRUE(load.AwaitAnswers(50));
+  FleetAgent& leaving = fleet.Agents()[0];
+  std::int64_t signalled = WallMilliseconds();
+  leaving.process->Signal(SIGTERM);
+  EXPECT_TRUE(leaving.process->EndsCleanly(kExitTimeout));
+  ASSERT_TRUE(load.AwaitAnswers(200));
+  auto jobs = load.Stop();
+  EXPECT_EQ(CountCodes(jobs)["none"], jobs.size());
+  EXPECT_GT(ReadSummary(leaving, "starts"), 0);
+  EXPECT_LE(ReadSummary(leaving, "last_start_ms"),
+            signalled + kLeaveAllowance.count());
+  ExpectInvariants(fleet, jobs, options);
+}
+
+// Guards against callers whose requests are cut when the only entry stops.
+TEST(ProcessFleetTest, EntryAnswersPendingRequestsBeforeItEnds)
+{
+  ProcessFleet fleet({});
+  FleetLoadOptions options;
+  options.threads = 4;
+  options.runTimeMs = 1500;
+  FleetLoad load(fleet, options);
+  // All callers wait for their first job now.
+  ASSERT_TRUE(WaitUntil(
+    [&] {
+      return CountStarts(fleet).size() == options.threads * options.tasks;
+    },
+    20s));
+  fleet.Entries()[0].process->Signal(SIGTERM);
+  EXPECT_TRUE(fleet.Entries()[0].process->EndsCleanly(kExitTimeout));
+  auto jobs = load.Stop();
+  auto codes = CountCodes(jobs);
+  EXPECT_EQ(codes["none"], options.threads);
+  ExpectInvariants(fleet, jobs, options);
+}
+
+// Guards against tasks that run twice, and against false statements to callers,
+// when an agent dies with tasks in progress.
+TEST(ProcessFleetTest, AgentIsKilledUnderLoad)
+{
+  ProcessFleet fleet({});
+  FleetLoadOptions options;
+  FleetLoad load(fleet, options);
+  ASSERT_TRUE(load.AwaitAnswers(50));
+  fleet.Agents()[0].process->Signal(SIGKILL);
+  fleet.Agents()[0].process->EndsCleanly(kExitTimeout);
+  ASSERT_TRUE(load.AwaitAnswers(200));
+  auto jobs = load.Stop();
+  auto codes = CountCodes(jobs);
+  EXPECT_GT(codes["none"], 0u);
+  EXPECT_EQ(codes["none"] + codes["outcome_unknown"], jobs.size());
+  ExpectInvariants(fleet, jobs, options);
+}
+
+// Guards against second starts and mixed answers when an agent is paused and
+// sends its late results afterwards.
+TEST(ProcessFleetTest, AgentIsPausedUnderLoad)
+{
+  ProcessFleet fleet({});
+  FleetLoadOptions options;
+  FleetLoad load(fleet, options);
+  ASSERT_TRUE(load.AwaitAnswers(50));
+  fleet.Agents()[0].process->Signal(SIGSTOP);
+  std::this_thread::sleep_for(3s);
+  fleet.Agents()[0].process->Signal(SIGCONT);
+  ASSERT_TRUE(load.AwaitAnswers(200));
+  auto jobs = load.Stop();
+  EXPECT_GT(CountCodes(jobs)["none"], 0u);
+  ExpectInvariants(fleet, jobs, options);
+}
+
+}
+}
