--- a/src/daemon/entry_routes.cpp
+++ b/src/daemon/entry_routes.cpp
@@ -190,7 +190,7 @@
     return;
   }
   if (!hooks_.recoverShard) {
-    RefuseUnknownPath(aRespond);
+    Refuse(aRespond, 404, "", kUnknownPath);
     return;
   }
   hooks_.recoverShard(shard, aRespond);
