Count retries by reason at the owner, and peer sessions

Cause: an agent without a metrics address showed its refusals to nobody, and the number of connections between processes was not visible. Change: OwnerMetrics counts results and retries by code; a gauge of sessions.

--- a/src/daemon/agent_status.cpp
+++ b/src/daemon/agent_status.cpp
@@ -20,6 +20,10 @@
         .FindGauge({ "greengage_running_tasks", "" },
                    "Tasks that run at the backend server")
         .Set(static_cast<double>(Status().runningTasks));
+      metrics_
+        .FindGauge({ "greengage_peer_sessions", "" },
+                   "Open connections to and from peers")
+        .Set(static_cast<double>(network_.SessionCount()));
       respond(MetricsResponse(metrics_.ToPrometheusText()));
     });
   };
--- a/src/daemon/entry_operator_routes.cpp
+++ b/src/daemon/entry_operator_routes.cpp
@@ -65,6 +65,9 @@
   set("greengage_pending_requests",
       "Requests of callers without an answer",
       router_.PendingCount());
+  set("greengage_peer_sessions",
+      "Open connections to and from peers",
+      network_.SessionCount());
   set("greengage_http_connections",
       "Open connections of callers and operators",
       http_.OpenConnections());
--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -243,6 +243,7 @@
   } else if (const auto* cancel = std::get_if<CancelJob>(&aMessage)) {
     owner_.OnCancel(aFrom.id, *cancel);
   } else if (const auto* results = std::get_if<TaskResults>(&aMessage)) {
+    ownerMetrics_.OnTaskResults(*results);
     owner_.OnTaskResults(*results);
   } else if (const auto* answer = std::get_if<JobAnswer>(&aMessage)) {
     if (!responders_.contains(answer->submission)) {
--- a/src/daemon/entry_process.h
+++ b/src/daemon/entry_process.h
@@ -11,6 +11,7 @@
 #include "daemon/caller_metrics.h"
 #include "daemon/daemon_error.h"
 #include "daemon/entry_routes.h"
+#include "daemon/owner_metrics.h"
 #include "daemon/settings.h"
 #include "daemon/worker_table.h"
 #include "transport/control_thread.h"
@@ -67,6 +68,7 @@
   coordination::ProcessInfo self_;
   transport::MetricsRegistry metrics_{ clock_ };
   CallerMetrics callerMetrics_{ metrics_, clock_ };
+  OwnerMetrics ownerMetrics_{ metrics_ };
   transport::PeerTraffic sentTraffic_{ metrics_, "sent" };
   transport::PeerTraffic receivedTraffic_{ metrics_, "received" };
   WorkerTable workers_;
--- a/src/transport/peer_network.cpp
+++ b/src/transport/peer_network.cpp
@@ -1,5 +1,7 @@
 #include "transport/peer_network.h"
 
+#include <algorithm>
+
 #include <boost/asio/post.hpp>
 
 #include "transport/endpoint.h"
@@ -152,6 +154,16 @@
   peers_.erase(peer);
 }
 
+std::size_t
+PeerNetwork::SessionCount() const
+{
+  auto opened = std::count_if(
+    outbound_.begin(), outbound_.end(), [](const auto& aConnection) {
+      return aConnection.second->session != nullptr;
+    });
+  return static_cast<std::size_t>(opened) + inbound_.size();
+}
+
 void
 PeerNetwork::Stop()
 {
--- a/src/transport/peer_network.h
+++ b/src/transport/peer_network.h
@@ -65,6 +65,9 @@
   /** Closes connections to a peer that is gone. */
   void Forget(const state::ProcessId& aPeer);
 
+  /** Open connections, accepted and opened. */
+  std::size_t SessionCount() const;
+
   void Stop();
 
 private:
