Pause owners between decision and delivery in the property test

Change: half of the pauses of an entry begin when its next start message is unsent. A cancellation is reported as not_run only if the job's submission waits at the same entry and was never abandoned. Conclusion: a cancellation through another entry is reported as unknown unless a task certainly ran.

--- a/src/coordination/job_owner.cpp
+++ b/src/coordination/job_owner.cpp
@@ -374,15 +374,15 @@
                               [&](const Requester& aOther) {
                                 return aOther.process == aRequester.process;
                               });
-  execution_.End(aJob,
-                 JobOutcome::Failed(RefusalCode::eCancelled,
-                                    aJob.Run(),
-                                    "the job was cancelled"));
-  JobOutcome outcome = *aJob.outcome;
-  if (outcome.run == RunState::eNotRun && !onlyHere) {
-    outcome.run = RunState::eUnknown;
-  }
-  Answer(aRequester, aJob.key, std::move(outcome));
+  auto outcome = JobOutcome::Failed(
+    RefusalCode::eCancelled, aJob.Run(), "the job was cancelled");
+  JobOutcome answer = outcome;
+  if (answer.run == RunState::eNotRun && !onlyHere) {
+    answer.run = RunState::eUnknown;
+  }
+  // Goes first: the router checks it against the submission that it ends.
+  Answer(aRequester, aJob.key, std::move(answer));
+  execution_.End(aJob, std::move(outcome));
 }
 
 void
--- a/src/coordination/request_router.cpp
+++ b/src/coordination/request_router.cpp
@@ -123,17 +123,34 @@
   bool cancelled = std::holds_alternative<CancelJob>(pending.message) &&
                    aAnswer.outcome.code == RefusalCode::eCancelled;
   JobOutcome outcome = aAnswer.outcome;
-  if (pending.maybeAccepted && outcome.run == RunState::eNotRun) {
+  bool mayRunLater =
+    pending.maybeAccepted || (cancelled && !CertainlyCancelled(aAnswer.key));
+  if (mayRunLater && outcome.run == RunState::eNotRun) {
     // An earlier sending may lie unread at a paused process, which accepts it
     // if it becomes the owner again.
     outcome.run = RunState::eUnknown;
   }
   Finish(submission, outcome);
   if (cancelled) {
-    FinishCancelled(aAnswer.key, aAnswer.outcome);
+    FinishCancelled(aAnswer.key, outcome);
   }
 }
 
+bool
+RequestRouter::CertainlyCancelled(const state::JobKey& aKey) const
+{
+  bool found = false;
+  for (const auto& [submission, pending] : pending_) {
+    bool submits =
+      pending.key == aKey && std::holds_alternative<SubmitJob>(pending.message);
+    if (submits && pending.maybeAccepted) {
+      return false;
+    }
+    found = found || submits;
+  }
+  return found;
+}
+
 void
 RequestRouter::Tick()
 {
--- a/src/coordination/request_router.h
+++ b/src/coordination/request_router.h
@@ -114,6 +114,8 @@
   void Abandon(Pending& aPending, state::MonotonicTime aSince);
   void LoseOwner(std::uint32_t aShard);
   void Finish(std::uint64_t aSubmission, const state::JobOutcome& aOutcome);
+  /** The job's submissions wait here, and only the present owner has them. */
+  bool CertainlyCancelled(const state::JobKey& aKey) const;
   void FinishCancelled(const state::JobKey& aKey,
                        const state::JobOutcome& aOutcome);
 
--- a/tests/coordination/job_owner_test.cpp
+++ b/tests/coordination/job_owner_test.cpp
@@ -278,6 +278,7 @@
   owner_.OnCancel(kOtherEntry, { 91, spec.Key() });
   EXPECT_EQ(cancels_.size(), 1u);
   ASSERT_EQ(answers_.size(), 2u);
+  EXPECT_EQ(answers_[0].submission, 91u);
   EXPECT_EQ(answers_[1].outcome.run, RunState::eUnknown);
   Report(Record(spec, 0, TaskState::eNotStarted, RefusalCode::eBusy));
   EXPECT_EQ(starts_.size(), 4u);
--- a/tests/coordination/request_router_test.cpp
+++ b/tests/coordination/request_router_test.cpp
@@ -144,9 +144,26 @@
   Answer(kOwner,
          2,
          JobOutcome::Failed(RefusalCode::eCancelled, RunState::eNotRun, ""));
-  EXPECT_EQ(answers_.size(), 2u);
+  ASSERT_EQ(answers_.size(), 2u);
+  EXPECT_EQ(answers_[0].run, RunState::eNotRun);
   EXPECT_EQ(router_.PendingCount(), 0u);
 }
 
+// Guards against a cancellation answered "not run" while an earlier sending of
+// the job may still be accepted (found by seed 57676 of the property test).
+TEST_F(RequestRouterTest, CancellationOfAbandonedSendingIsUnknown)
+{
+  Announce(kOwner, 1);
+  router_.Submit(spec_);
+  Announce(kNextOwner, 2);
+  router_.Cancel(spec_.Key());
+  Answer(kNextOwner,
+         3,
+         JobOutcome::Failed(RefusalCode::eCancelled, RunState::eNotRun, ""));
+  ASSERT_EQ(answers_.size(), 2u);
+  EXPECT_EQ(answers_[0].run, RunState::eUnknown);
+  EXPECT_EQ(answers_[1].run, RunState::eUnknown);
+}
+
 }
 }
--- a/tests/coordination/simulation/at_most_once_faults.cpp
+++ b/tests/coordination/simulation/at_most_once_faults.cpp
@@ -108,6 +108,10 @@
   auto until = [this] { return events_.Now() + events_.PickTime(100, 3000); };
   switch (aFault) {
     case Fault::ePauseEntry:
+      if (events_.Chance(50)) {
+        entry->pauseAtNextStart = true;
+        return;
+      }
       entry->pausedUntil = until();
       Trace("entry {} is paused until {} ms",
             entry->number,
--- a/tests/coordination/simulation/at_most_once_simulation.cpp
+++ b/tests/coordination/simulation/at_most_once_simulation.cpp
@@ -189,9 +189,18 @@
   if (!to || cut || (faulty && Has(Fault::eLoss) && events_.Chance(3))) {
     return;
   }
+  Milliseconds held{ 0 };
+  if (aFrom.pauseAtNextStart && std::holds_alternative<StartTasks>(aMessage)) {
+    aFrom.pauseAtNextStart = false;
+    held = events_.PickTime(1200, 3000);
+    aFrom.pausedUntil = events_.Now() + held;
+    Trace("process {} is paused while it starts tasks until {} ms",
+          aFrom.number,
+          aFrom.pausedUntil.count());
+  }
   int copies = faulty && Has(Fault::eDuplication) && events_.Chance(10) ? 2 : 1;
   for (int i = 0; i < copies; ++i) {
-    events_.After(PickDelay(),
+    events_.After(held + PickDelay(),
                   [this, to, from = aFrom.info.id, message = aMessage] {
                     At(*to, [to, from, message] { to->handle(from, message); });
                   });
--- a/tests/coordination/simulation/at_most_once_simulation.h
+++ b/tests/coordination/simulation/at_most_once_simulation.h
@@ -72,6 +72,8 @@
     bool alive = true;
     Milliseconds pausedUntil{ 0 };
     Milliseconds cutUntil{ 0 };
+    /** Pauses the process when its next start message is still unsent. */
+    bool pauseAtNextStart = false;
     /** Everything that arrives while the process is paused or runs. */
     std::function<void(const state::ProcessId&, const PeerMessage&)> handle;
   };
