Index pending submissions by job in the request router

Cause: each answered cancellation scanned all pending requests, which a wave of cancellations would have multiplied. Change: submissions are found by their job key. Conclusion: the cost of a cancellation no longer depends on other requests.

--- a/src/coordination/request_router.cpp
+++ b/src/coordination/request_router.cpp
@@ -139,16 +139,11 @@
 bool
 RequestRouter::CertainlyCancelled(const state::JobKey& aKey) const
 {
-  bool found = false;
-  for (const auto& [submission, pending] : pending_) {
-    bool submits =
-      pending.key == aKey && std::holds_alternative<SubmitJob>(pending.message);
-    if (submits && pending.maybeAccepted) {
-      return false;
-    }
-    found = found || submits;
-  }
-  return found;
+  auto [begin, end] = submits_.equal_range(aKey);
+  bool abandoned = std::any_of(begin, end, [this](const auto& aEntry) {
+    return pending_.at(aEntry.second).maybeAccepted;
+  });
+  return begin != end && !abandoned;
 }
 
 void
@@ -207,6 +202,9 @@
   pending.shard = aKey.Shard(shardCount_);
   pending.answerDue = now + aDeadline + kAnswerGrace;
   pending.waitingSince = now;
+  if (std::holds_alternative<SubmitJob>(pending.message)) {
+    submits_.emplace(aKey, submission);
+  }
   auto [entry, inserted] = pending_.emplace(submission, std::move(pending));
   Send(submission, entry->second);
   return submission;
@@ -262,6 +260,13 @@
   for (std::uint64_t sending : found.mapped().sendings) {
     sendings_.erase(sending);
   }
+  auto [begin, end] = submits_.equal_range(found.mapped().key);
+  auto submit = std::find_if(begin, end, [&](const auto& aEntry) {
+    return aEntry.second == aSubmission;
+  });
+  if (submit != end) {
+    submits_.erase(submit);
+  }
   hooks_.answer(aSubmission, found.mapped().key, aOutcome);
 }
 
@@ -271,11 +276,9 @@
 {
   // Sent again to a later owner, these would run the cancelled job.
   std::vector<std::uint64_t> cancelled;
-  for (const auto& [submission, pending] : pending_) {
-    if (pending.key == aKey &&
-        std::holds_alternative<SubmitJob>(pending.message)) {
-      cancelled.push_back(submission);
-    }
+  auto [begin, end] = submits_.equal_range(aKey);
+  for (auto entry = begin; entry != end; ++entry) {
+    cancelled.push_back(entry->second);
   }
   for (std::uint64_t submission : cancelled) {
     Finish(submission, aOutcome);
--- a/src/coordination/request_router.h
+++ b/src/coordination/request_router.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -128,6 +129,8 @@
   std::map<std::uint64_t, Pending> pending_;
   /** Submission of each sending. */
   std::map<std::uint64_t, std::uint64_t> sendings_;
+  /** Pending submissions of jobs, so that a wave of cancellations is cheap. */
+  std::unordered_multimap<state::JobKey, std::uint64_t> submits_;
   std::map<std::uint32_t, KnownOwner> owners_;
 };
 
