--- a/src/coordination/request_router.h
+++ b/src/coordination/request_router.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -114,6 +115,8 @@
   void Abandon(Pending& aPending, state::MonotonicTime aSince);
   void LoseOwner(std::uint32_t aShard);
   void Finish(std::uint64_t aSubmission, const state::JobOutcome& aOutcome);
+  /** The job's submissions wait here, and only the present owner has them. */
+  bool CertainlyCancelled(const state::JobKey& aKey) const;
   void FinishCancelled(const state::JobKey& aKey,
                        const state::JobOutcome& aOutcome);
 
@@ -126,6 +129,8 @@
   std::map<std::uint64_t, Pending> pending_;
   /** Submission of each sending. */
   std::map<std::uint64_t, std::uint64_t> sendings_;
+  /** Pending submissions of jobs, so that a wave of cancellations is cheap. */
+  std::unordered_multimap<state::JobKey, std::uint64_t> submits_;
   std::map<std::uint32_t, KnownOwner> owners_;
 };
 
