--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t kMaxTransfers = 4;
 constexpr std::size_t kMaxContested = 1000;
 constexpr milliseconds kListRequestPeriod{ 2000 };
+/** Half of the difference between two hosts that the design allows. */
+constexpr milliseconds kReportedClockDifference{ 500 };
 
 }
 
@@ -189,12 +191,29 @@
 void
 Membership::Handle(const MembershipPacket& aPacket, const Ack& aAck)
 {
+  MeasureClock(aPacket, aAck);
   if (auto relay = probes_.OnAck(aAck)) {
     Send(relay->requester, Ack{ relay->sequence, relay->target });
   }
   Handle(aPacket, Gossip{});
 }
 
+void
+Membership::MeasureClock(const MembershipPacket& aPacket, const Ack& aAck)
+{
+  auto roundTrip = probes_.RoundTrip(aAck, clock_.MonotonicNow());
+  if (!roundTrip || aAck.responder != aPacket.sender.process.id) {
+    return;
+  }
+  // The answer was sent at some moment of the round trip.
+  auto difference = aPacket.sentAt - (clock_.WallNow() - *roundTrip / 2);
+  auto certain = std::chrono::abs(difference) - *roundTrip / 2;
+  if (certain > kReportedClockDifference) {
+    hooks_.clockDiffers(aPacket.sender.process,
+                        std::chrono::duration_cast<milliseconds>(difference));
+  }
+}
+
 void
 Membership::Handle(const MembershipPacket& aPacket, const PingRequest& aRequest)
 {
@@ -254,7 +273,7 @@
 MembershipPacket
 Membership::EmptyPacket(MembershipBody aBody) const
 {
-  return { self_, std::move(aBody), {} };
+  return { self_, std::move(aBody), {}, clock_.WallNow() };
 }
 
 std::optional<MemberUpdate>
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -24,6 +24,9 @@
   /** The member has the address of an earlier process, which is dead. */
   std::function<void(const state::ProcessId& aDead, const MemberUpdate&)>
     replaced;
+  /** A member's wall clock is ahead (or behind) by more than 500 ms. */
+  std::function<void(const ProcessInfo&, std::chrono::milliseconds)>
+    clockDiffers;
   /** Uniform random number. */
   std::function<std::uint64_t()> random;
 };
@@ -88,6 +91,7 @@
   void Handle(const MembershipPacket& aPacket, const PingRequest& aRequest);
   void Handle(const MembershipPacket& aPacket, const Gossip&);
   void Handle(const MembershipPacket& aPacket, const MemberList&);
+  void MeasureClock(const MembershipPacket& aPacket, const Ack& aAck);
   bool Disbelieves(const MemberUpdate& aSender) const;
 
   void DetectPause();
--- a/src/coordination/membership_messages.h
+++ b/src/coordination/membership_messages.h
@@ -89,6 +89,8 @@
   MemberUpdate sender;
   MembershipBody body;
   std::vector<MemberUpdate> updates;
+  /** Sender's wall clock, in whole milliseconds. */
+  state::WallTime sentAt;
 
   auto operator<=>(const MembershipPacket&) const = default;
 };
@@ -114,7 +116,7 @@
 PacketRoom(const MembershipPacket& aPacket)
 {
   // Frame, pointers and the largest body, a PingRequest over IPv6.
-  constexpr std::size_t kOverhead = 160;
+  constexpr std::size_t kOverhead = 168;
   return kMaxPacketBytes - kOverhead - EncodedBytes(aPacket.sender);
 }
 
--- a/src/coordination/probe_tracker.cpp
+++ b/src/coordination/probe_tracker.cpp
@@ -31,6 +31,16 @@
   return sequence;
 }
 
+std::optional<std::chrono::nanoseconds>
+ProbeTracker::RoundTrip(const Ack& aAck, MonotonicTime aNow) const
+{
+  auto probe = probes_.find(aAck.sequence);
+  if (probe == probes_.end() || probe->second.target != aAck.responder) {
+    return std::nullopt;
+  }
+  return aNow - probe->second.sentAt;
+}
+
 std::optional<ProbeRelay>
 ProbeTracker::OnAck(const Ack& aAck)
 {
--- a/src/coordination/probe_tracker.h
+++ b/src/coordination/probe_tracker.h
@@ -45,6 +45,11 @@
   std::uint64_t Add(const MemberUpdate& aTarget, state::MonotonicTime aNow);
   std::uint64_t AddRelay(ProbeRelay aRelay);
 
+  /** Time from a direct ping to its Ack; empty if the Ack answers none. */
+  std::optional<std::chrono::nanoseconds> RoundTrip(
+    const Ack& aAck,
+    state::MonotonicTime aNow) const;
+
   /** The relay that the Ack answers, if it answers one. */
   std::optional<ProbeRelay> OnAck(const Ack& aAck);
 
--- a/src/protocol/membership.capnp
+++ b/src/protocol/membership.capnp
@@ -43,4 +43,5 @@
     memberList @5 :Void;
   }
   updates @6 :List(MemberUpdate);
+  sentAtMs @7 :Int64;
 }
--- a/src/protocol/membership.capnp.h
+++ b/src/protocol/membership.capnp.h
@@ -99,7 +99,7 @@
   struct Body;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9ea65a8bc9099795, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(9ea65a8bc9099795, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -121,7 +121,7 @@
   };
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fdb784f8caa44f55, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(fdb784f8caa44f55, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -574,6 +574,8 @@
   inline bool hasUpdates() const;
   inline  ::capnp::List< ::greengage::protocol::wire::MemberUpdate,  ::capnp::Kind::STRUCT>::Reader getUpdates() const;
 
+  inline  ::int64_t getSentAtMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -619,6 +621,9 @@
   inline void adoptUpdates(::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::MemberUpdate,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::MemberUpdate,  ::capnp::Kind::STRUCT>> disownUpdates();
 
+  inline  ::int64_t getSentAtMs();
+  inline void setSentAtMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1263,6 +1268,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t MembershipPacket::Reader::getSentAtMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t MembershipPacket::Builder::getSentAtMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void MembershipPacket::Builder::setSentAtMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::greengage::protocol::wire::MembershipPacket::Body::Which MembershipPacket::Body::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/protocol/membership_codec.cpp
+++ b/src/protocol/membership_codec.cpp
@@ -166,9 +166,10 @@
 MembershipPacket
 DecodePacket(wire::MembershipPacket::Reader aReader)
 {
-  MembershipPacket packet{ Decode(aReader.getSender()),
-                           DecodeBody(aReader.getBody()),
-                           {} };
+  MembershipPacket packet;
+  packet.sender = Decode(aReader.getSender());
+  packet.body = DecodeBody(aReader.getBody());
+  packet.sentAt = state::WallTime(milliseconds(aReader.getSentAtMs()));
   for (auto update : aReader.getUpdates()) {
     packet.updates.push_back(Decode(update));
   }
@@ -186,6 +187,9 @@
     kj::arrayPtr(scratch.data(), scratch.size()));
   auto packet = builder.initRoot<wire::MembershipPacket>();
   Encode(aPacket.sender, packet.initSender());
+  packet.setSentAtMs(
+    std::chrono::duration_cast<milliseconds>(aPacket.sentAt.time_since_epoch())
+      .count());
   std::visit(BodyEncoder{ packet.getBody() }, aPacket.body);
   auto updates =
     packet.initUpdates(static_cast<unsigned>(aPacket.updates.size()));
--- a/tests/coordination/membership_test.cpp
+++ b/tests/coordination/membership_test.cpp
@@ -205,6 +205,38 @@
             milliseconds(0));
 }
 
+// Guards against hosts whose clocks differ unnoticed, and against reports
+// that are caused by a pause.
+TEST_F(MembershipTest, ClockDifferenceIsReported)
+{
+  Start(1, 11);
+  world->At(3).paused = true;
+  world->Run(kSecond);
+  world->At(3).paused = false;
+  world->Run(5 * kSecond);
+  world->At(4).clock.error = milliseconds(700);
+  for (std::size_t i = 0; i < world->Count(); ++i) {
+    EXPECT_EQ(world->At(i).clockDifference, milliseconds(0));
+  }
+  world->Run(20 * kSecond);
+  EXPECT_GE(world->At(5).clockDifference, milliseconds(600));
+  EXPECT_LE(world->At(4).clockDifference, milliseconds(-600));
+  EXPECT_EQ(world->At(3).clockDifference, world->At(5).clockDifference);
+}
+
+// Guards against a new process that its predecessor's clock, which was ahead,
+// keeps out.
+TEST_F(MembershipTest, ReplacementWithAnEarlierClockIsAccepted)
+{
+  Start(1, 11);
+  world->Kill(4);
+  world->At(4).clock.error = -60 * kSecond;
+  world->Start(4, { world->At(0).info.peerAddress });
+  EXPECT_LE(
+    world->RunUntilAll(world->Believes(4, MemberState::eAlive), 10 * kSecond),
+    kDetection);
+}
+
 // Guards against a process that gives up because its seeds are down.
 TEST_F(MembershipTest, KeepsTryingDeadSeeds)
 {
--- a/tests/coordination/membership_world.cpp
+++ b/tests/coordination/membership_world.cpp
@@ -37,6 +37,7 @@
   Node& node = nodes_[aIndex];
   node.info.id = { random_(), random_() };
   node.alive = true;
+  node.clock.world = &clock_;
   MembershipHooks hooks;
   hooks.send = [this, aIndex](const std::string& aAddress,
                               const MembershipPacket& aPacket) {
@@ -50,9 +51,12 @@
     }
   };
   hooks.replaced = [&node](const auto&, const auto&) { ++node.replacements; };
+  hooks.clockDiffers = [&node](const auto&, milliseconds aDifference) {
+    node.clockDifference = aDifference;
+  };
   hooks.random = [this] { return random_(); };
   node.membership = std::make_unique<Membership>(
-    node.info, std::move(aSeeds), clock_, std::move(hooks));
+    node.info, std::move(aSeeds), node.clock, std::move(hooks));
 }
 
 void
--- a/tests/coordination/membership_world.h
+++ b/tests/coordination/membership_world.h
@@ -14,8 +14,33 @@
 class MembershipWorld
 {
 public:
+  struct WorldClock : state::Clock
+  {
+    std::chrono::milliseconds now{ 10'000 };
+    state::MonotonicTime MonotonicNow() const override
+    {
+      return state::MonotonicTime(now);
+    }
+    state::WallTime WallNow() const override { return state::WallTime(now); }
+  };
+  /** A node's clock: the world's, with an error of the wall clock. */
+  struct NodeClock : state::Clock
+  {
+    const WorldClock* world = nullptr;
+    std::chrono::milliseconds error{ 0 };
+    state::MonotonicTime MonotonicNow() const override
+    {
+      return world->MonotonicNow();
+    }
+    state::WallTime WallNow() const override
+    {
+      return world->WallNow() + error;
+    }
+  };
   struct Node
   {
+    NodeClock clock;
+    std::chrono::milliseconds clockDifference{ 0 };
     ProcessInfo info;
     std::unique_ptr<Membership> membership;
     bool alive = false;
@@ -59,15 +84,6 @@
   std::size_t LargestPacket() const { return largestPacket_; }
 
 private:
-  struct WorldClock : state::Clock
-  {
-    std::chrono::milliseconds now{ 10'000 };
-    state::MonotonicTime MonotonicNow() const override
-    {
-      return state::MonotonicTime(now);
-    }
-    state::WallTime WallNow() const override { return state::WallTime(now); }
-  };
   struct Message
   {
     std::size_t from;
--- /dev/null
+++ b/tests/protocol/membership_codec_test.cpp
@@ -0,0 +1,121 @@
+#include "protocol/membership_codec.h"
+
+#include <random>
+
+#include <gtest/gtest.h>
+
+namespace greengage::protocol {
+namespace {
+
+using namespace coordination;
+
+std::span<const std::byte>
+ToBytes(const std::string& aText)
+{
+  return std::as_bytes(std::span(aText));
+}
+
+MemberUpdate
+MakeUpdate(std::size_t aNameBytes)
+{
+  std::string address(aNameBytes, '1');
+  address.resize(std::min<std::size_t>(aNameBytes, 53));
+  std::string place(std::min(aNameBytes, kMaxPlaceNameBytes), 'p');
+  return {
+    { { 1, 2 }, ProcessRole::eAgent, address, place, place, 8, 32768, 1, true },
+    77,
+    UINT64_MAX,
+    MemberState::eSuspect,
+    std::chrono::milliseconds(1500)
+  };
+}
+
+std::vector<MembershipBody>
+AllBodies()
+{
+  return { Ping{ 5, true },
+           Ack{ 5, { 3, 4 } },
+           PingRequest{ 5, { 3, 4 }, std::string(53, '9') },
+           Gossip{},
+           MemberList{} };
+}
+
+// Guards against fields that are lost or swapped between two processes.
+TEST(MembershipCodecTest, KeepsPackets)
+{
+  for (const MembershipBody& body : AllBodies()) {
+    MembershipPacket packet{ MakeUpdate(9),
+                             body,
+                             { MakeUpdate(1), MakeUpdate(30) },
+                             state::WallTime(std::chrono::milliseconds(123)) };
+    auto decoded =
+      DecodeMembershipPacket(ToBytes(EncodeMembershipPacket(packet)));
+    ASSERT_TRUE(decoded) << decoded.error().message;
+    EXPECT_EQ(*decoded, packet);
+  }
+}
+
+// Guards against packets that are longer than the sender computed and are
+// then dropped by the receiver.
+TEST(MembershipCodecTest, PacketsHaveTheComputedSize)
+{
+  for (std::size_t nameBytes = 1; nameBytes <= 64; ++nameBytes) {
+    MemberUpdate update = MakeUpdate(nameBytes);
+    for (const MembershipBody& body : AllBodies()) {
+      MembershipPacket packet{ update, body, {}, {} };
+      std::size_t empty = EncodeMembershipPacket(packet).size();
+      std::size_t room = PacketRoom(packet);
+      while (room >= EncodedBytes(update)) {
+        room -= EncodedBytes(update);
+        packet.updates.push_back(update);
+      }
+      std::size_t full = EncodeMembershipPacket(packet).size();
+      EXPECT_EQ(full - empty, packet.updates.size() * EncodedBytes(update));
+      EXPECT_LE(full, kMaxPacketBytes);
+      EXPECT_GE(packet.updates.size(), 2u);
+    }
+  }
+}
+
+// Guards against a crash or a partial decode of damaged packets.
+TEST(MembershipCodecTest, SurvivesDamagedPackets)
+{
+  MembershipPacket packet{
+    MakeUpdate(9), Ping{ 5, true }, { MakeUpdate(1), MakeUpdate(30) }, {}
+  };
+  std::string good = EncodeMembershipPacket(packet);
+  EXPECT_FALSE(DecodeMembershipPacket({}));
+  EXPECT_FALSE(DecodeMembershipPacket(ToBytes(good.substr(1))));
+  EXPECT_FALSE(DecodeMembershipPacket(ToBytes(std::string(1208, 'x'))));
+  std::mt19937 random(1);
+  unsigned refused = 0;
+  for (int i = 0; i < 100'000; ++i) {
+    std::string bad = good;
+    for (unsigned j = random() % 4 + 1; j > 0; --j) {
+      bad[random() % bad.size()] = static_cast<char>(random());
+    }
+    bad.resize(bad.size() - random() % 3 * 8);
+    refused += !DecodeMembershipPacket(ToBytes(bad));
+  }
+  EXPECT_GT(refused, 0u);
+}
+
+// Guards against names that no later packet has room for.
+TEST(MembershipCodecTest, RefusesValuesOutOfRange)
+{
+  MembershipPacket packet{ MakeUpdate(9), Gossip{}, {}, {} };
+  packet.sender.process.rack = std::string(kMaxPlaceNameBytes + 1, 'r');
+  auto decoded =
+    DecodeMembershipPacket(ToBytes(EncodeMembershipPacket(packet)));
+  ASSERT_FALSE(decoded);
+  EXPECT_EQ(decoded.error().field, "rack");
+  packet.sender = MakeUpdate(9);
+  packet.sender.process.peerAddress.clear();
+  EXPECT_FALSE(DecodeMembershipPacket(ToBytes(EncodeMembershipPacket(packet))));
+  packet.sender = MakeUpdate(9);
+  packet.sender.memberState = static_cast<MemberState>(4);
+  EXPECT_FALSE(DecodeMembershipPacket(ToBytes(EncodeMembershipPacket(packet))));
+}
+
+}
+}
