Refuse times and incarnations that overflow

Cause: the undefined behaviour sanitizer found an overflow for a damaged sentAtMs; goneSinceMs of peer frames had the same fault, and an incarnation of 2^64-1 could not be refuted. Conclusion: damaged packets are refused without overflow.

--- a/src/protocol/membership_codec.cpp
+++ b/src/protocol/membership_codec.cpp
@@ -20,6 +20,8 @@
 /** A packet is read once; this stops hostile pointer loops. */
 constexpr std::uint64_t kTraversalLimitWords = kMaxPacketBytes / kWordBytes * 4;
 constexpr int kNestingLimit = 8;
+/** Leaves room to refute any incarnation that is accepted. */
+constexpr std::uint64_t kMaxIncarnation = UINT64_MAX / 2;
 /** `[ipv6]:port` with the longest address. */
 constexpr std::size_t kMaxAddressBytes = 53;
 
@@ -46,6 +48,18 @@
   return { aText.begin(), aText.size() };
 }
 
+/** A number of milliseconds since 1970 that the wall clock can hold. */
+state::WallTime
+ToWallTime(std::int64_t aMilliseconds)
+{
+  constexpr auto kLast = std::chrono::duration_cast<milliseconds>(
+    state::WallTime::max().time_since_epoch());
+  if (aMilliseconds < 0 || aMilliseconds > kLast.count()) {
+    throw InvalidPacket{ { "sentAtMs", "is out of range" } };
+  }
+  return state::WallTime(milliseconds(aMilliseconds));
+}
+
 template<class Enum>
 Enum
 ToEnum(unsigned aValue, Enum aLast, const char* aField)
@@ -86,6 +100,9 @@
   ProcessInfo& process = update.process;
   process.id = { aReader.getIdHigh(), aReader.getIdLow() };
   update.incarnation = aReader.getIncarnation();
+  if (update.incarnation > kMaxIncarnation) {
+    throw InvalidPacket{ { "incarnation", "is out of range" } };
+  }
   update.configurationVersion = aReader.getConfigurationVersion();
   process.slots = aReader.getSlots();
   process.memoryMb = aReader.getMemoryMb();
@@ -169,7 +186,7 @@
   MembershipPacket packet;
   packet.sender = Decode(aReader.getSender());
   packet.body = DecodeBody(aReader.getBody());
-  packet.sentAt = state::WallTime(milliseconds(aReader.getSentAtMs()));
+  packet.sentAt = ToWallTime(aReader.getSentAtMs());
   for (auto update : aReader.getUpdates()) {
     packet.updates.push_back(Decode(update));
   }
--- a/src/protocol/peer_decode.cpp
+++ b/src/protocol/peer_decode.cpp
@@ -81,6 +81,13 @@
 {
   AgentInUse agent;
   agent.process = Decode(aReader.getProcess());
+  // Later times would overflow the wall clock's representation.
+  constexpr auto kLast = std::chrono::duration_cast<std::chrono::milliseconds>(
+    state::WallTime::max().time_since_epoch());
+  if (aReader.getGoneSinceMs() < 0 ||
+      aReader.getGoneSinceMs() > kLast.count()) {
+    Reject("goneSinceMs", "is out of range");
+  }
   if (aReader.getGoneSinceMs() != 0) {
     agent.goneSince =
       state::WallTime(std::chrono::milliseconds(aReader.getGoneSinceMs()));
--- a/tests/protocol/peer_codec_test.cpp
+++ b/tests/protocol/peer_codec_test.cpp
@@ -50,6 +50,22 @@
   EXPECT_EQ(*decoded, messages);
 }
 
+// Guards against a time that overflows, and against lease fields that are
+// lost between two processes.
+TEST(PeerCodecTest, KeepsLeaseRequestsAndRefusesTimesOutOfRange)
+{
+  LeaseRequest request;
+  request.token = { 4, 2 };
+  request.newAgents = { { {}, std::nullopt } };
+  request.allAgents = true;
+  request.release = true;
+  auto decoded = DecodeFrame(ToBytes(EncodeFrame({ request })));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ((*decoded)[0], PeerMessage(request));
+  request.newAgents[0].goneSince = state::WallTime(-std::chrono::seconds(1));
+  EXPECT_FALSE(DecodeFrame(ToBytes(EncodeFrame({ request }))));
+}
+
 // Guards against a crash or a partial decode of damaged frames.
 TEST(PeerCodecTest, RefusesDamagedFrames)
 {
