--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -9,9 +9,12 @@
 
 namespace {
 
-constexpr std::size_t kMaxTransfers = 8;
+/** Requests beyond this many are dropped; the sender asks others later. */
+constexpr std::size_t kMaxTransfers = 4;
 constexpr std::size_t kMaxContested = 1000;
 constexpr milliseconds kListRequestPeriod{ 2000 };
+/** Half of the difference between two hosts that the design allows. */
+constexpr milliseconds kReportedClockDifference{ 500 };
 
 }
 
@@ -27,6 +30,7 @@
   , nextPeriod_(lastTick_)
   , nextReconnect_(lastTick_)
   , nextListRequest_(lastTick_)
+  , nextListPacket_(lastTick_)
 {
   self_.process = aSelf;
   // The time makes a restarted process newer than its predecessor.
@@ -110,7 +114,7 @@
     queue_.Add(process.peerAddress, change.urgent);
   }
   if (first) {
-    listRequestsLeft_ = 2;
+    listRequestsLeft_ = 1;
     nextListRequest_ = clock_.MonotonicNow() + kListRequestPeriod;
   }
   if (change.returned && aNews) {
@@ -173,19 +177,43 @@
       return aT.receiver == sender;
     });
   if (aPing.wantMembers && !known && transfers_.size() < kMaxTransfers) {
-    transfers_.push_back({ sender, table_.Live() });
+    // A random start makes lists of several members complete each other.
+    auto addresses = table_.Live();
+    if (!addresses.empty()) {
+      std::rotate(addresses.begin(),
+                  addresses.begin() + RandomBelow(addresses.size()),
+                  addresses.end());
+    }
+    transfers_.push_back({ sender, std::move(addresses) });
   }
 }
 
 void
 Membership::Handle(const MembershipPacket& aPacket, const Ack& aAck)
 {
+  MeasureClock(aPacket, aAck);
   if (auto relay = probes_.OnAck(aAck)) {
     Send(relay->requester, Ack{ relay->sequence, relay->target });
   }
   Handle(aPacket, Gossip{});
 }
 
+void
+Membership::MeasureClock(const MembershipPacket& aPacket, const Ack& aAck)
+{
+  auto roundTrip = probes_.RoundTrip(aAck, clock_.MonotonicNow());
+  if (!roundTrip || aAck.responder != aPacket.sender.process.id) {
+    return;
+  }
+  // The answer was sent at some moment of the round trip.
+  auto difference = aPacket.sentAt - (clock_.WallNow() - *roundTrip / 2);
+  auto certain = std::chrono::abs(difference) - *roundTrip / 2;
+  if (certain > kReportedClockDifference) {
+    hooks_.clockDiffers(aPacket.sender.process,
+                        std::chrono::duration_cast<milliseconds>(difference));
+  }
+}
+
 void
 Membership::Handle(const MembershipPacket& aPacket, const PingRequest& aRequest)
 {
@@ -245,7 +273,7 @@
 MembershipPacket
 Membership::EmptyPacket(MembershipBody aBody) const
 {
-  return { self_, std::move(aBody), {} };
+  return { self_, std::move(aBody), {}, clock_.WallNow() };
 }
 
 std::optional<MemberUpdate>
--- a/tests/coordination/membership_test.cpp
+++ b/tests/coordination/membership_test.cpp
@@ -11,6 +11,11 @@
 // Section 1.8 and 2.8 of the design.
 constexpr milliseconds kDetection{ 3000 };
 constexpr milliseconds kLeavingKnown{ 3000 };
+// Two pings and two answers in each period of 500 ms, and a margin for
+// indirect probes.
+constexpr double kMaxIdlePackets = 9;
+// The lists of members after a cold start take this long.
+constexpr milliseconds kSettling{ 60'000 };
 constexpr double kMaxBytesPerSecond = 29'000;
 
 class MembershipTest : public testing::Test
@@ -88,6 +93,7 @@
 TEST_P(MembershipSizeTest, CostPerNodeIsBounded)
 {
   Start(1, GetParam());
+  world->Run(kSettling);
   for (bool changes : { false, true }) {
     if (changes) {
       for (std::size_t i = 0; i < world->Count(); ++i) {
@@ -112,6 +118,9 @@
                  static_cast<double>(world->Count());
     }
     EXPECT_LE(largest, kMaxBytesPerSecond);
+    if (!changes) {
+      EXPECT_LE(packets, kMaxIdlePackets);
+    }
     std::printf("%zu members, %s: %.1f packets/s sent, %.0f B/s sent and "
                 "received (largest node %.0f)\n",
                 GetParam(),
@@ -196,6 +205,38 @@
             milliseconds(0));
 }
 
+// Guards against hosts whose clocks differ unnoticed, and against reports
+// that are caused by a pause.
+TEST_F(MembershipTest, ClockDifferenceIsReported)
+{
+  Start(1, 11);
+  world->At(3).paused = true;
+  world->Run(kSecond);
+  world->At(3).paused = false;
+  world->Run(5 * kSecond);
+  world->At(4).clock.error = milliseconds(700);
+  for (std::size_t i = 0; i < world->Count(); ++i) {
+    EXPECT_EQ(world->At(i).clockDifference, milliseconds(0));
+  }
+  world->Run(20 * kSecond);
+  EXPECT_GE(world->At(5).clockDifference, milliseconds(600));
+  EXPECT_LE(world->At(4).clockDifference, milliseconds(-600));
+  EXPECT_EQ(world->At(3).clockDifference, world->At(5).clockDifference);
+}
+
+// Guards against a new process that its predecessor's clock, which was ahead,
+// keeps out.
+TEST_F(MembershipTest, ReplacementWithAnEarlierClockIsAccepted)
+{
+  Start(1, 11);
+  world->Kill(4);
+  world->At(4).clock.error = -60 * kSecond;
+  world->Start(4, { world->At(0).info.peerAddress });
+  EXPECT_LE(
+    world->RunUntilAll(world->Believes(4, MemberState::eAlive), 10 * kSecond),
+    kDetection);
+}
+
 // Guards against a process that gives up because its seeds are down.
 TEST_F(MembershipTest, KeepsTryingDeadSeeds)
 {
