Keep the heads of lanes in one vector

Cause: each offer followed several tree nodes, cold on 1,000 servers. Change: sorted vector of lane heads, first and last job kept in the lane, smaller record of a running task.

--- a/src/coordination/fair_queue.cpp
+++ b/src/coordination/fair_queue.cpp
@@ -206,7 +206,7 @@
     if (++offered > kMaxFirstJobsOffered) {
       break;
     }
-    JobIndex index = lane.jobs.begin()->second;
+    JobIndex index = lane.first;
     Choice choice = OfferJob(aOrganisation, index, passed, aOffer);
     if (choice == Choice::eTakeLongest || choice == Choice::eTakeShortest) {
       return TakeTask(index, choice == Choice::eTakeLongest);
@@ -239,7 +239,7 @@
   std::sort(lanesByWork_.begin(), lanesByWork_.end());
   for (const auto& [work, workTemplate] : lanesByWork_) {
     const Lane& lane = aOrganisation.lanes[workTemplate];
-    JobIndex index = lane.jobs.rbegin()->second;
+    JobIndex index = lane.last;
     double ahead = aOrganisation.totalWork - jobs_[index].queuedWork;
     Choice choice = OfferJob(aOrganisation, index, ahead, aOffer);
     if (choice == Choice::eTakeLongest || choice == Choice::eTakeShortest) {
@@ -417,14 +417,12 @@
   Lane& lane = organisation.lanes[job.facts.workTemplate];
   lane.needs = job.facts.needs;
   lane.shortestWork = job.tasks.back().work;
-  if (lane.jobs.empty() || job.orderKey < lane.jobs.begin()->first) {
-    if (!lane.jobs.empty()) {
-      organisation.heads.erase(
-        { lane.jobs.begin()->first, job.facts.workTemplate });
-    }
-    organisation.heads.emplace(job.orderKey, job.facts.workTemplate);
+  std::optional<OrderKey> oldKey;
+  if (!lane.jobs.empty()) {
+    oldKey = lane.jobs.begin()->first;
   }
   lane.jobs.emplace(job.orderKey, aJob);
+  UpdateHead(organisation, job.facts.workTemplate, oldKey);
 }
 
 void
@@ -433,16 +431,29 @@
   const Job& job = jobs_[aJob];
   OrganisationState& organisation = organisations_[job.facts.organisation];
   Lane& lane = organisation.lanes[job.facts.workTemplate];
-  bool wasFirst = lane.jobs.begin()->second == aJob;
+  OrderKey oldKey = lane.jobs.begin()->first;
   lane.jobs.erase(job.orderKey);
-  if (!wasFirst) {
+  UpdateHead(organisation, job.facts.workTemplate, oldKey);
+}
+
+void
+FairQueue::UpdateHead(OrganisationState& aOrganisation,
+                      TemplateIndex aTemplate,
+                      const std::optional<OrderKey>& aOldKey)
+{
+  Lane& lane = aOrganisation.lanes[aTemplate];
+  lane.UpdateEnds();
+  auto& heads = aOrganisation.heads;
+  if (!lane.jobs.empty() && aOldKey == lane.jobs.begin()->first) {
     return;
   }
-  auto head =
-    organisation.heads.extract({ job.orderKey, job.facts.workTemplate });
+  if (aOldKey) {
+    heads.erase(std::lower_bound(
+      heads.begin(), heads.end(), std::pair{ *aOldKey, aTemplate }));
+  }
   if (!lane.jobs.empty()) {
-    head.value().first = lane.jobs.begin()->first;
-    organisation.heads.insert(std::move(head));
+    std::pair head{ lane.jobs.begin()->first, aTemplate };
+    heads.insert(std::lower_bound(heads.begin(), heads.end(), head), head);
   }
 }
 
--- a/src/coordination/fair_queue.h
+++ b/src/coordination/fair_queue.h
@@ -141,6 +141,17 @@
     /** Least work of a task of the job that joined last, in seconds. */
     double shortestWork = 0;
     std::map<OrderKey, JobIndex> jobs;
+    /** The first and the last of jobs, kept here to save cache misses. */
+    JobIndex first = 0;
+    JobIndex last = 0;
+
+    void UpdateEnds()
+    {
+      if (!jobs.empty()) {
+        first = jobs.begin()->second;
+        last = jobs.rbegin()->second;
+      }
+    }
   };
 
   struct Job
@@ -186,8 +197,9 @@
     /** By template, so that a task that fits nowhere does not block others,
      * and a slow slot finds the short tasks. */
     std::vector<Lane> lanes;
-    /** Lanes with jobs, by the key of their first job. */
-    std::set<std::pair<OrderKey, TemplateIndex>> heads;
+    /** Lanes with jobs, sorted by the key of their first job. A vector, as
+     * it is read far more often than changed. */
+    std::vector<std::pair<OrderKey, TemplateIndex>> heads;
     std::optional<ActiveKey> active;
   };
 
@@ -198,6 +210,9 @@
   void AccountQueued(Job& aJob, const QueuedTask& aTask, int aSign);
   void JoinLane(JobIndex aJob);
   void LeaveLane(JobIndex aJob);
+  static void UpdateHead(OrganisationState& aOrganisation,
+                         TemplateIndex aTemplate,
+                         const std::optional<OrderKey>& aOldKey);
   void CloseIfDone(JobIndex aJob);
   OrderKey OrderKeyOf(const JobFacts& aFacts) const;
   std::optional<TakenTask> TakeFrom(OrganisationState& aOrganisation,
--- a/src/coordination/server_table.h
+++ b/src/coordination/server_table.h
@@ -20,14 +20,13 @@
 struct RunningTask
 {
   TaskRef task;
+  state::MonotonicTime startedAt;
   JobIndex job = 0;
-  OrganisationIndex organisation = 0;
   TemplateIndex workTemplate = 0;
-  SizeClass size = 0;
   TaskNeeds needs;
-  state::MonotonicTime startedAt;
   /** Expected run time on the server that it was bound to. */
-  double expectedSeconds = 0;
+  float expectedSeconds = 0;
+  SizeClass size = 0;
 
   bool operator==(const RunningTask&) const = default;
 };
--- a/src/coordination/task_scheduler.cpp
+++ b/src/coordination/task_scheduler.cpp
@@ -165,14 +165,13 @@
   auto now = clock_.MonotonicNow();
   JobFacts facts = FactsOf(aTask.job, aSpec, now);
   auto size = RateEstimator::ClassOf(aSpec.Payloads()[aTask.task].size());
-  RunningTask running{ aTask, queue_.OpenJob(facts) };
-  running.organisation = facts.organisation;
+  RunningTask running{ aTask, now, queue_.OpenJob(facts) };
   running.workTemplate = facts.workTemplate;
   running.size = size;
   running.needs = facts.needs;
-  running.startedAt = now;
-  running.expectedSeconds = rates_.Work(facts.workTemplate, size) /
-                            rates_.Speed(*server, facts.workTemplate);
+  running.expectedSeconds =
+    static_cast<float>(rates_.Work(facts.workTemplate, size) /
+                       rates_.Speed(*server, facts.workTemplate));
   servers_.Start(*server, running);
   queue_.OnStarted(running.job, running.expectedSeconds);
 }
@@ -360,14 +359,13 @@
   const JobFacts& facts = queue_.Facts(aTaken.job);
   double work = rates_.Work(facts.workTemplate, aTaken.task.size);
   RunningTask running{ { facts.handle, aTaken.task.task, aTaken.task.attempt },
+                       now_,
                        aTaken.job };
-  running.organisation = facts.organisation;
   running.workTemplate = facts.workTemplate;
   running.size = aTaken.task.size;
   running.needs = facts.needs;
-  running.startedAt = now_;
   running.expectedSeconds =
-    work / rates_.Speed(chosenServer_, facts.workTemplate);
+    static_cast<float>(work / rates_.Speed(chosenServer_, facts.workTemplate));
   meanWork_ += (work - meanWork_) * kMeanWorkGain;
   servers_.Start(chosenServer_, running);
   queue_.OnStarted(aTaken.job, running.expectedSeconds);
