--- a/src/coordination/rate_estimator.cpp
+++ b/src/coordination/rate_estimator.cpp
@@ -13,8 +13,7 @@
 constexpr float kMaxSizeWeight = 128;
 // Samples of the template's mean that a size class with few samples leans on.
 constexpr float kSizePriorWeight = 4;
-// Keeps the scale of speeds near 1: without it work and speed could grow
-// together without bound, as only their ratio is observed.
+// A new server is taken for a mean one until it has run a few tasks.
 constexpr float kServerPriorWeight = 2;
 constexpr float kMaxServerWeight = 64;
 // Samples of the server's overall speed that a (server, template) rate with
@@ -63,8 +62,22 @@
   if (aServer >= servers_.size()) {
     servers_.resize(aServer + 1);
   }
+  RemoveServer(aServer);
+  servers_[aServer].known = true;
   servers_[aServer].slowness = { 1, kServerPriorWeight };
-  servers_[aServer].byTemplate.clear();
+  slownessSum_ += 1;
+  ++serverCount_;
+}
+
+void
+RateEstimator::RemoveServer(ServerIndex aServer)
+{
+  ServerRate& server = servers_[aServer];
+  if (server.known) {
+    slownessSum_ -= server.slowness.value;
+    --serverCount_;
+  }
+  server = ServerRate{};
 }
 
 void
@@ -75,12 +88,17 @@
 {
   double seconds = std::max(aRunSeconds, kMinRunSeconds);
   double expectedWork = Work(aTemplate, aSize);
-  double speed = Speed(aServer, aTemplate);
+  // Relative to the mean of the fleet: only the ratio of work and speed is
+  // observed, so without an anchor both would drift together.
+  double meanSlowness = slownessSum_ / double(serverCount_);
+  double relativeSpeed = Speed(aServer, aTemplate) * meanSlowness;
 
   ServerRate& server = servers_[aServer];
   double slowness =
     std::clamp(seconds / expectedWork, kMinSlowness, kMaxSlowness);
+  slownessSum_ -= server.slowness.value;
   server.slowness.Add(slowness, kMaxServerWeight);
+  slownessSum_ += server.slowness.value;
   if (aTemplate >= server.byTemplate.size()) {
     server.byTemplate.resize(aTemplate + 1);
   }
@@ -88,8 +106,8 @@
 
   TemplateRate& rate = templates_[aTemplate];
   ++rate.samples;
-  rate.work.Add(seconds * speed, kMaxTemplateWeight);
-  rate.bySize[aSize].Add(seconds * speed, kMaxSizeWeight);
+  rate.work.Add(seconds * relativeSpeed, kMaxTemplateWeight);
+  rate.bySize[aSize].Add(seconds * relativeSpeed, kMaxSizeWeight);
 }
 
 double
--- a/src/coordination/rate_estimator.h
+++ b/src/coordination/rate_estimator.h
@@ -14,7 +14,7 @@
 
 /**
  * Learns from run times how much work a task is and how fast each server is.
- * Work is in seconds on a server of speed 1, the mean speed assumed at first.
+ * Work is in seconds on a server of speed 1, which is the mean of the fleet.
  * Estimates are exponentially weighted means that start from a prior.
  */
 class RateEstimator
@@ -30,6 +30,8 @@
                    std::chrono::milliseconds aExpected);
   /** Forgets what was learned about a server. */
   void ResetServer(ServerIndex aServer);
+  /** A server that left no longer counts in the mean of the fleet. */
+  void RemoveServer(ServerIndex aServer);
 
   /** Takes the run time of a task that succeeded. */
   void AddSample(ServerIndex aServer,
@@ -66,12 +68,15 @@
   /** Slowness is run time over expected work, the inverse of speed. */
   struct ServerRate
   {
+    bool known = false;
     Mean slowness;
     std::vector<Mean> byTemplate;
   };
 
   std::vector<TemplateRate> templates_;
   std::vector<ServerRate> servers_;
+  double slownessSum_ = 0;
+  std::size_t serverCount_ = 0;
 };
 
 }
--- a/src/coordination/task_scheduler.cpp
+++ b/src/coordination/task_scheduler.cpp
@@ -98,6 +98,7 @@
     std::chrono::duration<double> ran = now - task.startedAt;
     queue_.OnEnded(task.job, task.expectedSeconds, ran.count());
   }
+  rates_.RemoveServer(*index);
   health_.RemoveServer(*index);
   fits_.clear();
 }
