--- a/src/coordination/server_table.cpp
+++ b/src/coordination/server_table.cpp
@@ -331,7 +331,6 @@
     sum.rate += slots_[c] * SpeedOfClass(c);
     sum.slots += slots_[c];
     if (sum.slots > 0) {
-      sum.secondsPerWork = 1 / sum.rate;
       sum.slotSecondsPerWork = sum.slots / sum.rate;
     }
     atLeast_[c] = sum;
--- a/src/coordination/server_table.h
+++ b/src/coordination/server_table.h
@@ -47,9 +47,7 @@
   /** Work per second of these slots. */
   double rate = 0;
   std::uint32_t slots = 0;
-  /** Kept beside the rate because divisions dominate the choice of a slot:
-   * seconds per unit of work of all slots together, and of one slot. */
-  double secondsPerWork = 0;
+  /** Seconds per unit of work of one of these slots on average. */
   double slotSecondsPerWork = 0;
 
   auto operator<=>(const FasterSlots&) const = default;
--- a/src/coordination/slot_choice.h
+++ b/src/coordination/slot_choice.h
@@ -10,32 +10,29 @@
 {
   /** Learned speed for the task's template. */
   double speed = 1;
-  std::size_t rateClass = 0;
+  /**
+   * Work ahead in the queue, per unit of the task's own work, up to which the
+   * task ends earlier if it waits for a faster slot that is in use now.
+   */
+  double worthwhileQueue = 0;
 
   auto operator<=>(const FreeSlot&) const = default;
 };
 
-/**
- * True if a task is expected to finish earlier on a faster slot that is in use
- * now. aTaskWork and aWorkAhead, which takes faster slots first, are in
- * seconds at speed 1; aMeanWork is the mean work of the tasks that hold them.
- */
-bool
-FinishesEarlierElsewhere(const ServerTable& aServers,
-                         const FreeSlot& aSlot,
-                         double aTaskWork,
-                         double aWorkAhead,
-                         double aMeanWork);
+/** Describes a free slot on a server of this class with this learned speed. */
+FreeSlot
+DescribeSlot(const ServerTable& aServers, double aSpeed, std::size_t aClass);
 
 /**
  * Decides which task of a job takes the free slot, if any. The first tasks of
  * a job are its longest; they wait for fast slots. A slow slot takes the
  * shortest, and only if it ends there before the rest of the job ends
- * elsewhere, so that it does not become the job's straggler.
+ * elsewhere, so that it does not become the job's straggler. aMeanWork is the
+ * mean work, in seconds, of the tasks that hold slots.
  */
 Choice
-ChooseTask(const ServerTable& aServers,
-           const FreeSlot& aSlot,
+ChooseTask(const FreeSlot& aSlot,
+           double aFastestSpeed,
            const Candidate& aCandidate,
            double aMeanWork);
 
--- a/src/coordination/task_scheduler.cpp
+++ b/src/coordination/task_scheduler.cpp
@@ -331,7 +331,7 @@
   if (!settings_.waitForFaster) {
     return Choice::eTakeLongest;
   }
-  return ChooseTask(servers_, best.slot, aCandidate, meanWork_);
+  return ChooseTask(best.slot, servers_.FastestSpeed(), aCandidate, meanWork_);
 }
 
 const TaskScheduler::BestSlot&
@@ -342,15 +342,21 @@
   if (best.round == round_) {
     return best;
   }
-  best = { round_, false, 0, { 0, 0 } };
+  best = { round_, false, 0, {} };
+  double speed = 0;
   FreeServers free = servers_.FindFree(aJob.needs);
   for (std::size_t i = 0; i < free.count; ++i) {
     ServerIndex server = free.servers[i];
-    double speed = rates_.Speed(server, aJob.workTemplate);
-    if (speed > best.slot.speed) {
-      best = { round_, true, server, { speed, servers_.ClassOf(server) } };
+    double learned = rates_.Speed(server, aJob.workTemplate);
+    if (learned > speed) {
+      speed = learned;
+      best.server = server;
     }
   }
+  best.found = free.count > 0;
+  if (best.found) {
+    best.slot = DescribeSlot(servers_, speed, servers_.ClassOf(best.server));
+  }
   return best;
 }
 
