--- a/src/coordination/fair_queue.h
+++ b/src/coordination/fair_queue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <functional>
@@ -203,7 +204,22 @@
     std::optional<ActiveKey> active;
   };
 
-  struct Offer;
+  /** State of one search through the queue. */
+  struct Offer
+  {
+    const Chooser& chooser;
+    state::MonotonicTime now;
+    /** Work inside quotas that was passed over, in seconds. */
+    double workInsideQuotas = 0;
+    /** Needs for which no server has room. */
+    std::vector<TaskNeeds> blockedNeeds = {};
+
+    bool Blocked(const TaskNeeds& aNeeds) const
+    {
+      return std::find(blockedNeeds.begin(), blockedNeeds.end(), aNeeds) !=
+             blockedNeeds.end();
+    }
+  };
 
   static Tier TierOf(const OrganisationState& aOrganisation);
   void Reposition(OrganisationIndex aOrganisation);
@@ -241,5 +257,4 @@
   std::size_t queuedTasks_ = 0;
   double queuedWork_ = 0;
 };
-
 }
--- /dev/null
+++ b/src/coordination/task_scheduler_admission.cpp
@@ -0,0 +1,84 @@
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "coordination/task_scheduler.h"
+
+// What the scheduler knows for the decision on a new job.
+namespace greengage::coordination {
+
+using state::RefusalCode;
+
+tl::expected<void, CoordinationError>
+TaskScheduler::Admit(const state::JobSpec& aSpec)
+{
+  auto refuse = [this](CoordinationError aError) {
+    ++counters_.refusals[std::size_t(aError.code)];
+    return tl::unexpected(std::move(aError));
+  };
+  const std::string& name = aSpec.Key().organisation;
+  auto organisation = queue_.Find(name);
+  if (!organisation || !publishedOrganisations_.contains(name)) {
+    return refuse(
+      { RefusalCode::eUnknownOrganisation,
+        fmt::format("organisation \"{}\" is not published", name) });
+  }
+  auto known = templatesByName_.find(aSpec.TemplateName());
+  if (known == templatesByName_.end() || !templates_[known->second].published) {
+    return refuse({ RefusalCode::eUnknownTemplate,
+                    fmt::format("template \"{}\" is not published",
+                                aSpec.TemplateName()) });
+  }
+  auto admitted =
+    DecideAdmission(aSpec,
+                    DescribeFleet(templates_[known->second].needs),
+                    DescribeQueue(aSpec, *organisation, known->second),
+                    queue_.Parameters(*organisation));
+  if (!admitted) {
+    return refuse(admitted.error());
+  }
+  return {};
+}
+
+FleetFacts
+TaskScheduler::DescribeFleet(const TaskNeeds& aNeeds)
+{
+  FleetFacts facts;
+  facts.servers = servers_.Count();
+  facts.fitsAnyServer = FitsAnyServer(aNeeds);
+  facts.usableSlots = servers_.UsableSlots();
+  facts.usableRate = servers_.UsableRate();
+  facts.fastestSpeed = servers_.FastestSpeed();
+  return facts;
+}
+
+QueueFacts
+TaskScheduler::DescribeQueue(const state::JobSpec& aSpec,
+                             OrganisationIndex aOrganisation,
+                             TemplateIndex aTemplate) const
+{
+  QueueFacts facts;
+  facts.workAhead = queue_.QueuedWork(aOrganisation, aSpec.Urgency());
+  facts.weightShare = queue_.WeightShare(aOrganisation);
+  facts.runningSlots = queue_.Running(aOrganisation);
+  facts.workIsLearned = rates_.Learned(aTemplate);
+  for (const std::string& payload : aSpec.Payloads()) {
+    auto size = RateEstimator::ClassOf(payload.size());
+    double work = rates_.Work(aTemplate, size);
+    facts.jobWork += work;
+    facts.longestTask = std::max(facts.longestTask, work);
+  }
+  return facts;
+}
+
+bool
+TaskScheduler::FitsAnyServer(const TaskNeeds& aNeeds)
+{
+  auto known = fits_.find(aNeeds);
+  if (known == fits_.end()) {
+    known = fits_.emplace(aNeeds, servers_.FitsAnyServer(aNeeds)).first;
+  }
+  return known->second;
+}
+
+}
