--- a/src/coordination/fair_queue.h
+++ b/src/coordination/fair_queue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <functional>
@@ -141,6 +142,17 @@
     /** Least work of a task of the job that joined last, in seconds. */
     double shortestWork = 0;
     std::map<OrderKey, JobIndex> jobs;
+    /** The first and the last of jobs, kept here to save cache misses. */
+    JobIndex first = 0;
+    JobIndex last = 0;
+
+    void UpdateEnds()
+    {
+      if (!jobs.empty()) {
+        first = jobs.begin()->second;
+        last = jobs.rbegin()->second;
+      }
+    }
   };
 
   struct Job
@@ -186,18 +198,37 @@
     /** By template, so that a task that fits nowhere does not block others,
      * and a slow slot finds the short tasks. */
     std::vector<Lane> lanes;
-    /** Lanes with jobs, by the key of their first job. */
-    std::set<std::pair<OrderKey, TemplateIndex>> heads;
+    /** Lanes with jobs, sorted by the key of their first job. A vector, as
+     * it is read far more often than changed. */
+    std::vector<std::pair<OrderKey, TemplateIndex>> heads;
     std::optional<ActiveKey> active;
   };
 
-  struct Offer;
+  /** State of one search through the queue. */
+  struct Offer
+  {
+    const Chooser& chooser;
+    state::MonotonicTime now;
+    /** Work inside quotas that was passed over, in seconds. */
+    double workInsideQuotas = 0;
+    /** Needs for which no server has room. */
+    std::vector<TaskNeeds> blockedNeeds = {};
+
+    bool Blocked(const TaskNeeds& aNeeds) const
+    {
+      return std::find(blockedNeeds.begin(), blockedNeeds.end(), aNeeds) !=
+             blockedNeeds.end();
+    }
+  };
 
   static Tier TierOf(const OrganisationState& aOrganisation);
   void Reposition(OrganisationIndex aOrganisation);
   void AccountQueued(Job& aJob, const QueuedTask& aTask, int aSign);
   void JoinLane(JobIndex aJob);
   void LeaveLane(JobIndex aJob);
+  static void UpdateHead(OrganisationState& aOrganisation,
+                         TemplateIndex aTemplate,
+                         const std::optional<OrderKey>& aOldKey);
   void CloseIfDone(JobIndex aJob);
   OrderKey OrderKeyOf(const JobFacts& aFacts) const;
   std::optional<TakenTask> TakeFrom(OrganisationState& aOrganisation,
@@ -226,5 +257,4 @@
   std::size_t queuedTasks_ = 0;
   double queuedWork_ = 0;
 };
-
 }
--- a/src/coordination/server_table.h
+++ b/src/coordination/server_table.h
@@ -20,14 +20,13 @@
 struct RunningTask
 {
   TaskRef task;
+  state::MonotonicTime startedAt;
   JobIndex job = 0;
-  OrganisationIndex organisation = 0;
   TemplateIndex workTemplate = 0;
-  SizeClass size = 0;
   TaskNeeds needs;
-  state::MonotonicTime startedAt;
   /** Expected run time on the server that it was bound to. */
-  double expectedSeconds = 0;
+  float expectedSeconds = 0;
+  SizeClass size = 0;
 
   bool operator==(const RunningTask&) const = default;
 };
@@ -48,9 +47,7 @@
   /** Work per second of these slots. */
   double rate = 0;
   std::uint32_t slots = 0;
-  /** Kept beside the rate because divisions dominate the choice of a slot:
-   * seconds per unit of work of all slots together, and of one slot. */
-  double secondsPerWork = 0;
+  /** Seconds per unit of work of one of these slots on average. */
   double slotSecondsPerWork = 0;
 
   auto operator<=>(const FasterSlots&) const = default;
--- a/src/coordination/task_scheduler.cpp
+++ b/src/coordination/task_scheduler.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include <fmt/format.h>
-
 namespace greengage::coordination {
 
 using state::RefusalCode;
@@ -98,41 +96,11 @@
     std::chrono::duration<double> ran = now - task.startedAt;
     queue_.OnEnded(task.job, task.expectedSeconds, ran.count());
   }
+  rates_.RemoveServer(*index);
   health_.RemoveServer(*index);
   fits_.clear();
 }
 
-tl::expected<void, CoordinationError>
-TaskScheduler::Admit(const state::JobSpec& aSpec)
-{
-  auto refuse = [this](CoordinationError aError) {
-    ++counters_.refusals[std::size_t(aError.code)];
-    return tl::unexpected(std::move(aError));
-  };
-  const std::string& name = aSpec.Key().organisation;
-  auto organisation = queue_.Find(name);
-  if (!organisation || !publishedOrganisations_.contains(name)) {
-    return refuse(
-      { RefusalCode::eUnknownOrganisation,
-        fmt::format("organisation \"{}\" is not published", name) });
-  }
-  auto known = templatesByName_.find(aSpec.TemplateName());
-  if (known == templatesByName_.end() || !templates_[known->second].published) {
-    return refuse({ RefusalCode::eUnknownTemplate,
-                    fmt::format("template \"{}\" is not published",
-                                aSpec.TemplateName()) });
-  }
-  auto admitted =
-    DecideAdmission(aSpec,
-                    DescribeFleet(templates_[known->second].needs),
-                    DescribeQueue(aSpec, *organisation, known->second),
-                    queue_.Parameters(*organisation));
-  if (!admitted) {
-    return refuse(admitted.error());
-  }
-  return {};
-}
-
 void
 TaskScheduler::Enqueue(JobHandle aJob,
                        const state::JobSpec& aSpec,
@@ -165,14 +133,13 @@
   auto now = clock_.MonotonicNow();
   JobFacts facts = FactsOf(aTask.job, aSpec, now);
   auto size = RateEstimator::ClassOf(aSpec.Payloads()[aTask.task].size());
-  RunningTask running{ aTask, queue_.OpenJob(facts) };
-  running.organisation = facts.organisation;
+  RunningTask running{ aTask, now, queue_.OpenJob(facts) };
   running.workTemplate = facts.workTemplate;
   running.size = size;
   running.needs = facts.needs;
-  running.startedAt = now;
-  running.expectedSeconds = rates_.Work(facts.workTemplate, size) /
-                            rates_.Speed(*server, facts.workTemplate);
+  running.expectedSeconds =
+    static_cast<float>(rates_.Work(facts.workTemplate, size) /
+                       rates_.Speed(*server, facts.workTemplate));
   servers_.Start(*server, running);
   queue_.OnStarted(running.job, running.expectedSeconds);
 }
@@ -279,47 +246,6 @@
            aSpec.TaskCount() };
 }
 
-FleetFacts
-TaskScheduler::DescribeFleet(const TaskNeeds& aNeeds)
-{
-  FleetFacts facts;
-  facts.servers = servers_.Count();
-  facts.fitsAnyServer = FitsAnyServer(aNeeds);
-  facts.usableSlots = servers_.UsableSlots();
-  facts.usableRate = servers_.UsableRate();
-  facts.fastestSpeed = servers_.FastestSpeed();
-  return facts;
-}
-
-QueueFacts
-TaskScheduler::DescribeQueue(const state::JobSpec& aSpec,
-                             OrganisationIndex aOrganisation,
-                             TemplateIndex aTemplate) const
-{
-  QueueFacts facts;
-  facts.workAhead = queue_.QueuedWork(aOrganisation, aSpec.Urgency());
-  facts.weightShare = queue_.WeightShare(aOrganisation);
-  facts.runningSlots = queue_.Running(aOrganisation);
-  facts.workIsLearned = rates_.Learned(aTemplate);
-  for (const std::string& payload : aSpec.Payloads()) {
-    auto size = RateEstimator::ClassOf(payload.size());
-    double work = rates_.Work(aTemplate, size);
-    facts.jobWork += work;
-    facts.longestTask = std::max(facts.longestTask, work);
-  }
-  return facts;
-}
-
-bool
-TaskScheduler::FitsAnyServer(const TaskNeeds& aNeeds)
-{
-  auto known = fits_.find(aNeeds);
-  if (known == fits_.end()) {
-    known = fits_.emplace(aNeeds, servers_.FitsAnyServer(aNeeds)).first;
-  }
-  return known->second;
-}
-
 Choice
 TaskScheduler::Choose(const Candidate& aCandidate)
 {
@@ -331,7 +257,7 @@
   if (!settings_.waitForFaster) {
     return Choice::eTakeLongest;
   }
-  return ChooseTask(servers_, best.slot, aCandidate, meanWork_);
+  return ChooseTask(best.slot, servers_.FastestSpeed(), aCandidate, meanWork_);
 }
 
 const TaskScheduler::BestSlot&
@@ -342,15 +268,21 @@
   if (best.round == round_) {
     return best;
   }
-  best = { round_, false, 0, { 0, 0 } };
+  best = { round_, false, 0, {} };
+  double speed = 0;
   FreeServers free = servers_.FindFree(aJob.needs);
   for (std::size_t i = 0; i < free.count; ++i) {
     ServerIndex server = free.servers[i];
-    double speed = rates_.Speed(server, aJob.workTemplate);
-    if (speed > best.slot.speed) {
-      best = { round_, true, server, { speed, servers_.ClassOf(server) } };
+    double learned = rates_.Speed(server, aJob.workTemplate);
+    if (learned > speed) {
+      speed = learned;
+      best.server = server;
     }
   }
+  best.found = free.count > 0;
+  if (best.found) {
+    best.slot = DescribeSlot(servers_, speed, servers_.ClassOf(best.server));
+  }
   return best;
 }
 
@@ -360,14 +292,13 @@
   const JobFacts& facts = queue_.Facts(aTaken.job);
   double work = rates_.Work(facts.workTemplate, aTaken.task.size);
   RunningTask running{ { facts.handle, aTaken.task.task, aTaken.task.attempt },
+                       now_,
                        aTaken.job };
-  running.organisation = facts.organisation;
   running.workTemplate = facts.workTemplate;
   running.size = aTaken.task.size;
   running.needs = facts.needs;
-  running.startedAt = now_;
   running.expectedSeconds =
-    work / rates_.Speed(chosenServer_, facts.workTemplate);
+    static_cast<float>(work / rates_.Speed(chosenServer_, facts.workTemplate));
   meanWork_ += (work - meanWork_) * kMeanWorkGain;
   servers_.Start(chosenServer_, running);
   queue_.OnStarted(aTaken.job, running.expectedSeconds);
