Give the process tests a platform log

Cause: an entry owns a shard only through a record in the log, so fleets without a log refused every job.

--- a/tests/daemon/entry_http_test.cpp
+++ b/tests/daemon/entry_http_test.cpp
@@ -1,8 +1,12 @@
+#include <thread>
+
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 #include "daemon/entry_process.h"
 #include "support/raw_client.h"
+#include "tools/fake_log.h"
+#include "transport/endpoint.h"
 
 namespace greengage::daemon {
 namespace {
@@ -21,10 +25,34 @@
 protected:
   EntryHttpTest()
   {
+    auto log = log_.Start();
+    EXPECT_TRUE(log);
+    logTraffic_.Start();
     EntrySettings settings;
     settings.httpAddress = "127.0.0.1:0";
+    settings.logAddress = transport::ToString(*log);
     entry_ = std::make_unique<EntryProcess>(settings);
     EXPECT_TRUE(entry_->Start());
+    AwaitOwner();
+  }
+
+  ~EntryHttpTest() override
+  {
+    entry_.reset();
+    logTraffic_.Stop();
+  }
+
+  /** Requests are refused for another reason until there is an owner. */
+  void AwaitOwner()
+  {
+    for (int i = 0; i < 200; ++i) {
+      if (Request("GET", "/v1/status", "").find("\"owner_known\":true") !=
+          std::string::npos) {
+        return;
+      }
+      std::this_thread::sleep_for(50ms);
+    }
+    ADD_FAILURE() << "the entry never owns its shard";
   }
 
   std::string Request(const std::string& aMethod,
@@ -38,6 +66,8 @@
     return client.ReadAll(kPatience);
   }
 
+  transport::TrafficPool logTraffic_{ 1 };
+  tools::FakeLog log_{ logTraffic_, "127.0.0.1:0", {} };
   std::unique_ptr<EntryProcess> entry_;
 };
 
