--- a/benchmarks/capacity_bench.cpp
+++ b/benchmarks/capacity_bench.cpp
@@ -1,4 +1,5 @@
 #include "benchmarks/capacity/agent_cost.h"
+#include "benchmarks/capacity/membership_cost.h"
 #include "benchmarks/capacity/owner_cost.h"
 
 // Prints the points from which docs/CAPACITY.md derives its slopes.
@@ -9,5 +10,6 @@
   MeasureOwner();
   MeasureAgent();
   MeasureMessages();
+  MeasureMembership();
   return 0;
 }
--- a/src/coordination/shard_controller.cpp
+++ b/src/coordination/shard_controller.cpp
@@ -146,8 +146,8 @@
                              CancelTasks aCancel) {
     hooks_.send(aAgent, std::move(aCancel));
   };
-  hooks.fence = [this](const state::ProcessId& aAgent, Fence aFence) {
-    hooks_.send(aAgent, std::move(aFence));
+  hooks.fence = [this](const state::ProcessId& aAgent, const Fence& aFence) {
+    hooks_.send(aAgent, aFence);
   };
   hooks.queryHistory = [this](const state::ProcessId& aAgent,
                               HistoryQuery aQuery) {
--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -5,7 +5,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build_dir=${BUILD_DIR:-build}
-BUILD_TYPE=Release tools/build.sh --target policy_bench scheduler_bench
+BUILD_TYPE=Release tools/build.sh policy_bench scheduler_bench
 status=0
 "$build_dir/bin/scheduler_bench" || status=1
 "$build_dir/bin/policy_bench" "${SEED:-1}" || status=1
