--- a/src/daemon/entry_operator_routes.cpp
+++ b/src/daemon/entry_operator_routes.cpp
@@ -3,6 +3,7 @@
 #include "daemon/status_server.h"
 #include "protocol/configuration_json.h"
 #include "protocol/operator_json.h"
+#include "transport/event_log.h"
 
 // The routes of EntryProcess that show the process to operators.
 namespace greengage::daemon {
@@ -104,6 +105,82 @@
   return status;
 }
 
+void
+EntryProcess::UpdateOwnerTotals()
+{
+  coordination::OwnerCounters owner;
+  coordination::HealthCounters health;
+  for (const auto& shard : shards_) {
+    const auto& counters = shard->Owner().Counters();
+    owner.starts += counters.starts;
+    owner.duplicateStarts += counters.duplicateStarts;
+    owner.lateResults += counters.lateResults;
+    owner.lateHistoryReplies += counters.lateHistoryReplies;
+    owner.retriesAfterFailure += counters.retriesAfterFailure;
+    owner.retriesAfterAgentLoss += counters.retriesAfterAgentLoss;
+    owner.retriesOverBudget += counters.retriesOverBudget;
+    owner.hedges += counters.hedges;
+    owner.moves += counters.moves;
+    owner.recoveries += counters.recoveries;
+    owner.droppedJobs += counters.droppedJobs;
+    auto scheduler = shard->Scheduler().Counters();
+    health.ejections += scheduler.health.ejections;
+    health.ejectionsOverCap += scheduler.health.ejectionsOverCap;
+    health.reinstatements += scheduler.health.reinstatements;
+  }
+  ownerMetrics_.SetTotals(owner, health);
+}
+
+void
+EntryProcess::UpdateWorkers()
+{
+  for (const auto& shard : shards_) {
+    if (!shard->Owner().Active()) {
+      continue;
+    }
+    for (const auto& view : shard->Scheduler().ServerViews()) {
+      workers_.OnServerView(view);
+    }
+  }
+}
+
+void
+EntryProcess::ReportOwners()
+{
+  auto now = clock_.MonotonicNow();
+  for (std::uint32_t shard = 0; shard < settings_.shardCount; ++shard) {
+    ShownOwner& shown = shownOwners_[shard];
+    const auto* owner = router_.Owner(shard);
+    if (!owner) {
+      if (!shown.missingSince) {
+        shown.missingSince = now;
+      }
+      auto missing = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now - *shown.missingSince);
+      if (missing >= coordination::kOwnerWait && !shown.reported) {
+        shown.reported = true;
+        transport::LogEvent(transport::events::kShardWithoutOwner,
+                            "shard={} since_ms={}",
+                            shard,
+                            missing.count());
+      }
+      continue;
+    }
+    shown.missingSince.reset();
+    shown.reported = false;
+    if (shown.token == owner->token) {
+      continue;
+    }
+    shown.token = owner->token;
+    transport::LogEvent(transport::events::kOwnerChanged,
+                        "shard={} owner={} epoch={} term={}",
+                        shard,
+                        owner->owner.id.ToString(),
+                        owner->token.epoch,
+                        owner->token.term);
+  }
+}
+
 void
 EntryProcess::UpdateGauges()
 {
@@ -123,6 +200,7 @@
   std::size_t queued = 0;
   std::size_t running = 0;
   std::size_t jobs = 0;
+  UpdateOwnerTotals();
   for (const auto& shard : shards_) {
     queued += shard->Scheduler().QueuedTasks();
     running += shard->Scheduler().RunningTasks();
--- /dev/null
+++ b/src/daemon/entry_peers.cpp
@@ -0,0 +1,209 @@
+#include "daemon/entry_process.h"
+
+#include "daemon/process_identity.h"
+#include "transport/event_log.h"
+
+// The part of EntryProcess that deals with shards and the other processes.
+namespace greengage::daemon {
+
+using namespace coordination;
+
+namespace {
+
+/** Membership needs up to 3 s to notice that a process is dead. */
+constexpr std::chrono::milliseconds kUnreachableMemory{ 3000 };
+constexpr std::uint32_t kCarrierShard = 0;
+
+}
+
+ShardHooks
+EntryProcess::MakeShardHooks()
+{
+  ShardHooks hooks;
+  hooks.introduce = [this](const ProcessInfo& aProcess) {
+    network_.SetPeer(aProcess);
+  };
+  hooks.send = [this](const state::ProcessId& aPeer, PeerMessage aMessage) {
+    network_.Send(aPeer, std::move(aMessage));
+  };
+  hooks.announce = [this](const OwnerAnnouncement& aAnnouncement) {
+    router_.OnOwner(aAnnouncement);
+    for (const auto& [id, process] : processes_) {
+      if (process.role == ProcessRole::eEntry) {
+        network_.Send(id, aAnnouncement);
+      }
+    }
+  };
+  hooks.propose = [this](const OwnershipRecord& aRecord) {
+    configuration_.Follower().ProposeOwnership(aRecord);
+  };
+  hooks.proposeActivated = [this](const OwnershipActivated& aRecord) {
+    configuration_.Follower().ProposeActivated(aRecord);
+  };
+  hooks.acquired = [this](std::uint32_t aShard,
+                          const state::OwnershipToken& aToken) {
+    if (aShard == kCarrierShard) {
+      configuration_.Follower().SetCarrier(true);
+    }
+    transport::LogEvent(transport::events::kOwnershipGained,
+                        "shard={} epoch={} term={}",
+                        aShard,
+                        aToken.epoch,
+                        aToken.term);
+  };
+  hooks.lost = [this](std::uint32_t aShard,
+                      const state::OwnershipToken& aToken) {
+    if (aShard == kCarrierShard) {
+      configuration_.Follower().SetCarrier(false);
+    }
+    router_.OnProcessLost(self_.id);
+    transport::LogEvent(transport::events::kOwnershipLost,
+                        "shard={} epoch={} term={} reason={}",
+                        aShard,
+                        aToken.epoch,
+                        aToken.term,
+                        stopping_ ? "handed_over" : "lease_lapsed");
+  };
+  hooks.random = [] { return CreateProcessId().low; };
+  return hooks;
+}
+
+ShardController*
+EntryProcess::FindShard(const PeerMessage& aMessage)
+{
+  auto shard = std::visit(
+    [this](const auto& aValue) -> std::optional<std::uint32_t> {
+      if constexpr (requires { aValue.shard; }) {
+        return aValue.shard;
+      } else if constexpr (requires { aValue.spec; }) {
+        return aValue.spec.Key().Shard(settings_.shardCount);
+      } else if constexpr (requires { aValue.key; }) {
+        return aValue.key.Shard(settings_.shardCount);
+      } else {
+        return std::nullopt;
+      }
+    },
+    aMessage);
+  return shard && *shard < shards_.size() ? shards_[*shard].get() : nullptr;
+}
+
+void
+EntryProcess::OnProcessSeen(const ProcessInfo& aProcess)
+{
+  network_.SetPeer(aProcess);
+  workers_.OnProcessSeen(aProcess);
+  auto known = processes_.find(aProcess.id);
+  if (known != processes_.end() && known->second == aProcess) {
+    return;
+  }
+  for (const auto& [id, process] : processes_) {
+    if (id != aProcess.id && process.peerAddress == aProcess.peerAddress) {
+      OnProcessReplaced(state::ProcessId(id));
+      break;
+    }
+  }
+  processes_.insert_or_assign(aProcess.id, aProcess);
+  UpdateProcesses();
+  if (aProcess.role == ProcessRole::eAgent) {
+    for (const auto& shard : shards_) {
+      shard->OnAgent(aProcess);
+    }
+  }
+}
+
+void
+EntryProcess::OnProcessReplaced(const state::ProcessId& aDead)
+{
+  for (const auto& shard : shards_) {
+    shard->Lease().OnProcessReplaced(aDead);
+  }
+  OnProcessGone(aDead);
+}
+
+void
+EntryProcess::ReconcileProcesses()
+{
+  auto now = clock_.MonotonicNow();
+  std::erase_if(unreachable_, [&](const auto& aEntry) {
+    return now - aEntry.second > kUnreachableMemory;
+  });
+  for (const ProcessInfo& process : membership_.Members()->Alive()) {
+    if (process.id != self_.id && !processes_.contains(process.id) &&
+        !unreachable_.contains(process.id)) {
+      OnProcessSeen(process);
+      network_.Connect(process.id);
+    }
+  }
+}
+
+std::vector<protocol::ProcessVersion>
+EntryProcess::ProcessVersions()
+{
+  std::vector<protocol::ProcessVersion> versions{
+    { self_, configuration_.Follower().Version() }
+  };
+  for (const MemberUpdate& member : membership_.Members()->Members()) {
+    if (member.memberState == MemberState::eAlive ||
+        member.memberState == MemberState::eSuspect) {
+      versions.push_back({ member.process, member.configurationVersion });
+    }
+  }
+  return versions;
+}
+
+void
+EntryProcess::OnProcessGone(const state::ProcessId& aProcess)
+{
+  workers_.OnProcessLost(aProcess);
+  router_.OnProcessLost(aProcess);
+  for (const auto& shard : shards_) {
+    shard->OnAgentGone(aProcess);
+  }
+  network_.Forget(aProcess);
+  processes_.erase(aProcess);
+  UpdateProcesses();
+}
+
+void
+EntryProcess::UpdateProcesses()
+{
+  std::vector<ProcessInfo> alive{ self_ };
+  std::vector<state::ProcessId> entries;
+  for (const auto& [id, process] : processes_) {
+    alive.push_back(process);
+    if (process.role == ProcessRole::eEntry) {
+      entries.push_back(id);
+    }
+  }
+  for (const auto& shard : shards_) {
+    shard->Lease().SetProcesses(alive);
+  }
+  configuration_.Follower().SetPeers(std::move(entries));
+}
+
+void
+EntryProcess::OnPeerLost(const state::ProcessId& aPeer, bool aReachable)
+{
+  router_.OnProcessLost(aPeer);
+  if (!aReachable) {
+    unreachable_[aPeer] = clock_.MonotonicNow();
+    OnProcessGone(aPeer);
+    return;
+  }
+  // Messages may be lost; a failing connection shows that the peer is gone.
+  network_.Connect(aPeer);
+  for (const auto& shard : shards_) {
+    shard->ResyncAgent(aPeer);
+  }
+}
+
+void
+EntryProcess::ConnectSeeds()
+{
+  for (const std::string& seed : settings_.common.seeds) {
+    network_.ConnectSeed(seed);
+  }
+  ReconcileProcesses();
+}
+
+}
--- a/src/daemon/entry_process.h
+++ b/src/daemon/entry_process.h
@@ -56,6 +56,11 @@
   protocol::ProcessStatus Status() const;
   std::vector<protocol::ProcessVersion> ProcessVersions();
   void UpdateGauges();
+  void UpdateOwnerTotals();
+  /** Takes over what the owner knows of the backend servers. */
+  void UpdateWorkers();
+  /** Logs changes of owners and shards that have none. */
+  void ReportOwners();
   void OnHttpRequest(transport::HttpRequest aRequest,
                      const transport::HttpResponder& aRespond);
   /** Keeps the responder until the router has the answer. */
@@ -81,6 +86,14 @@
   void ReleaseShards();
   void FinishStop();
 
+  /** What was last logged about the owner of a shard. */
+  struct ShownOwner
+  {
+    state::OwnershipToken token;
+    std::optional<state::MonotonicTime> missingSince;
+    bool reported = false;
+  };
+
   EntrySettings settings_;
   transport::SystemClock clock_;
   state::MonotonicTime started_ = clock_.MonotonicNow();
@@ -101,6 +114,7 @@
   ConfigurationService configuration_;
   MembershipService membership_;
   std::vector<std::unique_ptr<coordination::ShardController>> shards_;
+  std::map<std::uint32_t, ShownOwner> shownOwners_;
   /** Other processes that are believed to be alive. */
   std::map<state::ProcessId, coordination::ProcessInfo> processes_;
   /** Processes that could not be connected to, and when. */
--- a/src/daemon/owner_metrics.h
+++ b/src/daemon/owner_metrics.h
@@ -3,6 +3,8 @@
 #include <array>
 
 #include "coordination/messages.h"
+#include "coordination/owner_counters.h"
+#include "coordination/worker_health.h"
 #include "transport/metrics.h"
 
 namespace greengage::daemon {
@@ -18,7 +20,14 @@
 
   void OnTaskResults(const coordination::TaskResults& aResults);
 
+  /** Takes over the totals of all shards of this process. */
+  void SetTotals(const coordination::OwnerCounters& aOwner,
+                 const coordination::HealthCounters& aHealth);
+
 private:
+  void SetTotal(std::string_view aEvent, std::uint64_t aTotal);
+
+  transport::MetricsRegistry& metrics_;
   static constexpr std::size_t kCodes =
     static_cast<std::size_t>(state::RefusalCode::eLast) + 1;
 
--- a/src/daemon/worker_table.cpp
+++ b/src/daemon/worker_table.cpp
@@ -48,9 +48,40 @@
                         process.peerAddress,
                         aWorker.runningTasks);
   }
+  if (known != workers_.end()) {
+    aWorker.ejected = known->second.ejected;
+    aWorker.speed = known->second.speed;
+  }
   workers_[process.id] = std::move(aWorker);
 }
 
+void
+WorkerTable::OnProcessSeen(const coordination::ProcessInfo& aProcess)
+{
+  if (aProcess.role == ProcessRole::eAgent && !workers_.contains(aProcess.id)) {
+    Set({ aProcess });
+  }
+}
+
+void
+WorkerTable::OnServerView(const coordination::ServerView& aView)
+{
+  auto known = workers_.find(aView.info.id);
+  if (known == workers_.end()) {
+    return;
+  }
+  WorkerStatus& worker = known->second;
+  bool ejected = aView.health != coordination::HealthState::eHealthy;
+  if (ejected != worker.ejected) {
+    transport::LogEvent(ejected ? events::kServerEjected
+                                : events::kServerReadmitted,
+                        "agent={} address={}",
+                        aView.info.id.ToString(),
+                        aView.info.peerAddress);
+  }
+  worker = { aView.info, aView.running, ejected, aView.learnedSpeed };
+}
+
 void
 WorkerTable::OnProcessLost(const state::ProcessId& aProcess)
 {
--- a/src/daemon/worker_table.h
+++ b/src/daemon/worker_table.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "coordination/messages.h"
+#include "coordination/task_scheduler.h"
 #include "protocol/operator_json.h"
 
 namespace greengage::daemon {
@@ -17,6 +18,10 @@
 {
 public:
   void OnPeerMessage(const coordination::PeerMessage& aMessage);
+  /** Membership knows the process; it may not have announced itself here. */
+  void OnProcessSeen(const coordination::ProcessInfo& aProcess);
+  /** What the owner in this entry knows of a backend server. */
+  void OnServerView(const coordination::ServerView& aView);
   void OnProcessLost(const state::ProcessId& aProcess);
 
   /** All known agents in the order of their identities. */
--- a/src/protocol/operator_json.cpp
+++ b/src/protocol/operator_json.cpp
@@ -73,6 +73,7 @@
     json::object object = ToJson(worker.process);
     object["running_tasks"] = worker.runningTasks;
     object["ejected"] = worker.ejected;
+    object["speed"] = worker.speed;
     workers.push_back(std::move(object));
   }
   json::object body;
--- a/src/protocol/operator_json.h
+++ b/src/protocol/operator_json.h
@@ -45,6 +45,8 @@
   std::uint32_t runningTasks = 0;
   /** True while the owner gives it no tasks because they failed there. */
   bool ejected = false;
+  /** Learned speed; 1 is the speed for which run times are declared. */
+  double speed = 1;
 
   auto operator<=>(const WorkerStatus&) const = default;
 };
