Read the lint output as text

Cause: two runs in one folder left zero bytes in lint.stderr and grep hid the messages. Change: grep -a. Conclusion: messages are shown whatever the file holds.

--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -10,6 +10,6 @@
 fi
 printf '%s\n' "${files[@]}" |
   xargs -r -P "${JOBS:-10}" -n 1 clang-tidy --quiet -p "$build_dir" 2>"$build_dir/lint.stderr" || {
-  grep -v 'warnings generated\|Suppressed\|Use -header-filter' "$build_dir/lint.stderr" >&2 || true
+  grep -av 'warnings generated\|Suppressed\|Use -header-filter' "$build_dir/lint.stderr" >&2 || true
   exit 1
 }
