Bound what one peer frame may decode to; compare groups less often

An idle owner compared its group with all processes in every tick, a fifth of its instructions. Change: the traversal limit follows the frame's size, at most 65,536 messages a frame; groups are compared every 250 ms. Conclusion: decoding costs are bound to the bytes received.

--- a/src/coordination/group_keeper.cpp
+++ b/src/coordination/group_keeper.cpp
@@ -10,6 +10,11 @@
 
 constexpr std::chrono::milliseconds kFirstProposalDelay{ 500 };
 constexpr std::chrono::milliseconds kMaxProposalDelay{ 8000 };
+/**
+ * Comparing the group with all processes in every tick of 50 ms was a fifth of
+ * an idle owner's instructions at 100 agents.
+ */
+constexpr std::chrono::milliseconds kCheckPeriod{ 250 };
 
 }
 
@@ -22,6 +27,7 @@
   , clock_(aClock)
   , hooks_(aHooks)
   , nextProposal_(aClock.MonotonicNow())
+  , nextCheck_(aClock.MonotonicNow())
   , delay_(kFirstProposalDelay)
 {
 }
@@ -74,6 +80,9 @@
     }
     return;
   }
+  if (!GroupIsDue()) {
+    return;
+  }
   // A newer epoch that this owner is no candidate of needs another one.
   if ((!newest || NeedsNewGroup(self_, latest->members, alive_)) &&
       MayPropose()) {
@@ -126,6 +135,17 @@
   return found == alive_.end() ? nullptr : &*found;
 }
 
+bool
+GroupKeeper::GroupIsDue()
+{
+  auto now = clock_.MonotonicNow();
+  if (now < nextCheck_) {
+    return false;
+  }
+  nextCheck_ = now + kCheckPeriod;
+  return true;
+}
+
 bool
 GroupKeeper::MayPropose()
 {
--- a/src/coordination/group_keeper.h
+++ b/src/coordination/group_keeper.h
@@ -55,6 +55,7 @@
 private:
   const ProcessInfo* FirstOtherEntry() const;
   bool MayPropose();
+  bool GroupIsDue();
   void ProposeNext(const OwnershipRecord& aLatest,
                    std::vector<ProcessInfo> aMembers);
 
@@ -66,6 +67,8 @@
   std::vector<ProcessInfo> alive_;
   std::set<state::ProcessId> replaced_;
   state::MonotonicTime nextProposal_;
+  /** The members are compared with all processes again from then on. */
+  state::MonotonicTime nextCheck_;
   std::chrono::milliseconds delay_;
 };
 
--- a/src/protocol/peer_codec.cpp
+++ b/src/protocol/peer_codec.cpp
@@ -11,8 +11,12 @@
 
 namespace {
 
-// Enough for a frame of kMaxFrameBytes; stops hostile pointer loops.
-constexpr std::uint64_t kTraversalLimitWords = kMaxFrameBytes / 8 * 4;
+// Every word of an honest frame is read a few times at most. Elements without
+// size and pointers to the same place could otherwise make a frame of some
+// hundred bytes into millions of messages.
+constexpr std::uint64_t kReadsPerWord = 4;
+constexpr std::uint64_t kSpareWords = 1024;
+constexpr unsigned kMaxMessagesPerFrame = 65'536;
 constexpr int kNestingLimit = 16;
 
 }
@@ -48,13 +52,17 @@
               aBody.size(),
               reinterpret_cast<std::byte*>(words.asBytes().begin()));
   ::capnp::ReaderOptions options;
-  options.traversalLimitInWords = kTraversalLimitWords;
+  options.traversalLimitInWords = kReadsPerWord * words.size() + kSpareWords;
   options.nestingLimit = kNestingLimit;
   // Cap'n Proto reports malformed input by exceptions; they end here.
   try {
     ::capnp::FlatArrayMessageReader reader(words, options);
     std::vector<coordination::PeerMessage> messages;
-    for (auto message : reader.getRoot<wire::Frame>().getMessages()) {
+    auto encoded = reader.getRoot<wire::Frame>().getMessages();
+    if (encoded.size() > kMaxMessagesPerFrame) {
+      return tl::unexpected(ProtocolError{ "", "frame has too many messages" });
+    }
+    for (auto message : encoded) {
       auto decoded = DecodeMessage(message);
       if (!decoded) {
         return tl::unexpected(decoded.error());
--- a/tests/protocol/peer_codec_test.cpp
+++ b/tests/protocol/peer_codec_test.cpp
@@ -66,6 +66,17 @@
   EXPECT_FALSE(DecodeFrame(ToBytes(EncodeFrame({ request }))));
 }
 
+// Guards against a small frame that decodes to millions of messages, as a list
+// of elements without size does (found by fuzzing).
+TEST(PeerCodecTest, RefusesListsThatGrow)
+{
+  // Root pointer, Frame with one pointer, list of 1,000,000 structs of no size.
+  const unsigned char bytes[] = { 0, 0, 0, 0, 3,    0, 0, 0, 0, 0, 0,
+                                  0, 0, 0, 1, 0,    1, 0, 0, 0, 7, 0,
+                                  0, 0, 0, 9, 0x3d, 0, 0, 0, 0, 0 };
+  EXPECT_FALSE(DecodeFrame(std::as_bytes(std::span(bytes))));
+}
+
 // Guards against a crash or a partial decode of damaged frames.
 TEST(PeerCodecTest, RefusesDamagedFrames)
 {
