--- a/src/daemon/agent_process.cpp
+++ b/src/daemon/agent_process.cpp
@@ -1,5 +1,6 @@
 #include "daemon/agent_process.h"
 
+#include "daemon/peer_listener.h"
 #include "daemon/process_identity.h"
 #include "transport/endpoint.h"
 #include "transport/event_log.h"
@@ -93,17 +94,11 @@
 tl::expected<void, DaemonError>
 AgentProcess::Start()
 {
-  auto peer =
-    network_.Listen(*transport::ParseEndpoint(settings_.common.peerAddress));
-  if (!peer) {
-    return tl::unexpected(DaemonError{ peer.error().message });
+  auto self = OpenPeerListener(network_, settings_.common, ProcessRole::eAgent);
+  if (!self) {
+    return tl::unexpected(self.error());
   }
-  self_.id = CreateProcessId();
-  self_.role = ProcessRole::eAgent;
-  self_.peerAddress = transport::ToString(*peer);
-  self_.dataCentre = settings_.common.dataCentre;
-  self_.rack = settings_.common.rack;
-  transport::SetLogProcess("greengage-agent", self_.id.ToString());
+  self_ = *self;
   auto status = StartStatusServer();
   if (!status) {
     return status;
--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include "daemon/peer_listener.h"
 #include "daemon/process_identity.h"
 #include "protocol/caller_json.h"
 #include "transport/endpoint.h"
@@ -125,17 +126,11 @@
 tl::expected<void, DaemonError>
 EntryProcess::Start()
 {
-  auto peer =
-    network_.Listen(*transport::ParseEndpoint(settings_.common.peerAddress));
-  if (!peer) {
-    return tl::unexpected(DaemonError{ peer.error().message });
+  auto self = OpenPeerListener(network_, settings_.common, ProcessRole::eEntry);
+  if (!self) {
+    return tl::unexpected(self.error());
   }
-  self_.id = CreateProcessId();
-  self_.role = ProcessRole::eEntry;
-  self_.peerAddress = transport::ToString(*peer);
-  self_.dataCentre = settings_.common.dataCentre;
-  self_.rack = settings_.common.rack;
-  transport::SetLogProcess("greengage-entry", self_.id.ToString());
+  self_ = *self;
   auto http = http_.Start(*transport::ParseEndpoint(settings_.httpAddress));
   if (!http) {
     return tl::unexpected(DaemonError{ http.error().message });
--- a/src/transport/endpoint.cpp
+++ b/src/transport/endpoint.cpp
@@ -40,6 +40,29 @@
   return asio::ip::tcp::endpoint(address, port);
 }
 
+tl::expected<asio::ip::tcp::endpoint, TransportError>
+OpenListener(asio::ip::tcp::acceptor& aAcceptor,
+             const asio::ip::tcp::endpoint& aEndpoint)
+{
+  boost::system::error_code error;
+  aAcceptor.open(aEndpoint.protocol(), error);
+  if (!error) {
+    aAcceptor.set_option(asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) {
+    aAcceptor.bind(aEndpoint, error);
+  }
+  if (!error) {
+    aAcceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return tl::unexpected(TransportError{
+      TransportErrorKind::eInvalidArgument,
+      "cannot listen on " + ToString(aEndpoint) + ": " + error.message() });
+  }
+  return aAcceptor.local_endpoint();
+}
+
 std::string
 ToString(const asio::ip::tcp::endpoint& aEndpoint)
 {
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -52,26 +52,13 @@
 tl::expected<asio::ip::tcp::endpoint, TransportError>
 HttpServer::Start(const asio::ip::tcp::endpoint& aEndpoint)
 {
-  error_code error;
-  acceptor_.open(aEndpoint.protocol(), error);
-  if (!error) {
-    acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+  auto opened = OpenListener(acceptor_, aEndpoint);
+  if (!opened) {
+    return opened;
   }
-  if (!error) {
-    acceptor_.bind(aEndpoint, error);
-  }
-  if (!error) {
-    acceptor_.listen(asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    return tl::unexpected(TransportError{
-      TransportErrorKind::eInvalidArgument,
-      "cannot listen on " + ToString(aEndpoint) + ": " + error.message() });
-  }
-  auto endpoint = acceptor_.local_endpoint();
-  address_ = ToString(endpoint);
+  address_ = ToString(*opened);
   asio::post(acceptor_.get_executor(), [this] { Accept(); });
-  return endpoint;
+  return opened;
 }
 
 void
--- a/src/transport/peer_network.cpp
+++ b/src/transport/peer_network.cpp
@@ -66,23 +66,7 @@
 tl::expected<asio::ip::tcp::endpoint, TransportError>
 PeerNetwork::Listen(const asio::ip::tcp::endpoint& aEndpoint)
 {
-  error_code error;
-  acceptor_.open(aEndpoint.protocol(), error);
-  if (!error) {
-    acceptor_.set_option(asio::socket_base::reuse_address(true), error);
-  }
-  if (!error) {
-    acceptor_.bind(aEndpoint, error);
-  }
-  if (!error) {
-    acceptor_.listen(asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    return tl::unexpected(TransportError{
-      TransportErrorKind::eInvalidArgument,
-      "cannot listen on " + ToString(aEndpoint) + ": " + error.message() });
-  }
-  return acceptor_.local_endpoint();
+  return OpenListener(acceptor_, aEndpoint);
 }
 
 void
