--- /dev/null
+++ b/fuzz/configuration_json_fuzz.cpp
@@ -0,0 +1,34 @@
+#include <cstdlib>
+#include <string_view>
+
+#include "protocol/configuration_json.h"
+#include "protocol/log_record_json.h"
+
+// A document or record that decodes must keep the limits of its type.
+extern "C" int
+LLVMFuzzerTestOneInput(const unsigned char* aData, std::size_t aSize)
+{
+  using namespace greengage;
+  std::string_view body(reinterpret_cast<const char*>(aData), aSize);
+  for (auto kind : { state::ConfigurationKind::eTemplate,
+                     state::ConfigurationKind::eOrganisation }) {
+    auto change = protocol::DecodePublication({ kind, "name" }, "id", body);
+    if (!change) {
+      continue;
+    }
+    const auto* limits =
+      std::get_if<state::OrganisationParameters>(&change->document);
+    if (limits && !(limits->Weight() >= state::kMinWeight &&
+                    limits->Weight() <= state::kMaxWeight)) {
+      std::abort();
+    }
+  }
+  auto record = protocol::DecodeLogContent(body);
+  if (record) {
+    std::string encoded = protocol::EncodeLogContent(*record);
+    if (!protocol::DecodeLogContent(encoded)) {
+      std::abort();
+    }
+  }
+  return 0;
+}
