--- /dev/null
+++ b/src/coordination/dispatch/job_dispatcher.cpp
@@ -0,0 +1,629 @@
+#include "coordination/dispatch/job_dispatcher.h"
+
+#include <algorithm>
+
+namespace greengage::coordination {
+
+using state::DispatchOutcome;
+using state::DispatchReason;
+using state::DispatchResult;
+using state::DispatchStep;
+using state::MonotonicTime;
+using state::ProcessId;
+using state::RunKey;
+using std::chrono::milliseconds;
+
+namespace {
+
+/**
+ * Time that is not a task's own: network to the caller and the agent, and the
+ * processes' work. Measured on the users' sites at 10 to 15 ms.
+ */
+constexpr milliseconds kOverhead{ 15 };
+/** An answer later than three times the objective is worth nothing. */
+constexpr int kUsefulObjectives = 3;
+/** Entry to agent: how often an agent with runs hears from this entry. */
+constexpr milliseconds kKeepAlive{ 200 };
+/** A run is overdue after this multiple of its expected time, and more ... */
+constexpr double kOverdueFactor = 2.2;
+/** ... by this, so that short tasks are not stopped for a late message. */
+constexpr double kOverdueMs = 40;
+/**
+ * The server refuses a run number that is not above an earlier one of the
+ * task; another entry may have started the same task before.
+ */
+constexpr std::uint32_t kRunStep = 16;
+/** Bounds of the pause that a rejected caller is asked to make. */
+constexpr milliseconds kMinRetryAfter{ 200 };
+constexpr milliseconds kMaxRetryAfter{ 3000 };
+
+milliseconds
+ToMilliseconds(double aMs)
+{
+  return milliseconds(static_cast<std::int64_t>(aMs));
+}
+
+double
+MillisecondsBetween(MonotonicTime aFrom, MonotonicTime aTo)
+{
+  return std::chrono::duration<double, std::milli>(aTo - aFrom).count();
+}
+
+}
+
+JobDispatcher::JobDispatcher(std::string aDataCentre,
+                             double aFarFactor,
+                             const state::Clock& aClock,
+                             JobDispatcherHooks aHooks)
+  : farFactor_(aFarFactor)
+  , clock_(aClock)
+  , hooks_(std::move(aHooks))
+  , servers_(std::move(aDataCentre), aClock)
+{
+}
+
+void
+JobDispatcher::SetConfiguration(state::DispatchConfiguration aConfiguration)
+{
+  configuration_ = std::move(aConfiguration);
+}
+
+void
+JobDispatcher::Submit(SubmissionId aSubmission,
+                      const state::WorkQueue& aQueue,
+                      state::DispatchJob aJob,
+                      milliseconds aPatience)
+{
+  ++counters_.submitted;
+  std::uint64_t id = aJob.id;
+  auto known = jobs_.find(id);
+  if (known != jobs_.end()) {
+    known->second->submissions.push_back(aSubmission);
+    submissions_[aSubmission] = id;
+    return;
+  }
+  auto job = std::make_unique<Job>();
+  job->spec = std::move(aJob);
+  job->queue = aQueue;
+  job->submissions.push_back(aSubmission);
+  Prepare(*job, aPatience);
+  DispatchReason reject = ReasonToReject(*job);
+  Job& reference = *job;
+  jobs_[id] = std::move(job);
+  submissions_[aSubmission] = id;
+  if (reject != DispatchReason::eNone) {
+    End(id, { DispatchResult::eRejected, reject, RetryAfter() });
+    return;
+  }
+  waiting_.insert(KeyOf(reference));
+  Place();
+  SendOrders();
+}
+
+void
+JobDispatcher::Prepare(Job& aJob, milliseconds aPatience)
+{
+  const RunTimeModel& model = servers_.Model();
+  // Work on the longest chain of steps.
+  std::vector<double> chain;
+  for (const DispatchStep& spec : aJob.spec.steps) {
+    Step step;
+    step.tasks.resize(spec.taskCount);
+    step.waiting = spec.taskCount;
+    step.workMs = model.WorkMs(aJob.queue.name, spec.estimate);
+    double before = 0;
+    for (std::uint32_t earlier : spec.after) {
+      before = std::max(before, chain[earlier]);
+    }
+    chain.push_back(before + step.workMs);
+    aJob.workMs = std::max(aJob.workMs, chain.back());
+    aJob.steps.push_back(std::move(step));
+  }
+  aJob.submittedAt = clock_.MonotonicNow();
+  milliseconds patience = aPatience;
+  if (aJob.queue.timeout.count() > 0) {
+    patience = std::min(patience, aJob.queue.timeout);
+  }
+  auto objective = ToMilliseconds(aJob.queue.objectiveStretch * aJob.workMs) +
+                   aJob.queue.objectiveMargin;
+  aJob.deadline = aJob.submittedAt + patience;
+  aJob.objectiveAt = aJob.submittedAt + objective;
+  aJob.uselessAt =
+    std::min(aJob.deadline, aJob.submittedAt + kUsefulObjectives * objective);
+  aJob.latestStart =
+    std::min(aJob.objectiveAt, aJob.deadline) - kOverhead -
+    ToMilliseconds(aJob.workMs / model.HighestSpeed());
+}
+
+DispatchReason
+JobDispatcher::ReasonToReject(const Job& aJob) const
+{
+  for (std::size_t i = 0; i < aJob.steps.size(); ++i) {
+    PlacementRequest request = RequestFor(aJob, i);
+    auto shortest = servers_.ShortestRunTime(request);
+    if (!shortest) {
+      return DispatchReason::eImpossible;
+    }
+    if (*shortest > request.latestMs) {
+      return DispatchReason::eTooLate;
+    }
+  }
+  return DispatchReason::eNone;
+}
+
+milliseconds
+JobDispatcher::RetryAfter() const
+{
+  // The jobs that wait now are served or given up within their objectives.
+  MonotonicTime last = clock_.MonotonicNow();
+  if (!waiting_.empty()) {
+    last = std::max(last, std::get<1>(*waiting_.rbegin()));
+  }
+  auto wait = std::chrono::duration_cast<milliseconds>(last -
+                                                       clock_.MonotonicNow());
+  return std::clamp(wait, kMinRetryAfter, kMaxRetryAfter);
+}
+
+PlacementRequest
+JobDispatcher::RequestFor(const Job& aJob, std::size_t aStep) const
+{
+  const DispatchStep& spec = aJob.spec.steps[aStep];
+  auto now = clock_.MonotonicNow();
+  PlacementRequest request;
+  request.service = aJob.queue.service;
+  request.need = spec.need;
+  request.requiredLabel = spec.requiredLabel;
+  request.dataRack = spec.dataRack;
+  request.farFactor = farFactor_;
+  request.workMs = aJob.steps[aStep].workMs;
+  double overhead = static_cast<double>(kOverhead.count());
+  request.objectiveMs =
+    MillisecondsBetween(now, std::min(aJob.objectiveAt, aJob.deadline)) -
+    overhead;
+  request.latestMs = MillisecondsBetween(now, aJob.uselessAt) - overhead;
+  return request;
+}
+
+bool
+JobDispatcher::IsReady(const Job& aJob, const DispatchStep& aStep) const
+{
+  return std::all_of(
+    aStep.after.begin(), aStep.after.end(), [&](std::uint32_t aEarlier) {
+      const Step& step = aJob.steps[aEarlier];
+      return step.done == step.tasks.size();
+    });
+}
+
+void
+JobDispatcher::Abandon(SubmissionId aSubmission)
+{
+  auto found = submissions_.find(aSubmission);
+  if (found == submissions_.end()) {
+    return;
+  }
+  std::uint64_t id = found->second;
+  submissions_.erase(found);
+  auto job = jobs_.find(id);
+  if (job == jobs_.end()) {
+    return;
+  }
+  std::erase(job->second->submissions, aSubmission);
+  if (job->second->submissions.empty()) {
+    End(id,
+        { DispatchResult::eFailed, DispatchReason::eAbandoned, milliseconds(0) });
+    Place();
+    SendOrders();
+  }
+}
+
+bool
+JobDispatcher::Cancel(std::uint64_t aJob)
+{
+  if (!jobs_.contains(aJob)) {
+    return false;
+  }
+  End(aJob,
+      { DispatchResult::eFailed, DispatchReason::eCancelled, milliseconds(0) });
+  Place();
+  SendOrders();
+  return true;
+}
+
+std::size_t
+JobDispatcher::PendingJobs(const std::string& aQueue) const
+{
+  auto pending =
+    std::count_if(jobs_.begin(), jobs_.end(), [&](const auto& aJob) {
+      return aJob.second->queue.name == aQueue && !aJob.second->started;
+    });
+  return static_cast<std::size_t>(pending);
+}
+
+void
+JobDispatcher::OnAgent(const ProcessInfo& aAgent)
+{
+  auto older = servers_.OlderOnAddress(aAgent);
+  if (older) {
+    OnAgentGone(*older);
+  }
+  servers_.OnAgent(aAgent);
+}
+
+void
+JobDispatcher::OnAgentGone(const ProcessId& aAgent)
+{
+  if (!servers_.Knows(aAgent)) {
+    return;
+  }
+  auto runs = servers_.OnAgentGone(aAgent);
+  std::set<std::uint64_t> lost;
+  for (const RunKey& run : runs) {
+    lost.insert(run.task.job);
+  }
+  for (std::uint64_t id : lost) {
+    // The server may go on until its leases end, so the tasks cannot be
+    // started elsewhere in time.
+    End(
+      id,
+      { DispatchResult::eFailed, DispatchReason::eServerLost, milliseconds(0) });
+  }
+  outgoing_.erase(aAgent);
+  sentAt_.erase(aAgent);
+  Place();
+  SendOrders();
+}
+
+void
+JobDispatcher::OnAgentDisconnected(const ProcessId& aAgent)
+{
+  auto runs = servers_.RunsOn(aAgent);
+  if (runs.empty()) {
+    return;
+  }
+  auto& checks = outgoing_[aAgent].checks;
+  checks.insert(checks.end(), runs.begin(), runs.end());
+  SendOrders();
+}
+
+void
+JobDispatcher::OnReport(const ProcessId& aAgent, const ServerReport& aReport)
+{
+  servers_.OnReport(aAgent, aReport);
+  for (const RunEnd& end : aReport.ends) {
+    OnRunEnd(aAgent, end);
+  }
+  Place();
+  SendOrders();
+}
+
+void
+JobDispatcher::OnRunEnd(const ProcessId& aAgent, const RunEnd& aEnd)
+{
+  if (aEnd.kind != RunEndKind::eDone && hooks_.runEnded) {
+    hooks_.runEnded(aAgent, aEnd);
+  }
+  if (!servers_.OnRunEnded(aAgent, aEnd.run)) {
+    return;
+  }
+  auto found = jobs_.find(aEnd.run.task.job);
+  if (found == jobs_.end()) {
+    return;
+  }
+  Job& job = *found->second;
+  Step& step = job.steps[aEnd.run.task.step];
+  Task& task = step.tasks[aEnd.run.task.index];
+  if (task.run != aEnd.run.run || task.server != aAgent) {
+    return;
+  }
+  switch (aEnd.kind) {
+    case RunEndKind::eDone:
+      OnTaskDone(job, step, task, aEnd);
+      return;
+    case RunEndKind::eFailed:
+      OnTaskFailed(job, task, aAgent);
+      break;
+    case RunEndKind::eNoRoom:
+    case RunEndKind::eRefused:
+      servers_.OnRefused(aAgent);
+      break;
+    case RunEndKind::eOutdated:
+      task.run += kRunStep;
+      break;
+    case RunEndKind::eStopped:
+    case RunEndKind::eLost:
+    case RunEndKind::eUnanswered:
+      break;
+  }
+  WaitAgain(job, step, task);
+  if (task.failures >= job.queue.maxAttempts) {
+    End(job.spec.id,
+        { DispatchResult::eFailed,
+          DispatchReason::eAttemptsUsed,
+          milliseconds(0) });
+  }
+}
+
+void
+JobDispatcher::OnTaskDone(Job& aJob,
+                          Step& aStep,
+                          Task& aTask,
+                          const RunEnd& aEnd)
+{
+  servers_.OnRunDone(aTask.server);
+  const DispatchStep& spec = aJob.spec.steps[aEnd.run.task.step];
+  servers_.Model().AddSample(aJob.queue.name,
+                             spec.estimate,
+                             aTask.server,
+                             milliseconds(aEnd.runTimeMs));
+  aTask.taskState = TaskState::eDone;
+  ++aStep.done;
+  bool complete =
+    std::all_of(aJob.steps.begin(), aJob.steps.end(), [](const Step& aEach) {
+      return aEach.done == aEach.tasks.size();
+    });
+  if (complete) {
+    End(
+      aJob.spec.id,
+      { DispatchResult::eCompleted, DispatchReason::eNone, milliseconds(0) });
+    return;
+  }
+  if (aStep.done == aStep.tasks.size()) {
+    // A later step may be ready now.
+    waiting_.insert(KeyOf(aJob));
+  }
+}
+
+void
+JobDispatcher::OnTaskFailed(Job& aJob, Task& aTask, const ProcessId& aAgent)
+{
+  ++aTask.failures;
+  // A job that fails everywhere must not take servers out of use.
+  if (aJob.failedOn.empty()) {
+    servers_.OnRunFailed(aAgent);
+  }
+  aJob.failedOn.insert(aAgent);
+}
+
+void
+JobDispatcher::WaitAgain(Job& aJob, Step& aStep, Task& aTask)
+{
+  auto runs = aStep.runsByServer.find(aTask.server);
+  if (runs != aStep.runsByServer.end() && runs->second > 0) {
+    --runs->second;
+  }
+  aTask.taskState = TaskState::eWaiting;
+  ++aStep.waiting;
+  waiting_.insert(KeyOf(aJob));
+}
+
+void
+JobDispatcher::Place()
+{
+  for (auto key = waiting_.begin(); key != waiting_.end();) {
+    auto job = jobs_.find(std::get<2>(*key));
+    bool placed = job == jobs_.end() || PlaceJob(*job->second);
+    key = placed ? waiting_.erase(key) : std::next(key);
+  }
+}
+
+bool
+JobDispatcher::PlaceJob(Job& aJob)
+{
+  bool placed = true;
+  for (std::size_t i = 0; i < aJob.steps.size(); ++i) {
+    if (aJob.steps[i].waiting > 0 && IsReady(aJob, aJob.spec.steps[i])) {
+      placed = PlaceStep(aJob, i) && placed;
+    }
+  }
+  return placed;
+}
+
+bool
+JobDispatcher::PlaceStep(Job& aJob, std::size_t aStep)
+{
+  Step& step = aJob.steps[aStep];
+  PlacementRequest request = RequestFor(aJob, aStep);
+  for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+    if (step.tasks[index].taskState != TaskState::eWaiting) {
+      continue;
+    }
+    auto placement = servers_.Choose(
+      request, step.runsByServer, aJob.spec.steps[aStep].maxPerServer);
+    if (!placement) {
+      return false;
+    }
+    if (!placement->meetsObjective && request.objectiveMs > 0) {
+      auto shortest = servers_.ShortestRunTime(request);
+      if (shortest && *shortest <= request.objectiveMs) {
+        // A server that meets the objective may have room in time.
+        return false;
+      }
+    }
+    Start(aJob, aStep, index, *placement);
+  }
+  return true;
+}
+
+void
+JobDispatcher::Start(Job& aJob,
+                     std::size_t aStep,
+                     std::uint32_t aIndex,
+                     const Placement& aPlacement)
+{
+  const DispatchStep& spec = aJob.spec.steps[aStep];
+  Step& step = aJob.steps[aStep];
+  Task& task = step.tasks[aIndex];
+  auto now = clock_.MonotonicNow();
+  ++task.run;
+  task.taskState = TaskState::eRunning;
+  task.server = aPlacement.server;
+  task.sentAt = now;
+  task.expectedMs = aPlacement.runTimeMs;
+  task.overdue = false;
+  --step.waiting;
+  ++step.runsByServer[aPlacement.server];
+  if (!aJob.started) {
+    aJob.started = true;
+    aJob.firstRunAt = now;
+  }
+  ++aJob.runs;
+  ++counters_.runsStarted;
+  auto id = static_cast<std::uint32_t>(aStep);
+  RunKey key{ { aJob.spec.id, id, aIndex }, task.run };
+  servers_.OnRunSent(aPlacement.server, key, spec.need);
+  auto& starts = outgoing_[aPlacement.server].starts;
+  auto batch = std::find_if(
+    starts.begin(), starts.end(), [&](const RunBatch& aBatch) {
+      return aBatch.job == aJob.spec.id && aBatch.step == id;
+    });
+  if (batch == starts.end()) {
+    starts.push_back({ aJob.spec.id, id, spec.need, aJob.spec.payload, {} });
+    batch = std::prev(starts.end());
+  }
+  batch->runs.push_back({ aIndex, task.run });
+}
+
+void
+JobDispatcher::SendOrders()
+{
+  auto now = clock_.MonotonicNow();
+  auto outgoing = std::exchange(outgoing_, {});
+  for (auto& [agent, orders] : outgoing) {
+    sentAt_[agent] = now;
+    hooks_.send(agent, std::move(orders));
+  }
+}
+
+void
+JobDispatcher::Tick()
+{
+  auto now = clock_.MonotonicNow();
+  std::vector<std::pair<std::uint64_t, DispatchOutcome>> ended;
+  for (auto& [id, job] : jobs_) {
+    if (!job->started && now > job->latestStart) {
+      ended.emplace_back(id,
+                         DispatchOutcome{ DispatchResult::eRejected,
+                                          DispatchReason::eOverload,
+                                          RetryAfter() });
+    } else if (now >= job->deadline) {
+      auto result =
+        job->started ? DispatchResult::eFailed : DispatchResult::eRejected;
+      ended.emplace_back(
+        id, DispatchOutcome{ result, DispatchReason::eTooLate, RetryAfter() });
+    } else {
+      CheckRunning(*job);
+    }
+  }
+  for (const auto& [id, outcome] : ended) {
+    End(id, outcome);
+  }
+  for (const ProcessId& agent : servers_.AgentsInUse()) {
+    if (now - sentAt_[agent] >= kKeepAlive) {
+      outgoing_[agent];
+    }
+  }
+  Place();
+  SendOrders();
+}
+
+void
+JobDispatcher::CheckRunning(Job& aJob)
+{
+  auto now = clock_.MonotonicNow();
+  for (std::size_t i = 0; i < aJob.steps.size(); ++i) {
+    Step& step = aJob.steps[i];
+    for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+      Task& task = step.tasks[index];
+      if (task.taskState != TaskState::eRunning || task.overdue) {
+        continue;
+      }
+      double elapsed = MillisecondsBetween(task.sentAt, now);
+      if (elapsed < kOverdueFactor * task.expectedMs + kOverdueMs) {
+        continue;
+      }
+      task.overdue = true;
+      servers_.Model().AddOverdue(aJob.queue.name,
+                                  aJob.spec.steps[i].estimate,
+                                  task.server,
+                                  ToMilliseconds(elapsed));
+      servers_.OnRunFailed(task.server);
+      PlacementRequest request = RequestFor(aJob, i);
+      auto shortest = servers_.ShortestRunTime(request);
+      if (shortest && *shortest <= request.latestMs) {
+        task.taskState = TaskState::eStopping;
+        ++counters_.runsStopped;
+        outgoing_[task.server].stops.push_back(
+          { { aJob.spec.id, static_cast<std::uint32_t>(i), index },
+            task.run });
+      }
+    }
+  }
+}
+
+void
+JobDispatcher::StopRuns(Job& aJob)
+{
+  for (std::size_t i = 0; i < aJob.steps.size(); ++i) {
+    Step& step = aJob.steps[i];
+    for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+      const Task& task = step.tasks[index];
+      bool runs = task.taskState == TaskState::eRunning;
+      if (runs && servers_.Knows(task.server)) {
+        ++counters_.runsStopped;
+        outgoing_[task.server].stops.push_back(
+          { { aJob.spec.id, static_cast<std::uint32_t>(i), index },
+            task.run });
+      }
+    }
+  }
+}
+
+void
+JobDispatcher::End(std::uint64_t aJob, const DispatchOutcome& aOutcome)
+{
+  auto found = jobs_.find(aJob);
+  if (found == jobs_.end()) {
+    return;
+  }
+  auto job = std::move(found->second);
+  jobs_.erase(found);
+  waiting_.erase(KeyOf(*job));
+  StopRuns(*job);
+  for (SubmissionId submission : job->submissions) {
+    submissions_.erase(submission);
+    hooks_.answer(submission, aOutcome);
+  }
+  if (!hooks_.ended) {
+    return;
+  }
+  auto now = clock_.MonotonicNow();
+  auto toMs = [](auto aDuration) {
+    return std::chrono::duration_cast<milliseconds>(aDuration);
+  };
+  JobRecord record;
+  record.job = aJob;
+  record.queue = job->queue.name;
+  record.configurationVersion = configuration_.version;
+  for (const Step& step : job->steps) {
+    record.tasks += static_cast<std::uint32_t>(step.tasks.size());
+    record.tasksDone += step.done;
+  }
+  record.runs = job->runs;
+  record.waited =
+    toMs((job->started ? job->firstRunAt : now) - job->submittedAt);
+  record.total = toMs(now - job->submittedAt);
+  record.objective = toMs(job->objectiveAt - job->submittedAt);
+  record.expectedWorkMs = job->workMs;
+  record.waitingJobs = waiting_.size();
+  record.readyServers = servers_.ReadyServers();
+  record.outcome = aOutcome;
+  hooks_.ended(record);
+}
+
+JobDispatcher::WaitingKey
+JobDispatcher::KeyOf(const Job& aJob) const
+{
+  return { aJob.queue.priority, aJob.latestStart, aJob.spec.id };
+}
+
+}
--- /dev/null
+++ b/src/coordination/dispatch/job_dispatcher.h
@@ -0,0 +1,207 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "coordination/dispatch/server_pool.h"
+#include "state/clock.h"
+#include "state/dispatch/dispatch_configuration.h"
+#include "state/dispatch/dispatch_job.h"
+
+namespace greengage::coordination {
+
+/** One caller's wait for the end of a job; chosen by the front. */
+using SubmissionId = std::uint64_t;
+
+/** A job that has ended, with what decided it, for the log and metrics. */
+struct JobRecord
+{
+  std::uint64_t job = 0;
+  std::string queue;
+  std::uint64_t configurationVersion = 0;
+  std::uint32_t tasks = 0;
+  std::uint32_t tasksDone = 0;
+  std::uint32_t runs = 0;
+  /** From the submission to the first run, or to the end if none started. */
+  std::chrono::milliseconds waited{ 0 };
+  std::chrono::milliseconds total{ 0 };
+  /** Response time that was aimed at, and the work it was taken from. */
+  std::chrono::milliseconds objective{ 0 };
+  double expectedWorkMs = 0;
+  std::size_t waitingJobs = 0;
+  std::size_t readyServers = 0;
+  state::DispatchOutcome outcome;
+};
+
+struct JobDispatcherHooks
+{
+  std::function<void(SubmissionId, const state::DispatchOutcome&)> answer;
+  std::function<void(const state::ProcessId& aAgent, DispatchOrders)> send;
+  std::function<void(const JobRecord&)> ended;
+  /** A run ended otherwise than done. */
+  std::function<void(const state::ProcessId& aAgent, const RunEnd&)> runEnded;
+};
+
+/** Counts over the life of a JobDispatcher. */
+struct DispatchCounters
+{
+  std::uint64_t submitted = 0;
+  std::uint64_t runsStarted = 0;
+  std::uint64_t runsStopped = 0;
+
+  auto operator<=>(const DispatchCounters&) const = default;
+};
+
+/**
+ * Owns the jobs that one entry accepted, from the submission to the answer, in
+ * memory only. Tasks wait here, where they can still be placed anywhere, until
+ * a server has room. Used by the control thread only.
+ */
+class JobDispatcher
+{
+public:
+  JobDispatcher(std::string aDataCentre,
+                double aFarFactor,
+                const state::Clock& aClock,
+                JobDispatcherHooks aHooks);
+
+  /** Jobs keep the queue under which they were submitted. */
+  void SetConfiguration(state::DispatchConfiguration aConfiguration);
+  const state::DispatchConfiguration& Configuration() const
+  {
+    return configuration_;
+  }
+
+  /**
+   * Takes a job, or rejects it at once if it cannot be served in time.
+   * @param aPatience how long the caller waits for the answer
+   */
+  void Submit(SubmissionId aSubmission,
+              const state::WorkQueue& aQueue,
+              state::DispatchJob aJob,
+              std::chrono::milliseconds aPatience);
+  /** The caller has gone; the job ends if nobody else waits for it. */
+  void Abandon(SubmissionId aSubmission);
+  /** False if the job is not known here. */
+  bool Cancel(std::uint64_t aJob);
+  bool IsKnown(std::uint64_t aJob) const { return jobs_.contains(aJob); }
+  /** Jobs of a queue of which no task has started. */
+  std::size_t PendingJobs(const std::string& aQueue) const;
+
+  void OnAgent(const ProcessInfo& aAgent);
+  void OnAgentGone(const state::ProcessId& aAgent);
+  /** The connection was lost and messages with it. */
+  void OnAgentDisconnected(const state::ProcessId& aAgent);
+  void OnReport(const state::ProcessId& aAgent, const ServerReport& aReport);
+
+  /** Call every 25 ms. */
+  void Tick();
+
+  std::size_t JobCount() const { return jobs_.size(); }
+  const ServerPool& Servers() const { return servers_; }
+  const DispatchCounters& Counters() const { return counters_; }
+
+private:
+  enum class TaskState
+  {
+    eWaiting,
+    eRunning,
+    /** Ordered to stop; it waits again once the agent says that it has. */
+    eStopping,
+    eDone,
+  };
+
+  struct Task
+  {
+    TaskState taskState = TaskState::eWaiting;
+    std::uint32_t run = 0;
+    std::uint32_t failures = 0;
+    state::ProcessId server;
+    state::MonotonicTime sentAt;
+    double expectedMs = 0;
+    bool overdue = false;
+  };
+
+  struct Step
+  {
+    std::vector<Task> tasks;
+    std::uint32_t done = 0;
+    std::uint32_t waiting = 0;
+    double workMs = 0;
+    std::map<state::ProcessId, std::uint32_t> runsByServer;
+  };
+
+  struct Job
+  {
+    state::DispatchJob spec;
+    state::WorkQueue queue;
+    std::vector<SubmissionId> submissions;
+    std::vector<Step> steps;
+    state::MonotonicTime submittedAt;
+    state::MonotonicTime objectiveAt;
+    /** An answer after this is worth nothing to the caller. */
+    state::MonotonicTime uselessAt;
+    state::MonotonicTime deadline;
+    state::MonotonicTime firstRunAt;
+    /** Latest start that meets the objective on the fastest server. */
+    state::MonotonicTime latestStart;
+    double workMs = 0;
+    std::uint32_t runs = 0;
+    bool started = false;
+    /** Servers on which a run of this job failed. */
+    std::set<state::ProcessId> failedOn;
+  };
+
+  using JobPointer = std::unique_ptr<Job>;
+  /** Priority, latest start, job: the order in which jobs get room. */
+  using WaitingKey =
+    std::tuple<std::uint32_t, state::MonotonicTime, std::uint64_t>;
+
+  void Prepare(Job& aJob, std::chrono::milliseconds aPatience);
+  PlacementRequest RequestFor(const Job& aJob, std::size_t aStep) const;
+  /** Reason to reject the new job at once; eNone if it is taken. */
+  state::DispatchReason ReasonToReject(const Job& aJob) const;
+  std::chrono::milliseconds RetryAfter() const;
+  bool IsReady(const Job& aJob, const state::DispatchStep& aStep) const;
+
+  void Place();
+  /** False if a task still waits. */
+  bool PlaceJob(Job& aJob);
+  bool PlaceStep(Job& aJob, std::size_t aStep);
+  void Start(Job& aJob,
+             std::size_t aStep,
+             std::uint32_t aIndex,
+             const Placement& aPlacement);
+  void SendOrders();
+
+  void OnRunEnd(const state::ProcessId& aAgent, const RunEnd& aEnd);
+  void OnTaskDone(Job& aJob, Step& aStep, Task& aTask, const RunEnd& aEnd);
+  void OnTaskFailed(Job& aJob, Task& aTask, const state::ProcessId& aAgent);
+  void WaitAgain(Job& aJob, Step& aStep, Task& aTask);
+  void CheckRunning(Job& aJob);
+  void StopRuns(Job& aJob);
+  /** Answers all callers and forgets the job. */
+  void End(std::uint64_t aJob, const state::DispatchOutcome& aOutcome);
+  WaitingKey KeyOf(const Job& aJob) const;
+
+  double farFactor_;
+  const state::Clock& clock_;
+  JobDispatcherHooks hooks_;
+  state::DispatchConfiguration configuration_;
+  ServerPool servers_;
+  std::map<std::uint64_t, JobPointer> jobs_;
+  std::map<SubmissionId, std::uint64_t> submissions_;
+  std::set<WaitingKey> waiting_;
+  /** Orders of the current step of work, sent at its end. */
+  std::map<state::ProcessId, DispatchOrders> outgoing_;
+  std::map<state::ProcessId, state::MonotonicTime> sentAt_;
+  DispatchCounters counters_;
+};
+
+}
--- /dev/null
+++ b/src/coordination/dispatch/run_keeper.cpp
@@ -0,0 +1,653 @@
+#include "coordination/dispatch/run_keeper.h"
+
+#include <algorithm>
+
+namespace greengage::coordination {
+
+using state::MonotonicTime;
+using state::ProcessId;
+using state::ResourceAmount;
+using state::RunKey;
+using std::chrono::milliseconds;
+
+namespace {
+
+/** Wait of a renewal while something runs: well below the longest lease. */
+constexpr milliseconds kBusyWait{ 400 };
+/** Longest wait that the server's interface allows. */
+constexpr milliseconds kIdleWait{ 2000 };
+/** A lease that was not extended for this long is renewed beside the wait. */
+constexpr milliseconds kRenewAfter{ 500 };
+/** Pause after a renewal that failed. */
+constexpr milliseconds kRenewRetry{ 100 };
+/** A stop order without an effect is repeated after this. */
+constexpr milliseconds kStopRetry{ 200 };
+/** The longest that a server takes to stop a run is 50 ms. */
+constexpr milliseconds kStopTime{ 60 };
+/** A server's clock may run 2% slow; leases are taken as this much longer. */
+constexpr milliseconds kLeaseMargin{ 50 };
+/** Connections hold messages for a few seconds at most. */
+constexpr milliseconds kWithdrawnMemory{ 10'000 };
+/** Room reports go to the entries of the same data centre this often ... */
+constexpr milliseconds kNearReportPeriod{ 25 };
+/** ... and to the others this often, because their bytes are paid for. */
+constexpr milliseconds kFarReportPeriod{ 100 };
+/** An entry that keeps its runs alive gets an answer at least this often. */
+constexpr milliseconds kAnswerPeriod{ 150 };
+/** Step by which a refused fencing token is raised; about one minute of ms. */
+constexpr std::uint64_t kTokenStep = 60'000;
+/** Renewals without an answer before the server counts as unreachable. */
+constexpr unsigned kFailedRenewals = 2;
+
+}
+
+RunKeeper::RunKeeper(const RunKeeperSettings& aSettings,
+                     std::uint64_t aFencingToken,
+                     const state::Clock& aClock,
+                     RunKeeperHooks aHooks)
+  : settings_(aSettings)
+  , fencingToken_(aFencingToken)
+  , clock_(aClock)
+  , hooks_(std::move(aHooks))
+{
+}
+
+ServerCondition
+RunKeeper::Condition() const
+{
+  if (!server_ || !reachable_) {
+    return ServerCondition::eUnreachable;
+  }
+  return serverDraining_ || draining_ ? ServerCondition::eDraining
+                                      : ServerCondition::eReady;
+}
+
+bool
+RunKeeper::OnAnnouncement(const ServerAnnouncement& aAnnouncement)
+{
+  bool sameLife = server_ && server_->id == aAnnouncement.description.id &&
+                  born_ == aAnnouncement.born;
+  if (sameLife && aAnnouncement.sequence <= sequence_) {
+    return false;
+  }
+  if (server_ && !sameLife && aAnnouncement.born < born_) {
+    return false;
+  }
+  auto before = Condition();
+  if (server_ && !sameLife) {
+    EndAll(RunEndKind::eLost, "the server has started again");
+    lastSeen_ = 0;
+    acknowledged_ = 0;
+    renewals_.clear();
+  }
+  if (server_ != aAnnouncement.description) {
+    server_ = aAnnouncement.description;
+    for (auto& [id, entry] : entries_) {
+      entry.needsDescription = true;
+    }
+  }
+  born_ = aAnnouncement.born;
+  sequence_ = aAnnouncement.sequence;
+  serverDraining_ = aAnnouncement.draining;
+  if (!sameLife) {
+    reachable_ = true;
+    SetServerClock(aAnnouncement.serverClock);
+  }
+  if (Condition() != before) {
+    MarkChanged();
+    hooks_.condition(Condition(),
+                     sameLife ? "announced" : "a new life of the server");
+    Flush(false);
+  }
+  if (renewals_.empty()) {
+    Renew(runs_.empty() ? kIdleWait : kBusyWait);
+  }
+  return true;
+}
+
+void
+RunKeeper::OnServerLeft(const std::string& aServerId)
+{
+  if (!server_ || server_->id != aServerId) {
+    return;
+  }
+  EndAll(RunEndKind::eLost, "the server has left");
+  server_.reset();
+  renewals_.clear();
+  MarkChanged();
+  hooks_.condition(Condition(), "left");
+  Flush(false);
+}
+
+void
+RunKeeper::OnEntry(const ProcessId& aEntry, bool aSameDataCentre)
+{
+  auto [entry, isNew] = entries_.try_emplace(aEntry);
+  entry->second.sameDataCentre = aSameDataCentre;
+  if (isNew) {
+    entry->second.heardAt = clock_.MonotonicNow();
+    SendReport(aEntry, entry->second);
+  }
+}
+
+void
+RunKeeper::OnEntryGone(const ProcessId& aEntry)
+{
+  entries_.erase(aEntry);
+  for (auto& [key, run] : runs_) {
+    if (run.entry == aEntry && !run.stopWanted) {
+      Note("stop", key, aEntry, "entry_gone");
+      Stop(key, run);
+    }
+  }
+}
+
+void
+RunKeeper::OnOrders(const ProcessId& aEntry, const DispatchOrders& aOrders)
+{
+  Entry& entry = entries_[aEntry];
+  auto now = clock_.MonotonicNow();
+  entry.heardAt = now;
+  for (const RunBatch& batch : aOrders.starts) {
+    for (const RunOrder& order : batch.runs) {
+      TakeStart(aEntry, batch, order);
+    }
+  }
+  for (const RunKey& run : aOrders.stops) {
+    TakeStop(aEntry, run);
+  }
+  for (const RunKey& run : aOrders.checks) {
+    TakeCheck(aEntry, run);
+  }
+  if (now - entry.reportedAt >= kAnswerPeriod) {
+    SendReport(aEntry, entry);
+  }
+  Flush(true);
+}
+
+void
+RunKeeper::TakeStart(const ProcessId& aEntry,
+                     const RunBatch& aBatch,
+                     const RunOrder& aOrder)
+{
+  RunKey key{ { aBatch.job, aBatch.step, aOrder.index }, aOrder.run };
+  if (withdrawn_.contains(key)) {
+    Refuse(aEntry, key, RunEndKind::eUnanswered, "withdrawn");
+    return;
+  }
+  if (Condition() != ServerCondition::eReady) {
+    Refuse(aEntry, key, RunEndKind::eRefused, "server_not_ready");
+    return;
+  }
+  if (HasOtherRun(key, aEntry)) {
+    Refuse(aEntry, key, RunEndKind::eOutdated, "task_runs_here");
+    return;
+  }
+  if (!Fits(aBatch.need, server_->capacity - used_)) {
+    Refuse(aEntry, key, RunEndKind::eNoRoom, "no_room");
+    return;
+  }
+  Run run;
+  run.entry = aEntry;
+  run.need = aBatch.need;
+  run.orderedAt = clock_.MonotonicNow();
+  leaseExtendedAt_ =
+    runs_.empty() ? run.orderedAt : std::min(leaseExtendedAt_, run.orderedAt);
+  runs_.emplace(key, run);
+  used_ = used_ + aBatch.need;
+  MarkChanged();
+  hooks_.start({ key, aBatch.payload, fencingToken_, LeaseEnd() });
+}
+
+bool
+RunKeeper::HasOtherRun(const RunKey& aRun, const ProcessId& aEntry)
+{
+  bool found = false;
+  RunKey first{ aRun.task, 0 };
+  for (auto run = runs_.lower_bound(first);
+       run != runs_.end() && run->first.task == aRun.task;
+       ++run) {
+    found = true;
+    // The caller has submitted the job again elsewhere: the older submission
+    // is of no use to anybody.
+    if (run->second.entry != aEntry && !run->second.stopWanted) {
+      Note("stop", run->first, run->second.entry, "superseded");
+      Stop(run->first, run->second);
+    }
+  }
+  return found;
+}
+
+void
+RunKeeper::TakeStop(const ProcessId& aEntry, const RunKey& aRun)
+{
+  auto run = runs_.find(aRun);
+  if (run == runs_.end()) {
+    withdrawn_[aRun] = clock_.MonotonicNow();
+    Refuse(aEntry, aRun, RunEndKind::eStopped, "not_here");
+    return;
+  }
+  if (!run->second.stopWanted) {
+    Note("stop", aRun, aEntry, "ordered");
+    Stop(aRun, run->second);
+  }
+}
+
+void
+RunKeeper::TakeCheck(const ProcessId& aEntry, const RunKey& aRun)
+{
+  if (runs_.contains(aRun)) {
+    return;
+  }
+  withdrawn_[aRun] = clock_.MonotonicNow();
+  Refuse(aEntry, aRun, RunEndKind::eLost, "not_here");
+}
+
+void
+RunKeeper::Refuse(const ProcessId& aEntry,
+                  const RunKey& aRun,
+                  RunEndKind aKind,
+                  const char* aReason)
+{
+  entries_[aEntry].ends.push_back({ aRun, aKind, 0 });
+  Note("refuse", aRun, aEntry, aReason);
+}
+
+void
+RunKeeper::Stop(const RunKey& aKey, Run& aRun)
+{
+  aRun.stopWanted = true;
+  // A start that is still unanswered is stopped as well: the order makes the
+  // server refuse the run for good.
+  aRun.phase = Phase::eStopping;
+  aRun.stopSentAt = clock_.MonotonicNow();
+  hooks_.stop({ aKey, fencingToken_ });
+}
+
+void
+RunKeeper::OnStartAnswer(const RunKey& aRun, StartAnswer aAnswer)
+{
+  auto found = runs_.find(aRun);
+  if (found == runs_.end()) {
+    return;
+  }
+  Run& run = found->second;
+  switch (aAnswer) {
+    case StartAnswer::eStarted:
+      run.seen = true;
+      run.startedAt = clock_.MonotonicNow();
+      if (run.phase == Phase::eStarting) {
+        run.phase = Phase::eRunning;
+      }
+      return;
+    case StartAnswer::eNoRoom:
+      Note("start_failed", aRun, run.entry, "no_room_at_server");
+      End(found, RunEndKind::eNoRoom);
+      break;
+    case StartAnswer::eOutdated:
+      Note("start_failed", aRun, run.entry, "outdated");
+      End(found, RunEndKind::eOutdated);
+      break;
+    case StartAnswer::eLate:
+      Note("start_failed", aRun, run.entry, "lease_ended");
+      End(found, RunEndKind::eUnanswered);
+      break;
+    case StartAnswer::eFenced:
+      Note("start_failed", aRun, run.entry, "fenced");
+      fencingToken_ += kTokenStep;
+      End(found, RunEndKind::eRefused);
+      break;
+    case StartAnswer::eRefused:
+      Note("start_failed", aRun, run.entry, "refused_by_server");
+      End(found, RunEndKind::eRefused);
+      break;
+    case StartAnswer::eUnreachable:
+      Note("start_failed", aRun, run.entry, "unreachable");
+      End(found, RunEndKind::eRefused);
+      SetReachable(false, "connection refused");
+      break;
+    case StartAnswer::eNoAnswer:
+      if (!run.seen && run.phase == Phase::eStarting) {
+        Note("stop", aRun, run.entry, "start_unanswered");
+        Stop(aRun, run);
+      }
+      return;
+  }
+  Flush(true);
+}
+
+void
+RunKeeper::OnStopAnswer(const RunKey& aRun, bool aAnswered)
+{
+  unknownStops_.erase(aRun);
+  auto found = runs_.find(aRun);
+  if (found == runs_.end() || !aAnswered) {
+    return;
+  }
+  auto now = clock_.MonotonicNow();
+  if (!found->second.stopAnsweredAt) {
+    found->second.stopAnsweredAt = now;
+  }
+  if (!found->second.seen) {
+    // Either it was never started, or the server stops it now; the next list
+    // after the time of a stop tells that it is gone.
+    nextRenewAt_ = std::min(nextRenewAt_, now + kStopTime);
+  }
+}
+
+void
+RunKeeper::OnRenewAnswer(std::uint64_t aNumber, const RenewAnswer& aAnswer)
+{
+  auto renewal = renewals_.find(aNumber);
+  if (renewal == renewals_.end()) {
+    return;
+  }
+  PendingRenewal sent = renewal->second;
+  renewals_.erase(renewal);
+  failedRenewals_ = 0;
+  if (aAnswer.born != 0 && aAnswer.born != born_) {
+    // Another life of the server; its announcement follows.
+    EndAll(RunEndKind::eLost, "the server has started again");
+    born_ = aAnswer.born;
+    sequence_ = 0;
+    lastSeen_ = 0;
+    sent.lastSeen = 0;
+  }
+  acknowledged_ = std::max(acknowledged_, sent.lastSeen);
+  SetServerClock(aAnswer.serverClock);
+  SetReachable(true, "renewed");
+  for (const ListedEnd& end : aAnswer.ended) {
+    lastSeen_ = std::max(lastSeen_, end.number);
+    auto run = runs_.find(end.run);
+    if (run != runs_.end()) {
+      End(run, end.kind);
+    }
+  }
+  CheckListed(aAnswer, sent.sentAt);
+  Flush(true);
+  if (sent.waits || HasUnacknowledgedEnds()) {
+    bool waiting = std::any_of(renewals_.begin(),
+                               renewals_.end(),
+                               [](const auto& r) { return r.second.waits; });
+    if (!waiting) {
+      Renew(runs_.empty() ? kIdleWait : kBusyWait);
+    }
+  }
+}
+
+void
+RunKeeper::CheckListed(const RenewAnswer& aAnswer, MonotonicTime aSentAt)
+{
+  std::set<RunKey> listed(aAnswer.running.begin(), aAnswer.running.end());
+  for (const RunKey& key : aAnswer.running) {
+    auto run = runs_.find(key);
+    if (run == runs_.end()) {
+      StopUnknown(key);
+    } else if (!run->second.seen) {
+      run->second.seen = true;
+      run->second.startedAt = clock_.MonotonicNow();
+      if (run->second.phase == Phase::eStarting) {
+        run->second.phase = Phase::eRunning;
+      }
+    }
+  }
+  for (auto run = runs_.begin(); run != runs_.end();) {
+    auto next = std::next(run);
+    const Run& value = run->second;
+    bool gone = false;
+    if (!listed.contains(run->first)) {
+      // What started or stopped before the question must be in its answer.
+      bool started = value.seen && value.startedAt < aSentAt;
+      bool stopped =
+        value.stopAnsweredAt && *value.stopAnsweredAt + kStopTime <= aSentAt;
+      gone = started || stopped;
+    }
+    if (gone) {
+      Note("end", run->first, value.entry, "not_listed");
+      End(run, value.seen ? RunEndKind::eLost : RunEndKind::eUnanswered);
+    }
+    run = next;
+  }
+}
+
+void
+RunKeeper::StopUnknown(const RunKey& aRun)
+{
+  auto now = clock_.MonotonicNow();
+  auto [stop, isNew] = unknownStops_.try_emplace(aRun, now);
+  if (!isNew && now - stop->second < kStopRetry) {
+    return;
+  }
+  stop->second = now;
+  Note("stop", aRun, {}, "not_ordered_here");
+  hooks_.stop({ aRun, fencingToken_ });
+}
+
+void
+RunKeeper::OnRenewFailed(std::uint64_t aNumber, RenewFailure aFailure)
+{
+  auto renewal = renewals_.find(aNumber);
+  if (renewal == renewals_.end()) {
+    return;
+  }
+  renewals_.erase(renewal);
+  nextRenewAt_ = clock_.MonotonicNow() + kRenewRetry;
+  switch (aFailure) {
+    case RenewFailure::eFenced:
+      fencingToken_ += kTokenStep;
+      return;
+    case RenewFailure::eUnreachable:
+      EndAll(RunEndKind::eLost, "the server has ended");
+      SetReachable(false, "connection refused");
+      break;
+    case RenewFailure::eNoAnswer:
+      if (++failedRenewals_ >= kFailedRenewals) {
+        SetReachable(false, "no answer");
+      }
+      break;
+  }
+  Flush(true);
+}
+
+void
+RunKeeper::StartDraining()
+{
+  draining_ = true;
+  MarkChanged();
+  Flush(false);
+}
+
+void
+RunKeeper::Tick()
+{
+  auto now = clock_.MonotonicNow();
+  StopSilentEntries();
+  for (auto& [key, run] : runs_) {
+    bool retry = run.stopWanted && !run.stopAnsweredAt &&
+                 now - run.stopSentAt >= kStopRetry;
+    if (retry) {
+      Stop(key, run);
+    }
+  }
+  KeepLeases();
+  auto expired = [now](const auto& aItem) {
+    return now - aItem.second >= kWithdrawnMemory;
+  };
+  std::erase_if(withdrawn_, expired);
+  std::erase_if(unknownStops_, expired);
+  Flush(false);
+}
+
+void
+RunKeeper::KeepLeases()
+{
+  if (!server_) {
+    return;
+  }
+  auto now = clock_.MonotonicNow();
+  auto leaseLength = settings_.maxLease + kLeaseMargin;
+  if (!runs_.empty() && !reachable_ && now - leaseExtendedAt_ > leaseLength) {
+    EndAll(RunEndKind::eLost, "the leases have ended");
+  }
+  bool waiting = std::any_of(renewals_.begin(),
+                             renewals_.end(),
+                             [](const auto& r) { return r.second.waits; });
+  if (!waiting && now >= nextRenewAt_) {
+    Renew(runs_.empty() ? kIdleWait : kBusyWait);
+    return;
+  }
+  bool stopAnswered = std::any_of(runs_.begin(), runs_.end(), [](const auto& r) {
+    return r.second.stopAnsweredAt && !r.second.seen;
+  });
+  bool old = !runs_.empty() && now - leaseExtendedAt_ >= kRenewAfter;
+  if (now >= nextRenewAt_ && (old || stopAnswered)) {
+    Renew(milliseconds(0));
+  }
+}
+
+void
+RunKeeper::Renew(milliseconds aWait)
+{
+  if (!server_) {
+    return;
+  }
+  auto now = clock_.MonotonicNow();
+  std::uint64_t number = nextRenewal_++;
+  renewals_[number] = { now, lastSeen_, aWait.count() > 0 };
+  leaseExtendedAt_ = now;
+  nextRenewAt_ = now + kRenewRetry;
+  hooks_.renew({ number, fencingToken_, lastSeen_, LeaseEnd(), aWait });
+}
+
+void
+RunKeeper::StopSilentEntries()
+{
+  auto now = clock_.MonotonicNow();
+  for (auto& [key, run] : runs_) {
+    if (run.stopWanted) {
+      continue;
+    }
+    auto entry = entries_.find(run.entry);
+    bool silent = entry == entries_.end() ||
+                  now - entry->second.heardAt > settings_.entrySilence;
+    if (silent) {
+      Note("stop", key, run.entry, "entry_silent");
+      Stop(key, run);
+    }
+  }
+}
+
+void
+RunKeeper::End(Runs::iterator aRun, RunEndKind aKind)
+{
+  auto [key, run] = *aRun;
+  runs_.erase(aRun);
+  used_ = used_ - run.need;
+  MarkChanged();
+  std::uint32_t runTime = 0;
+  if (run.seen) {
+    runTime = static_cast<std::uint32_t>(
+      std::chrono::duration_cast<milliseconds>(clock_.MonotonicNow() -
+                                               run.orderedAt)
+        .count());
+  }
+  if (aKind != RunEndKind::eDone) {
+    Note("end", key, run.entry, ToString(aKind));
+  }
+  auto entry = entries_.find(run.entry);
+  if (entry != entries_.end()) {
+    entry->second.ends.push_back({ key, aKind, runTime });
+  }
+}
+
+void
+RunKeeper::EndAll(RunEndKind aKind, const std::string& aReason)
+{
+  while (!runs_.empty()) {
+    Note("end", runs_.begin()->first, runs_.begin()->second.entry, aReason);
+    End(runs_.begin(), aKind);
+  }
+}
+
+void
+RunKeeper::SetReachable(bool aReachable, const std::string& aReason)
+{
+  if (reachable_ == aReachable) {
+    return;
+  }
+  reachable_ = aReachable;
+  MarkChanged();
+  hooks_.condition(Condition(), aReason);
+}
+
+void
+RunKeeper::MarkChanged()
+{
+  for (auto& [id, entry] : entries_) {
+    entry.changed = true;
+  }
+}
+
+void
+RunKeeper::Flush(bool aOnlyEnds)
+{
+  auto now = clock_.MonotonicNow();
+  for (auto& [id, entry] : entries_) {
+    auto period = entry.sameDataCentre ? kNearReportPeriod : kFarReportPeriod;
+    bool due = !aOnlyEnds && entry.changed && now - entry.reportedAt >= period;
+    if (due || !entry.ends.empty()) {
+      SendReport(id, entry);
+    }
+  }
+}
+
+void
+RunKeeper::SendReport(const ProcessId& aId, Entry& aEntry)
+{
+  ServerReport report;
+  if (aEntry.needsDescription && server_) {
+    report.description = *server_;
+    aEntry.needsDescription = false;
+  }
+  report.condition = Condition();
+  report.usedByOthers = used_;
+  for (const auto& [key, run] : runs_) {
+    if (run.entry == aId) {
+      report.usedByOthers = report.usedByOthers - run.need;
+    }
+  }
+  report.ends = std::move(aEntry.ends);
+  aEntry.ends.clear();
+  aEntry.changed = false;
+  aEntry.reportedAt = clock_.MonotonicNow();
+  hooks_.report(aId, report);
+}
+
+milliseconds
+RunKeeper::LeaseEnd() const
+{
+  auto now = std::chrono::duration_cast<milliseconds>(
+    clock_.MonotonicNow().time_since_epoch());
+  return now + clockOffset_ + settings_.maxLease;
+}
+
+void
+RunKeeper::SetServerClock(milliseconds aServerClock)
+{
+  auto now = std::chrono::duration_cast<milliseconds>(
+    clock_.MonotonicNow().time_since_epoch());
+  clockOffset_ = aServerClock - now;
+}
+
+void
+RunKeeper::Note(const char* aDecision,
+                const RunKey& aRun,
+                const ProcessId& aEntry,
+                std::string aReason) const
+{
+  if (hooks_.note) {
+    hooks_.note({ aDecision, aRun, aEntry, std::move(aReason) });
+  }
+}
+
+}
--- /dev/null
+++ b/src/coordination/dispatch/server_pool.cpp
@@ -0,0 +1,321 @@
+#include "coordination/dispatch/server_pool.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace greengage::coordination {
+
+using state::ProcessId;
+using state::ResourceAmount;
+using state::RunKey;
+using std::chrono::milliseconds;
+
+namespace {
+
+/**
+ * Weight of another data centre in the choice, in units of the logarithm of
+ * speed: less than the difference between slow and fast servers (0.8), more
+ * than the noise of learned speeds.
+ */
+constexpr double kFarCost = 0.25;
+/** Weight of a full server against an empty one, in the same unit. */
+constexpr double kFillCost = 0.3;
+/** Failures in a row, of any jobs, that take a server out of use. */
+constexpr unsigned kFailuresToEject = 3;
+constexpr milliseconds kFirstEjection{ 1000 };
+constexpr unsigned kMaxEjectionDoublings = 4;
+/** Pause after a refused start; a report of the new state comes by then. */
+constexpr milliseconds kRefusedPause{ 50 };
+/** An agent that was not heard for this long gets no new runs. */
+constexpr milliseconds kSilence{ 800 };
+
+}
+
+ServerPool::ServerPool(std::string aDataCentre, const state::Clock& aClock)
+  : dataCentre_(std::move(aDataCentre))
+  , clock_(aClock)
+  , model_(aClock)
+{
+}
+
+void
+ServerPool::OnAgent(const ProcessInfo& aAgent)
+{
+  servers_[aAgent.id].agent = aAgent;
+}
+
+std::vector<RunKey>
+ServerPool::OnAgentGone(const ProcessId& aAgent)
+{
+  auto runs = RunsOn(aAgent);
+  servers_.erase(aAgent);
+  model_.Forget(aAgent);
+  return runs;
+}
+
+void
+ServerPool::OnReport(const ProcessId& aAgent, const ServerReport& aReport)
+{
+  Server& server = servers_[aAgent];
+  if (aReport.description) {
+    if (server.description && server.description->id != aReport.description->id) {
+      // Another machine may stand behind the same agent.
+      model_.Forget(aAgent);
+      server.failuresInRow = 0;
+      server.ejections = 0;
+      server.avoidUntil = {};
+    }
+    server.description = aReport.description;
+  }
+  server.condition = aReport.condition;
+  server.usedByOthers = aReport.usedByOthers;
+  server.heardAt = clock_.MonotonicNow();
+}
+
+bool
+ServerPool::IsUsable(const Server& aServer,
+                     const PlacementRequest& aRequest) const
+{
+  if (!aServer.description || aServer.condition != ServerCondition::eReady ||
+      aServer.description->service != aRequest.service) {
+    return false;
+  }
+  const auto& labels = aServer.description->labels;
+  if (!aRequest.requiredLabel.empty() &&
+      std::find(labels.begin(), labels.end(), aRequest.requiredLabel) ==
+        labels.end()) {
+    return false;
+  }
+  return Fits(aRequest.need, aServer.description->capacity);
+}
+
+bool
+ServerPool::HasRoom(const Server& aServer,
+                    const PlacementRequest& aRequest) const
+{
+  auto now = clock_.MonotonicNow();
+  if (now < aServer.avoidUntil) {
+    return false;
+  }
+  if (!aServer.runs.empty() && now - aServer.heardAt > kSilence) {
+    return false;
+  }
+  // A server that was ejected proves itself with one run at a time.
+  if (aServer.ejections > 0 && !aServer.runs.empty()) {
+    return false;
+  }
+  return Fits(aRequest.need,
+              aServer.description->capacity -
+                (aServer.usedByOthers + aServer.own));
+}
+
+double
+ServerPool::RunTime(const Server& aServer,
+                    const PlacementRequest& aRequest) const
+{
+  double time = aRequest.workMs / model_.Speed(aServer.agent.id);
+  if (!aRequest.dataRack.empty()) {
+    const auto& labels = aServer.description->labels;
+    bool near = std::find(labels.begin(), labels.end(), aRequest.dataRack) !=
+                labels.end();
+    time *= near ? 1 : aRequest.farFactor;
+  }
+  return time;
+}
+
+double
+ServerPool::Cost(const Server& aServer, double aRunTimeMs, double aWorkMs) const
+{
+  const ResourceAmount& capacity = aServer.description->capacity;
+  double used = aServer.usedByOthers.cpuMillicores + aServer.own.cpuMillicores;
+  double fill = used / std::max<double>(1, capacity.cpuMillicores);
+  // Fast servers are kept for tasks that only they can finish in time.
+  double speed = std::log(aWorkMs / std::max(1.0, aRunTimeMs));
+  double far = aServer.agent.dataCentre == dataCentre_ ? 0 : kFarCost;
+  return speed + far + kFillCost * fill;
+}
+
+std::optional<Placement>
+ServerPool::Choose(const PlacementRequest& aRequest,
+                   const std::map<ProcessId, std::uint32_t>& aStepRuns,
+                   std::uint32_t aMaxPerServer) const
+{
+  std::optional<Placement> best;
+  double bestCost = 0;
+  for (const auto& [id, server] : servers_) {
+    if (!IsUsable(server, aRequest) || !HasRoom(server, aRequest)) {
+      continue;
+    }
+    auto stepRuns = aStepRuns.find(id);
+    if (aMaxPerServer != 0 && stepRuns != aStepRuns.end() &&
+        stepRuns->second >= aMaxPerServer) {
+      continue;
+    }
+    double time = RunTime(server, aRequest);
+    if (time > aRequest.latestMs) {
+      continue;
+    }
+    bool meets = time <= aRequest.objectiveMs;
+    // Among servers that miss the objective the fastest is best.
+    double cost =
+      meets ? Cost(server, time, aRequest.workMs) : std::log(time);
+    bool better = !best || (meets && !best->meetsObjective) ||
+                  (meets == best->meetsObjective && cost < bestCost);
+    if (better) {
+      best = Placement{ id, time, meets };
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+std::optional<double>
+ServerPool::ShortestRunTime(const PlacementRequest& aRequest) const
+{
+  std::optional<double> shortest;
+  for (const auto& [id, server] : servers_) {
+    if (!IsUsable(server, aRequest)) {
+      continue;
+    }
+    double time = RunTime(server, aRequest);
+    if (!shortest || time < *shortest) {
+      shortest = time;
+    }
+  }
+  return shortest;
+}
+
+void
+ServerPool::OnRunSent(const ProcessId& aServer,
+                      const RunKey& aRun,
+                      const ResourceAmount& aNeed)
+{
+  Server& server = servers_[aServer];
+  if (server.runs.empty()) {
+    // Silence counts from the first order on; an idle agent says nothing.
+    server.heardAt = clock_.MonotonicNow();
+  }
+  server.runs[aRun] = aNeed;
+  server.own = server.own + aNeed;
+}
+
+bool
+ServerPool::OnRunEnded(const ProcessId& aServer, const RunKey& aRun)
+{
+  auto server = servers_.find(aServer);
+  if (server == servers_.end()) {
+    return false;
+  }
+  auto run = server->second.runs.find(aRun);
+  if (run == server->second.runs.end()) {
+    return false;
+  }
+  server->second.own = server->second.own - run->second;
+  server->second.runs.erase(run);
+  return true;
+}
+
+void
+ServerPool::OnRunDone(const ProcessId& aServer)
+{
+  Server& server = servers_[aServer];
+  server.failuresInRow = 0;
+  server.ejections = 0;
+}
+
+void
+ServerPool::OnRunFailed(const ProcessId& aServer)
+{
+  Server& server = servers_[aServer];
+  ++server.failuresInRow;
+  bool onTrial = server.ejections > 0;
+  if (server.failuresInRow < kFailuresToEject && !onTrial) {
+    return;
+  }
+  auto pause = kFirstEjection *
+               (1 << std::min(server.ejections, kMaxEjectionDoublings));
+  server.avoidUntil = clock_.MonotonicNow() + pause;
+  server.failuresInRow = 0;
+  ++server.ejections;
+}
+
+void
+ServerPool::OnRefused(const ProcessId& aServer)
+{
+  Server& server = servers_[aServer];
+  server.avoidUntil =
+    std::max(server.avoidUntil, clock_.MonotonicNow() + kRefusedPause);
+}
+
+std::vector<RunKey>
+ServerPool::RunsOn(const ProcessId& aServer) const
+{
+  std::vector<RunKey> runs;
+  auto server = servers_.find(aServer);
+  if (server != servers_.end()) {
+    for (const auto& [key, need] : server->second.runs) {
+      runs.push_back(key);
+    }
+  }
+  return runs;
+}
+
+std::vector<ProcessId>
+ServerPool::AgentsInUse() const
+{
+  std::vector<ProcessId> agents;
+  for (const auto& [id, server] : servers_) {
+    if (!server.runs.empty()) {
+      agents.push_back(id);
+    }
+  }
+  return agents;
+}
+
+std::vector<ProcessId>
+ServerPool::Agents() const
+{
+  std::vector<ProcessId> agents;
+  for (const auto& [id, server] : servers_) {
+    agents.push_back(id);
+  }
+  return agents;
+}
+
+std::size_t
+ServerPool::ReadyServers() const
+{
+  auto ready =
+    std::count_if(servers_.begin(), servers_.end(), [](const auto& aServer) {
+      return aServer.second.description &&
+             aServer.second.condition == ServerCondition::eReady;
+    });
+  return static_cast<std::size_t>(ready);
+}
+
+state::MonotonicTime
+ServerPool::HeardAt(const ProcessId& aAgent) const
+{
+  auto server = servers_.find(aAgent);
+  return server == servers_.end() ? state::MonotonicTime()
+                                  : server->second.heardAt;
+}
+
+std::optional<ProcessId>
+ServerPool::OlderOnAddress(const ProcessInfo& aAgent) const
+{
+  for (const auto& [id, server] : servers_) {
+    if (id != aAgent.id && server.agent.peerAddress == aAgent.peerAddress) {
+      return id;
+    }
+  }
+  return std::nullopt;
+}
+
+bool
+ServerPool::Knows(const ProcessId& aAgent) const
+{
+  return servers_.contains(aAgent);
+}
+
+}
--- a/src/coordination/messages.h
+++ b/src/coordination/messages.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "coordination/dispatch/dispatch_messages.h"
 #include "state/job_outcome.h"
 #include "state/job_spec.h"
 #include "state/ownership_token.h"
@@ -271,6 +272,9 @@
                                  OwnerAnnouncement,
                                  ConfigurationPull,
                                  ConfigurationRecords,
-                                 DrainAgent>;
+                                 DrainAgent,
+                                 DispatchOrders,
+                                 ServerReport,
+                                 ConfigurationCopy>;
 
 }
--- /dev/null
+++ b/src/daemon/dispatch/dispatch_agent_process.cpp
@@ -0,0 +1,296 @@
+#include "daemon/dispatch/dispatch_agent_process.h"
+
+#include "daemon/status_server.h"
+#include "transport/endpoint.h"
+#include "transport/event_log.h"
+
+namespace greengage::daemon {
+
+using namespace coordination;
+using state::ProcessId;
+using std::chrono::milliseconds;
+using transport::HttpRequest;
+using transport::HttpResponder;
+using transport::HttpResponse;
+using transport::LogEvent;
+namespace events = transport::events;
+
+namespace {
+
+constexpr milliseconds kTickPeriod{ 25 };
+constexpr unsigned kTicksPerMembershipTick = 2;
+/** Latest end after a stop signal; the platform kills after 6 s. */
+constexpr milliseconds kStopLimit{ 5000 };
+/** Leaves time for the last reports to be sent. */
+constexpr milliseconds kLastReports{ 100 };
+
+/**
+ * Milliseconds since 1970: higher than the token of an earlier agent of the
+ * server, which keeps the highest it has seen. After a step back of the clock
+ * the server refuses the token, and RunKeeper raises it.
+ */
+std::uint64_t
+FirstFencingToken(const state::Clock& aClock)
+{
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<milliseconds>(
+      aClock.WallNow().time_since_epoch())
+      .count());
+}
+
+const char*
+ToString(ServerCondition aCondition)
+{
+  switch (aCondition) {
+    case ServerCondition::eReady:
+      return "ready";
+    case ServerCondition::eDraining:
+      return "draining";
+    case ServerCondition::eUnreachable:
+      return "unreachable";
+  }
+  return "unknown";
+}
+
+}
+
+DispatchAgentProcess::DispatchAgentProcess(
+  const DispatchAgentSettings& aSettings)
+  : settings_(aSettings)
+  , peers_(traffic_, control_, clock_, MakePeerHooks())
+  , keeper_(aSettings.runs,
+            FirstFencingToken(clock_),
+            clock_,
+            MakeKeeperHooks())
+  , announcements_(traffic_,
+                   [this](const HttpRequest& aRequest, HttpResponder aRespond) {
+                     auto notice = server_.decodeNotice(aRequest);
+                     if (!notice) {
+                       LogEvent(events::kAnnouncementRefused,
+                                "target={} status={} reason={}",
+                                transport::QuoteValue(aRequest.target),
+                                notice.error().status,
+                                transport::QuoteValue(notice.error().body));
+                       aRespond(std::move(notice.error()));
+                       return;
+                     }
+                     control_.Post([this,
+                                    value = *std::move(notice),
+                                    respond = std::move(aRespond)] {
+                       OnNotice(value, respond);
+                     });
+                   })
+  , metricsServer_(traffic_,
+                   [this](const HttpRequest&, HttpResponder aRespond) {
+                     control_.Post([this, respond = std::move(aRespond)] {
+                       respond(MetricsResponse(metrics_.ToPrometheusText()));
+                     });
+                   })
+{
+}
+
+DispatchAgentProcess::~DispatchAgentProcess()
+{
+  control_.Stop();
+  traffic_.Stop();
+}
+
+RunKeeperHooks
+DispatchAgentProcess::MakeKeeperHooks()
+{
+  RunKeeperHooks hooks;
+  hooks.start = [this](const StartRunCall& aCall) {
+    server_.start(aCall, [this, run = aCall.run](StartAnswer aAnswer) {
+      keeper_.OnStartAnswer(run, aAnswer);
+    });
+  };
+  hooks.stop = [this](const StopRunCall& aCall) {
+    server_.stop(aCall, [this, run = aCall.run](bool aAnswered) {
+      keeper_.OnStopAnswer(run, aAnswered);
+    });
+  };
+  hooks.renew = [this](const RenewCall& aCall) {
+    server_.renew(
+      aCall,
+      [this, number = aCall.number](
+        const tl::expected<RenewAnswer, RenewFailure>& aAnswer) {
+        if (aAnswer) {
+          keeper_.OnRenewAnswer(number, *aAnswer);
+        } else {
+          keeper_.OnRenewFailed(number, aAnswer.error());
+        }
+      });
+  };
+  hooks.report = [this](const ProcessId& aEntry, const ServerReport& aReport) {
+    peers_.Send(aEntry, aReport);
+  };
+  hooks.note = [this](const RunNote& aNote) {
+    dispatchMetrics_.OnRunDecision(aNote);
+    LogEvent(events::kRunDecision,
+             "decision={} job={:016x} step={} task={} run={} entry={} "
+             "reason={} runs={}",
+             aNote.decision,
+             aNote.run.task.job,
+             aNote.run.task.step,
+             aNote.run.task.index,
+             aNote.run.run,
+             aNote.entry.ToString(),
+             transport::QuoteValue(aNote.reason),
+             keeper_.RunCount());
+  };
+  hooks.condition = [this](ServerCondition aCondition,
+                           const std::string& aReason) {
+    LogEvent(events::kServerCondition,
+             "condition={} server={} reason={} runs={}",
+             ToString(aCondition),
+             keeper_.Server() ? keeper_.Server()->id : "none",
+             transport::QuoteValue(aReason),
+             keeper_.RunCount());
+  };
+  return hooks;
+}
+
+PeerNodeHooks
+DispatchAgentProcess::MakePeerHooks()
+{
+  PeerNodeHooks hooks;
+  hooks.alive = [this](const ProcessInfo& aPeer) { OnPeerAlive(aPeer); };
+  hooks.gone = [this](const ProcessId& aPeer) {
+    if (entries_.erase(aPeer) > 0) {
+      keeper_.OnEntryGone(aPeer);
+    }
+  };
+  hooks.disconnected = [](const ProcessId&) {};
+  hooks.received = [this](const ProcessInfo& aFrom,
+                          const PeerMessage& aMessage) {
+    OnPeerMessage(aFrom, aMessage);
+  };
+  return hooks;
+}
+
+tl::expected<void, DaemonError>
+DispatchAgentProcess::Start()
+{
+  auto joined = peers_.Start(settings_.peer);
+  if (!joined) {
+    return joined;
+  }
+  auto servers = StartServers();
+  if (!servers) {
+    return servers;
+  }
+  control_.Every(kTickPeriod, [this] { OnTick(); });
+  control_.Start();
+  traffic_.Start();
+  LogEvent(events::kProcessStarted,
+           "peer={} announcements={} metrics={} data_centre={}",
+           peers_.Self().peerAddress,
+           settings_.announceAddress,
+           settings_.metricsAddress,
+           settings_.peer.dataCentre);
+  return {};
+}
+
+tl::expected<void, DaemonError>
+DispatchAgentProcess::StartServers()
+{
+  for (auto [server, address] :
+       { std::pair(&announcements_, &settings_.announceAddress),
+         std::pair(&metricsServer_, &settings_.metricsAddress) }) {
+    if (address->empty()) {
+      continue;
+    }
+    auto endpoint = transport::ParseEndpoint(*address);
+    if (!endpoint) {
+      return tl::unexpected(DaemonError{ endpoint.error().message });
+    }
+    auto bound = server->Start(*endpoint);
+    if (!bound) {
+      return tl::unexpected(DaemonError{ bound.error().message });
+    }
+  }
+  return {};
+}
+
+void
+DispatchAgentProcess::Stop(std::function<void()> aDone)
+{
+  control_.Post([this, done = std::move(aDone)] {
+    LogEvent(events::kProcessStopping, "runs={}", keeper_.RunCount());
+    stopped_ = done;
+    stopRequestedAt_ = clock_.MonotonicNow();
+    keeper_.StartDraining();
+  });
+}
+
+void
+DispatchAgentProcess::OnNotice(const ServerNotice& aNotice,
+                               const HttpResponder& aRespond)
+{
+  if (const auto* announcement = std::get_if<ServerAnnouncement>(&aNotice)) {
+    keeper_.OnAnnouncement(*announcement);
+  } else {
+    keeper_.OnServerLeft(std::get<ServerLeave>(aNotice).serverId);
+  }
+  HttpResponse response;
+  response.body = "{}";
+  aRespond(std::move(response));
+}
+
+void
+DispatchAgentProcess::OnPeerAlive(const ProcessInfo& aPeer)
+{
+  if (aPeer.role != ProcessRole::eEntry) {
+    return;
+  }
+  bool isNew = entries_.insert_or_assign(aPeer.id, aPeer).second;
+  keeper_.OnEntry(aPeer.id, aPeer.dataCentre == settings_.peer.dataCentre);
+  if (isNew && configuration_) {
+    peers_.Send(aPeer.id, *configuration_);
+  }
+}
+
+void
+DispatchAgentProcess::OnPeerMessage(const ProcessInfo& aFrom,
+                                    const PeerMessage& aMessage)
+{
+  if (const auto* orders = std::get_if<DispatchOrders>(&aMessage)) {
+    keeper_.OnOrders(aFrom.id, *orders);
+  } else if (const auto* copy = std::get_if<ConfigurationCopy>(&aMessage)) {
+    if (!configuration_ || copy->version > configuration_->version) {
+      configuration_ = *copy;
+    }
+  }
+}
+
+void
+DispatchAgentProcess::OnTick()
+{
+  keeper_.Tick();
+  if (++ticks_ % kTicksPerMembershipTick == 0) {
+    peers_.Tick();
+  }
+  if (stopped_) {
+    FinishStop();
+  }
+}
+
+void
+DispatchAgentProcess::FinishStop()
+{
+  auto elapsed = clock_.MonotonicNow() - stopRequestedAt_;
+  bool idle = keeper_.RunCount() == 0 && !keeper_.HasUnacknowledgedEnds();
+  if (!idle && elapsed < kStopLimit) {
+    return;
+  }
+  auto stopped = std::exchange(stopped_, nullptr);
+  peers_.Leave();
+  peers_.Tick();
+  control_.After(kLastReports, [this, stopped] {
+    peers_.Stop();
+    LogEvent(events::kProcessStopped, "reason=request");
+    stopped();
+  });
+}
+
+}
--- /dev/null
+++ b/src/daemon/dispatch/dispatch_metrics.cpp
@@ -0,0 +1,68 @@
+#include "daemon/dispatch/dispatch_metrics.h"
+
+#include <fmt/format.h>
+
+namespace greengage::daemon {
+
+using transport::MetricLabel;
+
+DispatchMetrics::DispatchMetrics(transport::MetricsRegistry& aMetrics)
+  : metrics_(aMetrics)
+{
+}
+
+void
+DispatchMetrics::OnJobEnded(const coordination::JobRecord& aRecord)
+{
+  OnRefused(aRecord.outcome);
+  if (aRecord.outcome.result != state::DispatchResult::eCompleted) {
+    return;
+  }
+  std::string queue = MetricLabel("queue", aRecord.queue);
+  metrics_
+    .FindLatency({ "greengage_job_seconds", queue },
+                 "Time from submission to answer of completed jobs")
+    .Record(aRecord.total);
+  metrics_
+    .FindLatency({ "greengage_job_wait_seconds", queue },
+                 "Time from submission to first run of completed jobs")
+    .Record(aRecord.waited);
+}
+
+void
+DispatchMetrics::OnRefused(const state::DispatchOutcome& aOutcome)
+{
+  metrics_
+    .FindCounter(
+      { "greengage_jobs_ended_total",
+        fmt::format("{},{}",
+                    MetricLabel("result", ToString(aOutcome.result)),
+                    MetricLabel("reason", ToString(aOutcome.reason))) },
+      "Jobs by result and reason")
+    .Add();
+}
+
+void
+DispatchMetrics::OnRunEnded(const coordination::RunEnd& aEnd)
+{
+  metrics_
+    .FindCounter(
+      { "greengage_runs_not_done_total",
+        MetricLabel("kind", coordination::ToString(aEnd.kind)) },
+      "Runs that ended otherwise than done; each is tried again or fails")
+    .Add();
+}
+
+void
+DispatchMetrics::OnRunDecision(const coordination::RunNote& aNote)
+{
+  metrics_
+    .FindCounter({ "greengage_run_decisions_total",
+                   fmt::format("{},{}",
+                               MetricLabel("decision", aNote.decision),
+                               MetricLabel("reason", aNote.reason)) },
+                 "Runs refused, stopped or lost by reason")
+    .Add();
+}
+
+}
--- a/src/daemon/run_daemon.h
+++ b/src/daemon/run_daemon.h
@@ -14,6 +14,7 @@
   if (aParsed.exitCode) {
     return *aParsed.exitCode;
   }
+  transport::SetLogNonBlocking();
   transport::SetLogLevel(aParsed.settings.common.logLevel);
   Process process(aParsed.settings);
   auto started = process.Start();
--- /dev/null
+++ b/src/protocol/dispatch_codec.cpp
@@ -0,0 +1,204 @@
+#include "protocol/dispatch_codec.h"
+
+namespace greengage::protocol {
+
+using namespace coordination;
+using state::ResourceAmount;
+using state::RunKey;
+
+namespace {
+
+::capnp::Text::Reader
+ToText(const std::string& aText)
+{
+  return { aText.c_str(), aText.size() };
+}
+
+void
+Encode(const ResourceAmount& aAmount, wire::ResourceAmount::Builder aBuilder)
+{
+  aBuilder.setCpuMillicores(aAmount.cpuMillicores);
+  aBuilder.setMemoryMb(aAmount.memoryMb);
+  aBuilder.setGpus(aAmount.gpus);
+}
+
+ResourceAmount
+Decode(wire::ResourceAmount::Reader aReader)
+{
+  return { aReader.getCpuMillicores(),
+           aReader.getMemoryMb(),
+           aReader.getGpus() };
+}
+
+void
+Encode(const RunKey& aKey, wire::RunKey::Builder aBuilder)
+{
+  aBuilder.setJob(aKey.task.job);
+  aBuilder.setStep(aKey.task.step);
+  aBuilder.setIndex(aKey.task.index);
+  aBuilder.setRun(aKey.run);
+}
+
+RunKey
+Decode(wire::RunKey::Reader aReader)
+{
+  return { { aReader.getJob(), aReader.getStep(), aReader.getIndex() },
+           aReader.getRun() };
+}
+
+template<class Init>
+void
+EncodeKeys(const std::vector<RunKey>& aKeys, const Init& aInit)
+{
+  if (aKeys.empty()) {
+    return;
+  }
+  auto keys = aInit(static_cast<unsigned>(aKeys.size()));
+  for (unsigned i = 0; i < aKeys.size(); ++i) {
+    Encode(aKeys[i], keys[i]);
+  }
+}
+
+std::vector<RunKey>
+DecodeKeys(::capnp::List<wire::RunKey>::Reader aReader)
+{
+  std::vector<RunKey> keys;
+  for (auto key : aReader) {
+    keys.push_back(Decode(key));
+  }
+  return keys;
+}
+
+void
+Encode(const RunBatch& aBatch, wire::RunBatch::Builder aBuilder)
+{
+  aBuilder.setJob(aBatch.job);
+  aBuilder.setStep(aBatch.step);
+  Encode(aBatch.need, aBuilder.initNeed());
+  aBuilder.setPayload(ToText(aBatch.payload));
+  auto runs = aBuilder.initRuns(static_cast<unsigned>(aBatch.runs.size()));
+  for (unsigned i = 0; i < aBatch.runs.size(); ++i) {
+    runs[i].setIndex(aBatch.runs[i].index);
+    runs[i].setRun(aBatch.runs[i].run);
+  }
+}
+
+RunBatch
+Decode(wire::RunBatch::Reader aReader)
+{
+  RunBatch batch{ aReader.getJob(),
+                  aReader.getStep(),
+                  Decode(aReader.getNeed()),
+                  aReader.getPayload(),
+                  {} };
+  for (auto run : aReader.getRuns()) {
+    batch.runs.push_back({ run.getIndex(), run.getRun() });
+  }
+  return batch;
+}
+
+void
+Encode(const ServerDescription& aDescription,
+       wire::ServerDescription::Builder aBuilder)
+{
+  aBuilder.setId(ToText(aDescription.id));
+  aBuilder.setService(ToText(aDescription.service));
+  auto labels =
+    aBuilder.initLabels(static_cast<unsigned>(aDescription.labels.size()));
+  for (unsigned i = 0; i < aDescription.labels.size(); ++i) {
+    labels.set(i, ToText(aDescription.labels[i]));
+  }
+  Encode(aDescription.capacity, aBuilder.initCapacity());
+}
+
+ServerDescription
+Decode(wire::ServerDescription::Reader aReader)
+{
+  ServerDescription description{ aReader.getId(),
+                                 aReader.getService(),
+                                 {},
+                                 Decode(aReader.getCapacity()) };
+  for (auto label : aReader.getLabels()) {
+    description.labels.push_back(label);
+  }
+  return description;
+}
+
+}
+
+void
+EncodeDispatchOrders(const DispatchOrders& aOrders,
+                     wire::DispatchOrders::Builder aBuilder)
+{
+  // Empty lists stay null, so that a keep-alive is a few bytes.
+  if (!aOrders.starts.empty()) {
+    auto starts =
+      aBuilder.initStarts(static_cast<unsigned>(aOrders.starts.size()));
+    for (unsigned i = 0; i < aOrders.starts.size(); ++i) {
+      Encode(aOrders.starts[i], starts[i]);
+    }
+  }
+  EncodeKeys(aOrders.stops,
+             [&](unsigned aSize) { return aBuilder.initStops(aSize); });
+  EncodeKeys(aOrders.checks,
+             [&](unsigned aSize) { return aBuilder.initChecks(aSize); });
+}
+
+DispatchOrders
+DecodeDispatchOrders(wire::DispatchOrders::Reader aReader)
+{
+  DispatchOrders orders;
+  for (auto batch : aReader.getStarts()) {
+    orders.starts.push_back(Decode(batch));
+  }
+  orders.stops = DecodeKeys(aReader.getStops());
+  orders.checks = DecodeKeys(aReader.getChecks());
+  return orders;
+}
+
+void
+EncodeServerReport(const ServerReport& aReport,
+                   wire::ServerReport::Builder aBuilder)
+{
+  if (aReport.description) {
+    Encode(*aReport.description, aBuilder.initDescription());
+  }
+  aBuilder.setCondition(static_cast<std::uint8_t>(aReport.condition));
+  Encode(aReport.usedByOthers, aBuilder.initUsedByOthers());
+  if (aReport.ends.empty()) {
+    return;
+  }
+  auto ends = aBuilder.initEnds(static_cast<unsigned>(aReport.ends.size()));
+  for (unsigned i = 0; i < aReport.ends.size(); ++i) {
+    const RunEnd& end = aReport.ends[i];
+    Encode(end.run, ends[i].initRun());
+    ends[i].setKind(static_cast<std::uint8_t>(end.kind));
+    ends[i].setRunTimeMs(end.runTimeMs);
+  }
+}
+
+tl::expected<ServerReport, ProtocolError>
+DecodeServerReport(wire::ServerReport::Reader aReader)
+{
+  ServerReport report;
+  if (aReader.hasDescription()) {
+    report.description = Decode(aReader.getDescription());
+  }
+  if (aReader.getCondition() >
+      static_cast<std::uint8_t>(ServerCondition::eUnreachable)) {
+    return tl::unexpected(ProtocolError{ "condition", "is not known" });
+  }
+  report.condition = static_cast<ServerCondition>(aReader.getCondition());
+  report.usedByOthers = Decode(aReader.getUsedByOthers());
+  for (auto end : aReader.getEnds()) {
+    if (end.getKind() > static_cast<std::uint8_t>(RunEndKind::eUnanswered)) {
+      return tl::unexpected(ProtocolError{ "ends", "kind is not known" });
+    }
+    report.ends.push_back({ Decode(end.getRun()),
+                            static_cast<RunEndKind>(end.getKind()),
+                            end.getRunTimeMs() });
+  }
+  return report;
+}
+
+}
--- /dev/null
+++ b/src/protocol/dispatch_codec.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <tl/expected.hpp>
+
+#include "coordination/dispatch/dispatch_messages.h"
+#include "protocol/peer.capnp.h"
+#include "protocol/protocol_error.h"
+
+namespace greengage::protocol {
+
+void
+EncodeDispatchOrders(const coordination::DispatchOrders& aOrders,
+                     wire::DispatchOrders::Builder aBuilder);
+
+coordination::DispatchOrders
+DecodeDispatchOrders(wire::DispatchOrders::Reader aReader);
+
+void
+EncodeServerReport(const coordination::ServerReport& aReport,
+                   wire::ServerReport::Builder aBuilder);
+
+/** Kinds and conditions that are not known are errors. */
+tl::expected<coordination::ServerReport, ProtocolError>
+DecodeServerReport(wire::ServerReport::Reader aReader);
+
+}
--- a/src/protocol/peer.capnp
+++ b/src/protocol/peer.capnp
@@ -102,6 +102,37 @@
 struct ConfigurationRecord { offset @0 :UInt64; data @1 :Text; }
 struct ConfigurationRecords { version @0 :UInt64; records @1 :List(ConfigurationRecord); }
 
+struct ResourceAmount { cpuMillicores @0 :UInt32; memoryMb @1 :UInt32; gpus @2 :UInt32; }
+struct RunKey { job @0 :UInt64; step @1 :UInt32; index @2 :UInt32; run @3 :UInt32; }
+struct RunOrder { index @0 :UInt32; run @1 :UInt32; }
+
+struct RunBatch {
+  job @0 :UInt64;
+  step @1 :UInt32;
+  need @2 :ResourceAmount;
+  payload @3 :Text;
+  runs @4 :List(RunOrder);
+}
+
+struct DispatchOrders { starts @0 :List(RunBatch); stops @1 :List(RunKey); checks @2 :List(RunKey); }
+struct RunEnd { run @0 :RunKey; kind @1 :UInt8; runTimeMs @2 :UInt32; }
+
+struct ServerDescription {
+  id @0 :Text;
+  service @1 :Text;
+  labels @2 :List(Text);
+  capacity @3 :ResourceAmount;
+}
+
+struct ServerReport {
+  description @0 :ServerDescription;
+  condition @1 :UInt8;
+  usedByOthers @2 :ResourceAmount;
+  ends @3 :List(RunEnd);
+}
+
+struct ConfigurationCopy { version @0 :UInt64; document @1 :Text; }
+
 struct Message {
   union {
     hello @0 :ProcessInfo;
@@ -123,6 +154,9 @@
     configurationPull @16 :ConfigurationPull;
     configurationRecords @17 :ConfigurationRecords;
     drainAgent @18 :ProcessId;
+    dispatchOrders @19 :DispatchOrders;
+    serverReport @20 :ServerReport;
+    configurationCopy @21 :ConfigurationCopy;
   }
 }
 
--- a/src/protocol/peer.capnp.h
+++ b/src/protocol/peer.capnp.h
@@ -42,6 +42,15 @@
 CAPNP_DECLARE_SCHEMA(d018ed4f8a9ef08a);
 CAPNP_DECLARE_SCHEMA(af21c1cde40746d9);
 CAPNP_DECLARE_SCHEMA(e10e731c4d908a62);
+CAPNP_DECLARE_SCHEMA(f8b04dfd12118bd1);
+CAPNP_DECLARE_SCHEMA(fad1ac1ad2718b78);
+CAPNP_DECLARE_SCHEMA(8c358a3186081d70);
+CAPNP_DECLARE_SCHEMA(89a00dba17279571);
+CAPNP_DECLARE_SCHEMA(8f83b833ad458241);
+CAPNP_DECLARE_SCHEMA(af57177a6cb1bd80);
+CAPNP_DECLARE_SCHEMA(a8ef758c52fb4d63);
+CAPNP_DECLARE_SCHEMA(8e56a30d3aac5bdc);
+CAPNP_DECLARE_SCHEMA(ea995fa53d9467fc);
 CAPNP_DECLARE_SCHEMA(bb64938c7a25711b);
 CAPNP_DECLARE_SCHEMA(b6ba8552e622b86f);
 
@@ -442,6 +451,141 @@
   };
 };
 
+struct ResourceAmount {
+  ResourceAmount() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f8b04dfd12118bd1, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RunKey {
+  RunKey() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fad1ac1ad2718b78, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RunOrder {
+  RunOrder() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8c358a3186081d70, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RunBatch {
+  RunBatch() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(89a00dba17279571, 2, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct DispatchOrders {
+  DispatchOrders() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8f83b833ad458241, 0, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RunEnd {
+  RunEnd() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(af57177a6cb1bd80, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ServerDescription {
+  ServerDescription() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a8ef758c52fb4d63, 0, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ServerReport {
+  ServerReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8e56a30d3aac5bdc, 1, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ConfigurationCopy {
+  ConfigurationCopy() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ea995fa53d9467fc, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Message {
   Message() = delete;
 
@@ -468,6 +612,9 @@
     CONFIGURATION_PULL,
     CONFIGURATION_RECORDS,
     DRAIN_AGENT,
+    DISPATCH_ORDERS,
+    SERVER_REPORT,
+    CONFIGURATION_COPY,
   };
 
   struct _capnpPrivate {
@@ -3127,9 +3274,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Message::Reader {
+class ResourceAmount::Reader {
 public:
-  typedef Message Reads;
+  typedef ResourceAmount Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3144,82 +3291,99 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline Which which() const;
-  inline bool isHello() const;
-  inline bool hasHello() const;
-  inline  ::greengage::protocol::wire::ProcessInfo::Reader getHello() const;
+  inline  ::uint32_t getCpuMillicores() const;
 
-  inline bool isSubmitJob() const;
-  inline bool hasSubmitJob() const;
-  inline  ::greengage::protocol::wire::SubmitJob::Reader getSubmitJob() const;
+  inline  ::uint32_t getMemoryMb() const;
 
-  inline bool isJobAnswer() const;
-  inline bool hasJobAnswer() const;
-  inline  ::greengage::protocol::wire::JobAnswer::Reader getJobAnswer() const;
+  inline  ::uint32_t getGpus() const;
 
-  inline bool isQueryJob() const;
-  inline bool hasQueryJob() const;
-  inline  ::greengage::protocol::wire::JobReference::Reader getQueryJob() const;
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-  inline bool isCancelJob() const;
-  inline bool hasCancelJob() const;
-  inline  ::greengage::protocol::wire::JobReference::Reader getCancelJob() const;
+class ResourceAmount::Builder {
+public:
+  typedef ResourceAmount Builds;
 
-  inline bool isStartTasks() const;
-  inline bool hasStartTasks() const;
-  inline  ::greengage::protocol::wire::StartTasks::Reader getStartTasks() const;
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-  inline bool isTaskResults() const;
-  inline bool hasTaskResults() const;
-  inline  ::greengage::protocol::wire::TaskResults::Reader getTaskResults() const;
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-  inline bool isCancelTasks() const;
-  inline bool hasCancelTasks() const;
-  inline  ::greengage::protocol::wire::CancelTasks::Reader getCancelTasks() const;
+  inline  ::uint32_t getCpuMillicores();
+  inline void setCpuMillicores( ::uint32_t value);
 
-  inline bool isFence() const;
-  inline bool hasFence() const;
-  inline  ::greengage::protocol::wire::Fence::Reader getFence() const;
+  inline  ::uint32_t getMemoryMb();
+  inline void setMemoryMb( ::uint32_t value);
 
-  inline bool isFenceReply() const;
-  inline bool hasFenceReply() const;
-  inline  ::greengage::protocol::wire::FenceReply::Reader getFenceReply() const;
+  inline  ::uint32_t getGpus();
+  inline void setGpus( ::uint32_t value);
 
-  inline bool isHistoryQuery() const;
-  inline bool hasHistoryQuery() const;
-  inline  ::greengage::protocol::wire::HistoryQuery::Reader getHistoryQuery() const;
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
-  inline bool isHistoryReply() const;
-  inline bool hasHistoryReply() const;
-  inline  ::greengage::protocol::wire::HistoryReply::Reader getHistoryReply() const;
+#if !CAPNP_LITE
+class ResourceAmount::Pipeline {
+public:
+  typedef ResourceAmount Pipelines;
 
-  inline bool isAgentStatus() const;
-  inline bool hasAgentStatus() const;
-  inline  ::greengage::protocol::wire::AgentStatus::Reader getAgentStatus() const;
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
-  inline bool isLeaseRequest() const;
-  inline bool hasLeaseRequest() const;
-  inline  ::greengage::protocol::wire::LeaseRequest::Reader getLeaseRequest() const;
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
 
-  inline bool isLeaseReply() const;
-  inline bool hasLeaseReply() const;
-  inline  ::greengage::protocol::wire::LeaseReply::Reader getLeaseReply() const;
+class RunKey::Reader {
+public:
+  typedef RunKey Reads;
 
-  inline bool isOwnerAnnouncement() const;
-  inline bool hasOwnerAnnouncement() const;
-  inline  ::greengage::protocol::wire::OwnerAnnouncement::Reader getOwnerAnnouncement() const;
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline bool isConfigurationPull() const;
-  inline bool hasConfigurationPull() const;
-  inline  ::greengage::protocol::wire::ConfigurationPull::Reader getConfigurationPull() const;
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-  inline bool isConfigurationRecords() const;
-  inline bool hasConfigurationRecords() const;
-  inline  ::greengage::protocol::wire::ConfigurationRecords::Reader getConfigurationRecords() const;
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-  inline bool isDrainAgent() const;
-  inline bool hasDrainAgent() const;
-  inline  ::greengage::protocol::wire::ProcessId::Reader getDrainAgent() const;
+  inline  ::uint64_t getJob() const;
+
+  inline  ::uint32_t getStep() const;
+
+  inline  ::uint32_t getIndex() const;
+
+  inline  ::uint32_t getRun() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3233,9 +3397,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Message::Builder {
+class RunKey::Builder {
 public:
-  typedef Message Builds;
+  typedef RunKey Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3249,158 +3413,98 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline Which which();
-  inline bool isHello();
-  inline bool hasHello();
-  inline  ::greengage::protocol::wire::ProcessInfo::Builder getHello();
-  inline void setHello( ::greengage::protocol::wire::ProcessInfo::Reader value);
-  inline  ::greengage::protocol::wire::ProcessInfo::Builder initHello();
-  inline void adoptHello(::capnp::Orphan< ::greengage::protocol::wire::ProcessInfo>&& value);
-  inline ::capnp::Orphan< ::greengage::protocol::wire::ProcessInfo> disownHello();
+  inline  ::uint64_t getJob();
+  inline void setJob( ::uint64_t value);
 
-  inline bool isSubmitJob();
-  inline bool hasSubmitJob();
-  inline  ::greengage::protocol::wire::SubmitJob::Builder getSubmitJob();
-  inline void setSubmitJob( ::greengage::protocol::wire::SubmitJob::Reader value);
-  inline  ::greengage::protocol::wire::SubmitJob::Builder initSubmitJob();
-  inline void adoptSubmitJob(::capnp::Orphan< ::greengage::protocol::wire::SubmitJob>&& value);
-  inline ::capnp::Orphan< ::greengage::protocol::wire::SubmitJob> disownSubmitJob();
+  inline  ::uint32_t getStep();
+  inline void setStep( ::uint32_t value);
 
-  inline bool isJobAnswer();
-  inline bool hasJobAnswer();
-  inline  ::greengage::protocol::wire::JobAnswer::Builder getJobAnswer();
-  inline void setJobAnswer( ::greengage::protocol::wire::JobAnswer::Reader value);
-  inline  ::greengage::protocol::wire::JobAnswer::Builder initJobAnswer();
-  inline void adoptJobAnswer(::capnp::Orphan< ::greengage::protocol::wire::JobAnswer>&& value);
-  inline ::capnp::Orphan< ::greengage::protocol::wire::JobAnswer> disownJobAnswer();
+  inline  ::uint32_t getIndex();
+  inline void setIndex( ::uint32_t value);
 
-  inline bool isQueryJob();
-  inline bool hasQueryJob();
-  inline  ::greengage::protocol::wire::JobReference::Builder getQueryJob();
-  inline void setQueryJob( ::greengage::protocol::wire::JobReference::Reader value);
-  inline  ::greengage::protocol::wire::JobReference::Builder initQueryJob();
-  inline void adoptQueryJob(::capnp::Orphan< ::greengage::protocol::wire::JobReference>&& value);
-  inline ::capnp::Orphan< ::greengage::protocol::wire::JobReference> disownQueryJob();
+  inline  ::uint32_t getRun();
+  inline void setRun( ::uint32_t value);
 
-  inline bool isCancelJob();
-  inline bool hasCancelJob();
-  inline  ::greengage::protocol::wire::JobReference::Builder getCancelJob();
-  inline void setCancelJob( ::greengage::protocol::wire::JobReference::Reader value);
-  inline  ::greengage::protocol::wire::JobReference::Builder initCancelJob();
-  inline void adoptCancelJob(::capnp::Orphan< ::greengage::protocol::wire::JobReference>&& value);
-  inline ::capnp::Orphan< ::greengage::protocol::wire::JobReference> disownCancelJob();
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
-  inline bool isStartTasks();
-  inline bool hasStartTasks();
-  inline  ::greengage::protocol::wire::StartTasks::Builder getStartTasks();
-  inline void setStartTasks( ::greengage::protocol::wire::StartTasks::Reader value);
-  inline  ::greengage::protocol::wire::StartTasks::Builder initStartTasks();
-  inline void adoptStartTasks(::capnp::Orphan< ::greengage::protocol::wire::StartTasks>&& value);
-  inline ::capnp::Orphan< ::greengage::protocol::wire::StartTasks> disownStartTasks();
+#if !CAPNP_LITE
+class RunKey::Pipeline {
+public:
+  typedef RunKey Pipelines;
 
-  inline bool isTaskResults();
-  inline bool hasTaskResults();
-  inline  ::greengage::protocol::wire::TaskResults::Builder getTaskResults();
-  inline void setTaskResults( ::greengage::protocol::wire::TaskResults::Reader value);
-  inline  ::greengage::protocol::wire::TaskResults::Builder initTaskResults();
-  inline void adoptTaskResults(::capnp::Orphan< ::greengage::protocol::wire::TaskResults>&& value);
-  inline ::capnp::Orphan< ::greengage::protocol::wire::TaskResults> disownTaskResults();
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
-  inline bool isCancelTasks();
-  inline bool hasCancelTasks();
-  inline  ::greengage::protocol::wire::CancelTasks::Builder getCancelTasks();
-  inline void setCancelTasks( ::greengage::protocol::wire::CancelTasks::Reader value);
-  inline  ::greengage::protocol::wire::CancelTasks::Builder initCancelTasks();
-  inline void adoptCancelTasks(::capnp::Orphan< ::greengage::protocol::wire::CancelTasks>&& value);
-  inline ::capnp::Orphan< ::greengage::protocol::wire::CancelTasks> disownCancelTasks();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
 
-  inline bool isFence();
-  inline bool hasFence();
-  inline  ::greengage::protocol::wire::Fence::Builder getFence();
-  inline void setFence( ::greengage::protocol::wire::Fence::Reader value);
-  inline  ::greengage::protocol::wire::Fence::Builder initFence();
-  inline void adoptFence(::capnp::Orphan< ::greengage::protocol::wire::Fence>&& value);
-  inline ::capnp::Orphan< ::greengage::protocol::wire::Fence> disownFence();
+class RunOrder::Reader {
+public:
+  typedef RunOrder Reads;
 
-  inline bool isFenceReply();
-  inline bool hasFenceReply();
-  inline  ::greengage::protocol::wire::FenceReply::Builder getFenceReply();
-  inline void setFenceReply( ::greengage::protocol::wire::FenceReply::Reader value);
-  inline  ::greengage::protocol::wire::FenceReply::Builder initFenceReply();
-  inline void adoptFenceReply(::capnp::Orphan< ::greengage::protocol::wire::FenceReply>&& value);
-  inline ::capnp::Orphan< ::greengage::protocol::wire::FenceReply> disownFenceReply();
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline bool isHistoryQuery();
-  inline bool hasHistoryQuery();
-  inline  ::greengage::protocol::wire::HistoryQuery::Builder getHistoryQuery();
-  inline void setHistoryQuery( ::greengage::protocol::wire::HistoryQuery::Reader value);
-  inline  ::greengage::protocol::wire::HistoryQuery::Builder initHistoryQuery();
-  inline void adoptHistoryQuery(::capnp::Orphan< ::greengage::protocol::wire::HistoryQuery>&& value);
-  inline ::capnp::Orphan< ::greengage::protocol::wire::HistoryQuery> disownHistoryQuery();
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-  inline bool isHistoryReply();
-  inline bool hasHistoryReply();
-  inline  ::greengage::protocol::wire::HistoryReply::Builder getHistoryReply();
-  inline void setHistoryReply( ::greengage::protocol::wire::HistoryReply::Reader value);
-  inline  ::greengage::protocol::wire::HistoryReply::Builder initHistoryReply();
-  inline void adoptHistoryReply(::capnp::Orphan< ::greengage::protocol::wire::HistoryReply>&& value);
-  inline ::capnp::Orphan< ::greengage::protocol::wire::HistoryReply> disownHistoryReply();
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-  inline bool isAgentStatus();
-  inline bool hasAgentStatus();
-  inline  ::greengage::protocol::wire::AgentStatus::Builder getAgentStatus();
-  inline void setAgentStatus( ::greengage::protocol::wire::AgentStatus::Reader value);
-  inline  ::greengage::protocol::wire::AgentStatus::Builder initAgentStatus();
-  inline void adoptAgentStatus(::capnp::Orphan< ::greengage::protocol::wire::AgentStatus>&& value);
-  inline ::capnp::Orphan< ::greengage::protocol::wire::AgentStatus> disownAgentStatus();
+  inline  ::uint32_t getIndex() const;
 
-  inline bool isLeaseRequest();
-  inline bool hasLeaseRequest();
-  inline  ::greengage::protocol::wire::LeaseRequest::Builder getLeaseRequest();
-  inline void setLeaseRequest( ::greengage::protocol::wire::LeaseRequest::Reader value);
-  inline  ::greengage::protocol::wire::LeaseRequest::Builder initLeaseRequest();
-  inline void adoptLeaseRequest(::capnp::Orphan< ::greengage::protocol::wire::LeaseRequest>&& value);
-  inline ::capnp::Orphan< ::greengage::protocol::wire::LeaseRequest> disownLeaseRequest();
+  inline  ::uint32_t getRun() const;
 
-  inline bool isLeaseReply();
-  inline bool hasLeaseReply();
-  inline  ::greengage::protocol::wire::LeaseReply::Builder getLeaseReply();
-  inline void setLeaseReply( ::greengage::protocol::wire::LeaseReply::Reader value);
-  inline  ::greengage::protocol::wire::LeaseReply::Builder initLeaseReply();
-  inline void adoptLeaseReply(::capnp::Orphan< ::greengage::protocol::wire::LeaseReply>&& value);
-  inline ::capnp::Orphan< ::greengage::protocol::wire::LeaseReply> disownLeaseReply();
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-  inline bool isOwnerAnnouncement();
-  inline bool hasOwnerAnnouncement();
-  inline  ::greengage::protocol::wire::OwnerAnnouncement::Builder getOwnerAnnouncement();
-  inline void setOwnerAnnouncement( ::greengage::protocol::wire::OwnerAnnouncement::Reader value);
-  inline  ::greengage::protocol::wire::OwnerAnnouncement::Builder initOwnerAnnouncement();
-  inline void adoptOwnerAnnouncement(::capnp::Orphan< ::greengage::protocol::wire::OwnerAnnouncement>&& value);
-  inline ::capnp::Orphan< ::greengage::protocol::wire::OwnerAnnouncement> disownOwnerAnnouncement();
+class RunOrder::Builder {
+public:
+  typedef RunOrder Builds;
 
-  inline bool isConfigurationPull();
-  inline bool hasConfigurationPull();
-  inline  ::greengage::protocol::wire::ConfigurationPull::Builder getConfigurationPull();
-  inline void setConfigurationPull( ::greengage::protocol::wire::ConfigurationPull::Reader value);
-  inline  ::greengage::protocol::wire::ConfigurationPull::Builder initConfigurationPull();
-  inline void adoptConfigurationPull(::capnp::Orphan< ::greengage::protocol::wire::ConfigurationPull>&& value);
-  inline ::capnp::Orphan< ::greengage::protocol::wire::ConfigurationPull> disownConfigurationPull();
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-  inline bool isConfigurationRecords();
-  inline bool hasConfigurationRecords();
-  inline  ::greengage::protocol::wire::ConfigurationRecords::Builder getConfigurationRecords();
-  inline void setConfigurationRecords( ::greengage::protocol::wire::ConfigurationRecords::Reader value);
-  inline  ::greengage::protocol::wire::ConfigurationRecords::Builder initConfigurationRecords();
-  inline void adoptConfigurationRecords(::capnp::Orphan< ::greengage::protocol::wire::ConfigurationRecords>&& value);
-  inline ::capnp::Orphan< ::greengage::protocol::wire::ConfigurationRecords> disownConfigurationRecords();
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-  inline bool isDrainAgent();
-  inline bool hasDrainAgent();
-  inline  ::greengage::protocol::wire::ProcessId::Builder getDrainAgent();
-  inline void setDrainAgent( ::greengage::protocol::wire::ProcessId::Reader value);
-  inline  ::greengage::protocol::wire::ProcessId::Builder initDrainAgent();
-  inline void adoptDrainAgent(::capnp::Orphan< ::greengage::protocol::wire::ProcessId>&& value);
-  inline ::capnp::Orphan< ::greengage::protocol::wire::ProcessId> disownDrainAgent();
+  inline  ::uint32_t getIndex();
+  inline void setIndex( ::uint32_t value);
+
+  inline  ::uint32_t getRun();
+  inline void setRun( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3412,9 +3516,9 @@
 };
 
 #if !CAPNP_LITE
-class Message::Pipeline {
+class RunOrder::Pipeline {
 public:
-  typedef Message Pipelines;
+  typedef RunOrder Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3428,9 +3532,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Frame::Reader {
+class RunBatch::Reader {
 public:
-  typedef Frame Reads;
+  typedef RunBatch Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3445,8 +3549,18 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasMessages() const;
-  inline  ::capnp::List< ::greengage::protocol::wire::Message,  ::capnp::Kind::STRUCT>::Reader getMessages() const;
+  inline  ::uint64_t getJob() const;
+
+  inline  ::uint32_t getStep() const;
+
+  inline bool hasNeed() const;
+  inline  ::greengage::protocol::wire::ResourceAmount::Reader getNeed() const;
+
+  inline bool hasPayload() const;
+  inline  ::capnp::Text::Reader getPayload() const;
+
+  inline bool hasRuns() const;
+  inline  ::capnp::List< ::greengage::protocol::wire::RunOrder,  ::capnp::Kind::STRUCT>::Reader getRuns() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3460,9 +3574,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Frame::Builder {
+class RunBatch::Builder {
 public:
-  typedef Frame Builds;
+  typedef RunBatch Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3476,12 +3590,32 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasMessages();
-  inline  ::capnp::List< ::greengage::protocol::wire::Message,  ::capnp::Kind::STRUCT>::Builder getMessages();
-  inline void setMessages( ::capnp::List< ::greengage::protocol::wire::Message,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::greengage::protocol::wire::Message,  ::capnp::Kind::STRUCT>::Builder initMessages(unsigned int size);
-  inline void adoptMessages(::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::Message,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::Message,  ::capnp::Kind::STRUCT>> disownMessages();
+  inline  ::uint64_t getJob();
+  inline void setJob( ::uint64_t value);
+
+  inline  ::uint32_t getStep();
+  inline void setStep( ::uint32_t value);
+
+  inline bool hasNeed();
+  inline  ::greengage::protocol::wire::ResourceAmount::Builder getNeed();
+  inline void setNeed( ::greengage::protocol::wire::ResourceAmount::Reader value);
+  inline  ::greengage::protocol::wire::ResourceAmount::Builder initNeed();
+  inline void adoptNeed(::capnp::Orphan< ::greengage::protocol::wire::ResourceAmount>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::ResourceAmount> disownNeed();
+
+  inline bool hasPayload();
+  inline  ::capnp::Text::Builder getPayload();
+  inline void setPayload( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPayload(unsigned int size);
+  inline void adoptPayload(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPayload();
+
+  inline bool hasRuns();
+  inline  ::capnp::List< ::greengage::protocol::wire::RunOrder,  ::capnp::Kind::STRUCT>::Builder getRuns();
+  inline void setRuns( ::capnp::List< ::greengage::protocol::wire::RunOrder,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::greengage::protocol::wire::RunOrder,  ::capnp::Kind::STRUCT>::Builder initRuns(unsigned int size);
+  inline void adoptRuns(::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::RunOrder,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::RunOrder,  ::capnp::Kind::STRUCT>> disownRuns();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3493,14 +3627,15 @@
 };
 
 #if !CAPNP_LITE
-class Frame::Pipeline {
+class RunBatch::Pipeline {
 public:
-  typedef Frame Pipelines;
+  typedef RunBatch Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::greengage::protocol::wire::ResourceAmount::Pipeline getNeed();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
