@@ -3509,2566 +3644,4233 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class DispatchOrders::Reader {
+public:
+  typedef DispatchOrders Reads;
 
-inline  ::uint64_t ProcessId::Reader::getHigh() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::uint64_t ProcessId::Builder::getHigh() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void ProcessId::Builder::setHigh( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline  ::uint64_t ProcessId::Reader::getLow() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline  ::uint64_t ProcessId::Builder::getLow() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void ProcessId::Builder::setLow( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
+  inline bool hasStarts() const;
+  inline  ::capnp::List< ::greengage::protocol::wire::RunBatch,  ::capnp::Kind::STRUCT>::Reader getStarts() const;
 
-inline  ::uint64_t Token::Reader::getEpoch() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  inline bool hasStops() const;
+  inline  ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>::Reader getStops() const;
 
-inline  ::uint64_t Token::Builder::getEpoch() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Token::Builder::setEpoch( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  inline bool hasChecks() const;
+  inline  ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>::Reader getChecks() const;
 
-inline  ::uint64_t Token::Reader::getTerm() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class DispatchOrders::Builder {
+public:
+  typedef DispatchOrders Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasStarts();
+  inline  ::capnp::List< ::greengage::protocol::wire::RunBatch,  ::capnp::Kind::STRUCT>::Builder getStarts();
+  inline void setStarts( ::capnp::List< ::greengage::protocol::wire::RunBatch,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::greengage::protocol::wire::RunBatch,  ::capnp::Kind::STRUCT>::Builder initStarts(unsigned int size);
+  inline void adoptStarts(::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::RunBatch,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::RunBatch,  ::capnp::Kind::STRUCT>> disownStarts();
+
+  inline bool hasStops();
+  inline  ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>::Builder getStops();
+  inline void setStops( ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>::Builder initStops(unsigned int size);
+  inline void adoptStops(::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>> disownStops();
+
+  inline bool hasChecks();
+  inline  ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>::Builder getChecks();
+  inline void setChecks( ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>::Builder initChecks(unsigned int size);
+  inline void adoptChecks(::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>> disownChecks();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class DispatchOrders::Pipeline {
+public:
+  typedef DispatchOrders Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RunEnd::Reader {
+public:
+  typedef RunEnd Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRun() const;
+  inline  ::greengage::protocol::wire::RunKey::Reader getRun() const;
+
+  inline  ::uint8_t getKind() const;
+
+  inline  ::uint32_t getRunTimeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RunEnd::Builder {
+public:
+  typedef RunEnd Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRun();
+  inline  ::greengage::protocol::wire::RunKey::Builder getRun();
+  inline void setRun( ::greengage::protocol::wire::RunKey::Reader value);
+  inline  ::greengage::protocol::wire::RunKey::Builder initRun();
+  inline void adoptRun(::capnp::Orphan< ::greengage::protocol::wire::RunKey>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::RunKey> disownRun();
+
+  inline  ::uint8_t getKind();
+  inline void setKind( ::uint8_t value);
+
+  inline  ::uint32_t getRunTimeMs();
+  inline void setRunTimeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RunEnd::Pipeline {
+public:
+  typedef RunEnd Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::greengage::protocol::wire::RunKey::Pipeline getRun();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ServerDescription::Reader {
+public:
+  typedef ServerDescription Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasLabels() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getLabels() const;
+
+  inline bool hasCapacity() const;
+  inline  ::greengage::protocol::wire::ResourceAmount::Reader getCapacity() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ServerDescription::Builder {
+public:
+  typedef ServerDescription Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasLabels();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getLabels();
+  inline void setLabels( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setLabels(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initLabels(unsigned int size);
+  inline void adoptLabels(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownLabels();
+
+  inline bool hasCapacity();
+  inline  ::greengage::protocol::wire::ResourceAmount::Builder getCapacity();
+  inline void setCapacity( ::greengage::protocol::wire::ResourceAmount::Reader value);
+  inline  ::greengage::protocol::wire::ResourceAmount::Builder initCapacity();
+  inline void adoptCapacity(::capnp::Orphan< ::greengage::protocol::wire::ResourceAmount>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::ResourceAmount> disownCapacity();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ServerDescription::Pipeline {
+public:
+  typedef ServerDescription Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::greengage::protocol::wire::ResourceAmount::Pipeline getCapacity();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ServerReport::Reader {
+public:
+  typedef ServerReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDescription() const;
+  inline  ::greengage::protocol::wire::ServerDescription::Reader getDescription() const;
+
+  inline  ::uint8_t getCondition() const;
+
+  inline bool hasUsedByOthers() const;
+  inline  ::greengage::protocol::wire::ResourceAmount::Reader getUsedByOthers() const;
+
+  inline bool hasEnds() const;
+  inline  ::capnp::List< ::greengage::protocol::wire::RunEnd,  ::capnp::Kind::STRUCT>::Reader getEnds() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ServerReport::Builder {
+public:
+  typedef ServerReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDescription();
+  inline  ::greengage::protocol::wire::ServerDescription::Builder getDescription();
+  inline void setDescription( ::greengage::protocol::wire::ServerDescription::Reader value);
+  inline  ::greengage::protocol::wire::ServerDescription::Builder initDescription();
+  inline void adoptDescription(::capnp::Orphan< ::greengage::protocol::wire::ServerDescription>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::ServerDescription> disownDescription();
+
+  inline  ::uint8_t getCondition();
+  inline void setCondition( ::uint8_t value);
+
+  inline bool hasUsedByOthers();
+  inline  ::greengage::protocol::wire::ResourceAmount::Builder getUsedByOthers();
+  inline void setUsedByOthers( ::greengage::protocol::wire::ResourceAmount::Reader value);
+  inline  ::greengage::protocol::wire::ResourceAmount::Builder initUsedByOthers();
+  inline void adoptUsedByOthers(::capnp::Orphan< ::greengage::protocol::wire::ResourceAmount>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::ResourceAmount> disownUsedByOthers();
+
+  inline bool hasEnds();
+  inline  ::capnp::List< ::greengage::protocol::wire::RunEnd,  ::capnp::Kind::STRUCT>::Builder getEnds();
+  inline void setEnds( ::capnp::List< ::greengage::protocol::wire::RunEnd,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::greengage::protocol::wire::RunEnd,  ::capnp::Kind::STRUCT>::Builder initEnds(unsigned int size);
+  inline void adoptEnds(::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::RunEnd,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::RunEnd,  ::capnp::Kind::STRUCT>> disownEnds();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ServerReport::Pipeline {
+public:
+  typedef ServerReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::greengage::protocol::wire::ServerDescription::Pipeline getDescription();
+  inline  ::greengage::protocol::wire::ResourceAmount::Pipeline getUsedByOthers();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ConfigurationCopy::Reader {
+public:
+  typedef ConfigurationCopy Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getVersion() const;
+
+  inline bool hasDocument() const;
+  inline  ::capnp::Text::Reader getDocument() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ConfigurationCopy::Builder {
+public:
+  typedef ConfigurationCopy Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline bool hasDocument();
+  inline  ::capnp::Text::Builder getDocument();
+  inline void setDocument( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDocument(unsigned int size);
+  inline void adoptDocument(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDocument();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ConfigurationCopy::Pipeline {
+public:
+  typedef ConfigurationCopy Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Message::Reader {
+public:
+  typedef Message Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline Which which() const;
+  inline bool isHello() const;
+  inline bool hasHello() const;
+  inline  ::greengage::protocol::wire::ProcessInfo::Reader getHello() const;
+
+  inline bool isSubmitJob() const;
+  inline bool hasSubmitJob() const;
+  inline  ::greengage::protocol::wire::SubmitJob::Reader getSubmitJob() const;
+
+  inline bool isJobAnswer() const;
+  inline bool hasJobAnswer() const;
+  inline  ::greengage::protocol::wire::JobAnswer::Reader getJobAnswer() const;
+
+  inline bool isQueryJob() const;
+  inline bool hasQueryJob() const;
+  inline  ::greengage::protocol::wire::JobReference::Reader getQueryJob() const;
+
+  inline bool isCancelJob() const;
+  inline bool hasCancelJob() const;
+  inline  ::greengage::protocol::wire::JobReference::Reader getCancelJob() const;
+
+  inline bool isStartTasks() const;
+  inline bool hasStartTasks() const;
+  inline  ::greengage::protocol::wire::StartTasks::Reader getStartTasks() const;
+
+  inline bool isTaskResults() const;
+  inline bool hasTaskResults() const;
+  inline  ::greengage::protocol::wire::TaskResults::Reader getTaskResults() const;
+
+  inline bool isCancelTasks() const;
+  inline bool hasCancelTasks() const;
+  inline  ::greengage::protocol::wire::CancelTasks::Reader getCancelTasks() const;
+
+  inline bool isFence() const;
+  inline bool hasFence() const;
+  inline  ::greengage::protocol::wire::Fence::Reader getFence() const;
+
+  inline bool isFenceReply() const;
+  inline bool hasFenceReply() const;
+  inline  ::greengage::protocol::wire::FenceReply::Reader getFenceReply() const;
+
+  inline bool isHistoryQuery() const;
+  inline bool hasHistoryQuery() const;
+  inline  ::greengage::protocol::wire::HistoryQuery::Reader getHistoryQuery() const;
+
+  inline bool isHistoryReply() const;
+  inline bool hasHistoryReply() const;
+  inline  ::greengage::protocol::wire::HistoryReply::Reader getHistoryReply() const;
+
+  inline bool isAgentStatus() const;
+  inline bool hasAgentStatus() const;
+  inline  ::greengage::protocol::wire::AgentStatus::Reader getAgentStatus() const;
+
+  inline bool isLeaseRequest() const;
+  inline bool hasLeaseRequest() const;
+  inline  ::greengage::protocol::wire::LeaseRequest::Reader getLeaseRequest() const;
+
+  inline bool isLeaseReply() const;
+  inline bool hasLeaseReply() const;
+  inline  ::greengage::protocol::wire::LeaseReply::Reader getLeaseReply() const;
+
+  inline bool isOwnerAnnouncement() const;
+  inline bool hasOwnerAnnouncement() const;
+  inline  ::greengage::protocol::wire::OwnerAnnouncement::Reader getOwnerAnnouncement() const;
+
+  inline bool isConfigurationPull() const;
+  inline bool hasConfigurationPull() const;
+  inline  ::greengage::protocol::wire::ConfigurationPull::Reader getConfigurationPull() const;
+
+  inline bool isConfigurationRecords() const;
+  inline bool hasConfigurationRecords() const;
+  inline  ::greengage::protocol::wire::ConfigurationRecords::Reader getConfigurationRecords() const;
+
+  inline bool isDrainAgent() const;
+  inline bool hasDrainAgent() const;
+  inline  ::greengage::protocol::wire::ProcessId::Reader getDrainAgent() const;
+
+  inline bool isDispatchOrders() const;
+  inline bool hasDispatchOrders() const;
+  inline  ::greengage::protocol::wire::DispatchOrders::Reader getDispatchOrders() const;
+
+  inline bool isServerReport() const;
+  inline bool hasServerReport() const;
+  inline  ::greengage::protocol::wire::ServerReport::Reader getServerReport() const;
+
+  inline bool isConfigurationCopy() const;
+  inline bool hasConfigurationCopy() const;
+  inline  ::greengage::protocol::wire::ConfigurationCopy::Reader getConfigurationCopy() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Message::Builder {
+public:
+  typedef Message Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline Which which();
+  inline bool isHello();
+  inline bool hasHello();
+  inline  ::greengage::protocol::wire::ProcessInfo::Builder getHello();
+  inline void setHello( ::greengage::protocol::wire::ProcessInfo::Reader value);
+  inline  ::greengage::protocol::wire::ProcessInfo::Builder initHello();
+  inline void adoptHello(::capnp::Orphan< ::greengage::protocol::wire::ProcessInfo>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::ProcessInfo> disownHello();
+
+  inline bool isSubmitJob();
+  inline bool hasSubmitJob();
+  inline  ::greengage::protocol::wire::SubmitJob::Builder getSubmitJob();
+  inline void setSubmitJob( ::greengage::protocol::wire::SubmitJob::Reader value);
+  inline  ::greengage::protocol::wire::SubmitJob::Builder initSubmitJob();
+  inline void adoptSubmitJob(::capnp::Orphan< ::greengage::protocol::wire::SubmitJob>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::SubmitJob> disownSubmitJob();
+
+  inline bool isJobAnswer();
+  inline bool hasJobAnswer();
+  inline  ::greengage::protocol::wire::JobAnswer::Builder getJobAnswer();
+  inline void setJobAnswer( ::greengage::protocol::wire::JobAnswer::Reader value);
+  inline  ::greengage::protocol::wire::JobAnswer::Builder initJobAnswer();
+  inline void adoptJobAnswer(::capnp::Orphan< ::greengage::protocol::wire::JobAnswer>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::JobAnswer> disownJobAnswer();
+
+  inline bool isQueryJob();
+  inline bool hasQueryJob();
+  inline  ::greengage::protocol::wire::JobReference::Builder getQueryJob();
+  inline void setQueryJob( ::greengage::protocol::wire::JobReference::Reader value);
+  inline  ::greengage::protocol::wire::JobReference::Builder initQueryJob();
+  inline void adoptQueryJob(::capnp::Orphan< ::greengage::protocol::wire::JobReference>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::JobReference> disownQueryJob();
+
+  inline bool isCancelJob();
+  inline bool hasCancelJob();
+  inline  ::greengage::protocol::wire::JobReference::Builder getCancelJob();
+  inline void setCancelJob( ::greengage::protocol::wire::JobReference::Reader value);
+  inline  ::greengage::protocol::wire::JobReference::Builder initCancelJob();
+  inline void adoptCancelJob(::capnp::Orphan< ::greengage::protocol::wire::JobReference>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::JobReference> disownCancelJob();
+
+  inline bool isStartTasks();
+  inline bool hasStartTasks();
+  inline  ::greengage::protocol::wire::StartTasks::Builder getStartTasks();
+  inline void setStartTasks( ::greengage::protocol::wire::StartTasks::Reader value);
+  inline  ::greengage::protocol::wire::StartTasks::Builder initStartTasks();
+  inline void adoptStartTasks(::capnp::Orphan< ::greengage::protocol::wire::StartTasks>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::StartTasks> disownStartTasks();
+
+  inline bool isTaskResults();
+  inline bool hasTaskResults();
+  inline  ::greengage::protocol::wire::TaskResults::Builder getTaskResults();
+  inline void setTaskResults( ::greengage::protocol::wire::TaskResults::Reader value);
+  inline  ::greengage::protocol::wire::TaskResults::Builder initTaskResults();
+  inline void adoptTaskResults(::capnp::Orphan< ::greengage::protocol::wire::TaskResults>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::TaskResults> disownTaskResults();
+
+  inline bool isCancelTasks();
+  inline bool hasCancelTasks();
+  inline  ::greengage::protocol::wire::CancelTasks::Builder getCancelTasks();
+  inline void setCancelTasks( ::greengage::protocol::wire::CancelTasks::Reader value);
+  inline  ::greengage::protocol::wire::CancelTasks::Builder initCancelTasks();
+  inline void adoptCancelTasks(::capnp::Orphan< ::greengage::protocol::wire::CancelTasks>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::CancelTasks> disownCancelTasks();
+
+  inline bool isFence();
+  inline bool hasFence();
+  inline  ::greengage::protocol::wire::Fence::Builder getFence();
+  inline void setFence( ::greengage::protocol::wire::Fence::Reader value);
+  inline  ::greengage::protocol::wire::Fence::Builder initFence();
+  inline void adoptFence(::capnp::Orphan< ::greengage::protocol::wire::Fence>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::Fence> disownFence();
+
+  inline bool isFenceReply();
+  inline bool hasFenceReply();
+  inline  ::greengage::protocol::wire::FenceReply::Builder getFenceReply();
+  inline void setFenceReply( ::greengage::protocol::wire::FenceReply::Reader value);
+  inline  ::greengage::protocol::wire::FenceReply::Builder initFenceReply();
+  inline void adoptFenceReply(::capnp::Orphan< ::greengage::protocol::wire::FenceReply>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::FenceReply> disownFenceReply();
+
+  inline bool isHistoryQuery();
+  inline bool hasHistoryQuery();
+  inline  ::greengage::protocol::wire::HistoryQuery::Builder getHistoryQuery();
+  inline void setHistoryQuery( ::greengage::protocol::wire::HistoryQuery::Reader value);
+  inline  ::greengage::protocol::wire::HistoryQuery::Builder initHistoryQuery();
+  inline void adoptHistoryQuery(::capnp::Orphan< ::greengage::protocol::wire::HistoryQuery>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::HistoryQuery> disownHistoryQuery();
+
+  inline bool isHistoryReply();
+  inline bool hasHistoryReply();
+  inline  ::greengage::protocol::wire::HistoryReply::Builder getHistoryReply();
+  inline void setHistoryReply( ::greengage::protocol::wire::HistoryReply::Reader value);
+  inline  ::greengage::protocol::wire::HistoryReply::Builder initHistoryReply();
+  inline void adoptHistoryReply(::capnp::Orphan< ::greengage::protocol::wire::HistoryReply>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::HistoryReply> disownHistoryReply();
+
+  inline bool isAgentStatus();
+  inline bool hasAgentStatus();
+  inline  ::greengage::protocol::wire::AgentStatus::Builder getAgentStatus();
+  inline void setAgentStatus( ::greengage::protocol::wire::AgentStatus::Reader value);
+  inline  ::greengage::protocol::wire::AgentStatus::Builder initAgentStatus();
+  inline void adoptAgentStatus(::capnp::Orphan< ::greengage::protocol::wire::AgentStatus>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::AgentStatus> disownAgentStatus();
+
+  inline bool isLeaseRequest();
+  inline bool hasLeaseRequest();
+  inline  ::greengage::protocol::wire::LeaseRequest::Builder getLeaseRequest();
+  inline void setLeaseRequest( ::greengage::protocol::wire::LeaseRequest::Reader value);
+  inline  ::greengage::protocol::wire::LeaseRequest::Builder initLeaseRequest();
+  inline void adoptLeaseRequest(::capnp::Orphan< ::greengage::protocol::wire::LeaseRequest>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::LeaseRequest> disownLeaseRequest();
+
+  inline bool isLeaseReply();
+  inline bool hasLeaseReply();
+  inline  ::greengage::protocol::wire::LeaseReply::Builder getLeaseReply();
+  inline void setLeaseReply( ::greengage::protocol::wire::LeaseReply::Reader value);
+  inline  ::greengage::protocol::wire::LeaseReply::Builder initLeaseReply();
+  inline void adoptLeaseReply(::capnp::Orphan< ::greengage::protocol::wire::LeaseReply>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::LeaseReply> disownLeaseReply();
+
+  inline bool isOwnerAnnouncement();
+  inline bool hasOwnerAnnouncement();
+  inline  ::greengage::protocol::wire::OwnerAnnouncement::Builder getOwnerAnnouncement();
+  inline void setOwnerAnnouncement( ::greengage::protocol::wire::OwnerAnnouncement::Reader value);
+  inline  ::greengage::protocol::wire::OwnerAnnouncement::Builder initOwnerAnnouncement();
+  inline void adoptOwnerAnnouncement(::capnp::Orphan< ::greengage::protocol::wire::OwnerAnnouncement>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::OwnerAnnouncement> disownOwnerAnnouncement();
+
+  inline bool isConfigurationPull();
+  inline bool hasConfigurationPull();
+  inline  ::greengage::protocol::wire::ConfigurationPull::Builder getConfigurationPull();
+  inline void setConfigurationPull( ::greengage::protocol::wire::ConfigurationPull::Reader value);
+  inline  ::greengage::protocol::wire::ConfigurationPull::Builder initConfigurationPull();
+  inline void adoptConfigurationPull(::capnp::Orphan< ::greengage::protocol::wire::ConfigurationPull>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::ConfigurationPull> disownConfigurationPull();
+
+  inline bool isConfigurationRecords();
+  inline bool hasConfigurationRecords();
+  inline  ::greengage::protocol::wire::ConfigurationRecords::Builder getConfigurationRecords();
+  inline void setConfigurationRecords( ::greengage::protocol::wire::ConfigurationRecords::Reader value);
+  inline  ::greengage::protocol::wire::ConfigurationRecords::Builder initConfigurationRecords();
+  inline void adoptConfigurationRecords(::capnp::Orphan< ::greengage::protocol::wire::ConfigurationRecords>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::ConfigurationRecords> disownConfigurationRecords();
+
+  inline bool isDrainAgent();
+  inline bool hasDrainAgent();
+  inline  ::greengage::protocol::wire::ProcessId::Builder getDrainAgent();
+  inline void setDrainAgent( ::greengage::protocol::wire::ProcessId::Reader value);
+  inline  ::greengage::protocol::wire::ProcessId::Builder initDrainAgent();
+  inline void adoptDrainAgent(::capnp::Orphan< ::greengage::protocol::wire::ProcessId>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::ProcessId> disownDrainAgent();
+
+  inline bool isDispatchOrders();
+  inline bool hasDispatchOrders();
+  inline  ::greengage::protocol::wire::DispatchOrders::Builder getDispatchOrders();
+  inline void setDispatchOrders( ::greengage::protocol::wire::DispatchOrders::Reader value);
+  inline  ::greengage::protocol::wire::DispatchOrders::Builder initDispatchOrders();
+  inline void adoptDispatchOrders(::capnp::Orphan< ::greengage::protocol::wire::DispatchOrders>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::DispatchOrders> disownDispatchOrders();
+
+  inline bool isServerReport();
+  inline bool hasServerReport();
+  inline  ::greengage::protocol::wire::ServerReport::Builder getServerReport();
+  inline void setServerReport( ::greengage::protocol::wire::ServerReport::Reader value);
+  inline  ::greengage::protocol::wire::ServerReport::Builder initServerReport();
+  inline void adoptServerReport(::capnp::Orphan< ::greengage::protocol::wire::ServerReport>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::ServerReport> disownServerReport();
+
+  inline bool isConfigurationCopy();
+  inline bool hasConfigurationCopy();
+  inline  ::greengage::protocol::wire::ConfigurationCopy::Builder getConfigurationCopy();
+  inline void setConfigurationCopy( ::greengage::protocol::wire::ConfigurationCopy::Reader value);
+  inline  ::greengage::protocol::wire::ConfigurationCopy::Builder initConfigurationCopy();
+  inline void adoptConfigurationCopy(::capnp::Orphan< ::greengage::protocol::wire::ConfigurationCopy>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::ConfigurationCopy> disownConfigurationCopy();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Message::Pipeline {
+public:
+  typedef Message Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Frame::Reader {
+public:
+  typedef Frame Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasMessages() const;
+  inline  ::capnp::List< ::greengage::protocol::wire::Message,  ::capnp::Kind::STRUCT>::Reader getMessages() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Frame::Builder {
+public:
+  typedef Frame Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasMessages();
+  inline  ::capnp::List< ::greengage::protocol::wire::Message,  ::capnp::Kind::STRUCT>::Builder getMessages();
+  inline void setMessages( ::capnp::List< ::greengage::protocol::wire::Message,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::greengage::protocol::wire::Message,  ::capnp::Kind::STRUCT>::Builder initMessages(unsigned int size);
+  inline void adoptMessages(::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::Message,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::Message,  ::capnp::Kind::STRUCT>> disownMessages();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Frame::Pipeline {
+public:
+  typedef Frame Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline  ::uint64_t ProcessId::Reader::getHigh() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ProcessId::Builder::getHigh() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ProcessId::Builder::setHigh( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ProcessId::Reader::getLow() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ProcessId::Builder::getLow() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ProcessId::Builder::setLow( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Token::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Token::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Token::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Token::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
 
 inline  ::uint64_t Token::Builder::getTerm() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Token::Builder::setTerm( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void Token::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool JobKey::Reader::hasOrganisation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool JobKey::Builder::hasOrganisation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader JobKey::Reader::getOrganisation() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder JobKey::Builder::getOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void JobKey::Builder::setOrganisation( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder JobKey::Builder::initOrganisation(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void JobKey::Builder::adoptOrganisation(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> JobKey::Builder::disownOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t JobKey::Reader::getHigh() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t JobKey::Builder::getHigh() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void JobKey::Builder::setHigh( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t JobKey::Reader::getLow() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t JobKey::Builder::getLow() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void JobKey::Builder::setLow( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ProcessInfo::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ProcessInfo::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::greengage::protocol::wire::ProcessId::Reader ProcessInfo::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::greengage::protocol::wire::ProcessId::Builder ProcessInfo::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::greengage::protocol::wire::ProcessId::Pipeline ProcessInfo::Pipeline::getId() {
+  return  ::greengage::protocol::wire::ProcessId::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void ProcessInfo::Builder::setId( ::greengage::protocol::wire::ProcessId::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::greengage::protocol::wire::ProcessId::Builder ProcessInfo::Builder::initId() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ProcessInfo::Builder::adoptId(
+    ::capnp::Orphan< ::greengage::protocol::wire::ProcessId>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::greengage::protocol::wire::ProcessId> ProcessInfo::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint8_t ProcessInfo::Reader::getRole() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t ProcessInfo::Builder::getRole() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ProcessInfo::Builder::setRole( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ProcessInfo::Reader::hasPeerAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ProcessInfo::Builder::hasPeerAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ProcessInfo::Reader::getPeerAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ProcessInfo::Builder::getPeerAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ProcessInfo::Builder::setPeerAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ProcessInfo::Builder::initPeerAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ProcessInfo::Builder::adoptPeerAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ProcessInfo::Builder::disownPeerAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool ProcessInfo::Reader::hasDataCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool ProcessInfo::Builder::hasDataCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ProcessInfo::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ProcessInfo::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ProcessInfo::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ProcessInfo::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void ProcessInfo::Builder::adoptDataCentre(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ProcessInfo::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool ProcessInfo::Reader::hasRack() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool ProcessInfo::Builder::hasRack() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ProcessInfo::Reader::getRack() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ProcessInfo::Builder::getRack() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void ProcessInfo::Builder::setRack( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ProcessInfo::Builder::initRack(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void ProcessInfo::Builder::adoptRack(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ProcessInfo::Builder::disownRack() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t ProcessInfo::Reader::getSlots() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ProcessInfo::Builder::getSlots() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ProcessInfo::Builder::setSlots( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ProcessInfo::Reader::getMemoryMb() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ProcessInfo::Builder::getMemoryMb() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ProcessInfo::Builder::setMemoryMb( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ProcessInfo::Reader::getAccelerators() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ProcessInfo::Builder::getAccelerators() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void ProcessInfo::Builder::setAccelerators( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ProcessInfo::Reader::getDraining() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline bool ProcessInfo::Builder::getDraining() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void ProcessInfo::Builder::setDraining(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool JobSpec::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool JobSpec::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::greengage::protocol::wire::JobKey::Reader JobSpec::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::greengage::protocol::wire::JobKey::Builder JobSpec::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::greengage::protocol::wire::JobKey::Pipeline JobSpec::Pipeline::getKey() {
+  return  ::greengage::protocol::wire::JobKey::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void JobSpec::Builder::setKey( ::greengage::protocol::wire::JobKey::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::greengage::protocol::wire::JobKey::Builder JobSpec::Builder::initKey() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void JobSpec::Builder::adoptKey(
+    ::capnp::Orphan< ::greengage::protocol::wire::JobKey>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::greengage::protocol::wire::JobKey> JobSpec::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool JobSpec::Reader::hasTemplateName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool JobSpec::Builder::hasTemplateName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader JobSpec::Reader::getTemplateName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder JobSpec::Builder::getTemplateName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void JobSpec::Builder::setTemplateName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder JobSpec::Builder::initTemplateName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void JobSpec::Builder::adoptTemplateName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> JobSpec::Builder::disownTemplateName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool JobSpec::Reader::hasPayloads() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool JobSpec::Builder::hasPayloads() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader JobSpec::Reader::getPayloads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder JobSpec::Builder::getPayloads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void JobSpec::Builder::setPayloads( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void JobSpec::Builder::setPayloads(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder JobSpec::Builder::initPayloads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void JobSpec::Builder::adoptPayloads(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> JobSpec::Builder::disownPayloads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t JobSpec::Reader::getDeadlineMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t JobSpec::Builder::getDeadlineMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void JobSpec::Builder::setDeadlineMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t JobSpec::Reader::getUrgency() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t JobSpec::Builder::getUrgency() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void JobSpec::Builder::setUrgency( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool JobSpec::Reader::getIdempotent() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<40>() * ::capnp::ELEMENTS);
+}
+
+inline bool JobSpec::Builder::getIdempotent() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<40>() * ::capnp::ELEMENTS);
+}
+inline void JobSpec::Builder::setIdempotent(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<40>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool JobOutcome::Reader::getComplete() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool JobOutcome::Builder::getComplete() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void JobOutcome::Builder::setComplete(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool JobOutcome::Reader::hasResults() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool JobOutcome::Builder::hasResults() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader JobOutcome::Reader::getResults() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder JobOutcome::Builder::getResults() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void JobOutcome::Builder::setResults( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void JobOutcome::Builder::setResults(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder JobOutcome::Builder::initResults(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void JobOutcome::Builder::adoptResults(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> JobOutcome::Builder::disownResults() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t JobOutcome::Reader::getCode() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t JobOutcome::Builder::getCode() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void JobOutcome::Builder::setCode( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t JobOutcome::Reader::getRun() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t JobOutcome::Builder::getRun() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void JobOutcome::Builder::setRun( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool JobOutcome::Reader::hasMessage() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool JobOutcome::Builder::hasMessage() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader JobOutcome::Reader::getMessage() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder JobOutcome::Builder::getMessage() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void JobOutcome::Builder::setMessage( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder JobOutcome::Builder::initMessage(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void JobOutcome::Builder::adoptMessage(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> JobOutcome::Builder::disownMessage() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t JobOutcome::Reader::getRetryAfterMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t JobOutcome::Builder::getRetryAfterMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void JobOutcome::Builder::setRetryAfterMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool JobKey::Reader::hasOrganisation() const {
+inline bool TaskRecord::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool JobKey::Builder::hasOrganisation() {
+inline bool TaskRecord::Builder::hasKey() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader JobKey::Reader::getOrganisation() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::greengage::protocol::wire::JobKey::Reader TaskRecord::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder JobKey::Builder::getOrganisation() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::greengage::protocol::wire::JobKey::Builder TaskRecord::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void JobKey::Builder::setOrganisation( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::greengage::protocol::wire::JobKey::Pipeline TaskRecord::Pipeline::getKey() {
+  return  ::greengage::protocol::wire::JobKey::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void TaskRecord::Builder::setKey( ::greengage::protocol::wire::JobKey::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder JobKey::Builder::initOrganisation(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::greengage::protocol::wire::JobKey::Builder TaskRecord::Builder::initKey() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void JobKey::Builder::adoptOrganisation(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void TaskRecord::Builder::adoptKey(
+    ::capnp::Orphan< ::greengage::protocol::wire::JobKey>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> JobKey::Builder::disownOrganisation() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::greengage::protocol::wire::JobKey> TaskRecord::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t JobKey::Reader::getHigh() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::uint32_t TaskRecord::Reader::getTask() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t JobKey::Builder::getHigh() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint32_t TaskRecord::Builder::getTask() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void JobKey::Builder::setHigh( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void TaskRecord::Builder::setTask( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t JobKey::Reader::getLow() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::uint32_t TaskRecord::Reader::getAttempt() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t JobKey::Builder::getLow() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint32_t TaskRecord::Builder::getAttempt() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void JobKey::Builder::setLow( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void TaskRecord::Builder::setAttempt( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ProcessInfo::Reader::hasId() const {
+inline  ::uint8_t TaskRecord::Reader::getTaskState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t TaskRecord::Builder::getTaskState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void TaskRecord::Builder::setTaskState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t TaskRecord::Reader::getCode() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t TaskRecord::Builder::getCode() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void TaskRecord::Builder::setCode( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TaskRecord::Reader::hasBody() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool TaskRecord::Builder::hasBody() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader TaskRecord::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder TaskRecord::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void TaskRecord::Builder::setBody( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder TaskRecord::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void TaskRecord::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> TaskRecord::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t TaskRecord::Reader::getRunTimeUs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TaskRecord::Builder::getRunTimeUs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TaskRecord::Builder::setRunTimeUs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TaskStart::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ProcessInfo::Builder::hasId() {
+inline bool TaskStart::Builder::hasKey() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::greengage::protocol::wire::ProcessId::Reader ProcessInfo::Reader::getId() const {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_reader.getPointerField(
+inline  ::greengage::protocol::wire::JobKey::Reader TaskStart::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::greengage::protocol::wire::ProcessId::Builder ProcessInfo::Builder::getId() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_builder.getPointerField(
+inline  ::greengage::protocol::wire::JobKey::Builder TaskStart::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::greengage::protocol::wire::ProcessId::Pipeline ProcessInfo::Pipeline::getId() {
-  return  ::greengage::protocol::wire::ProcessId::Pipeline(_typeless.getPointerField(0));
+inline  ::greengage::protocol::wire::JobKey::Pipeline TaskStart::Pipeline::getKey() {
+  return  ::greengage::protocol::wire::JobKey::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void ProcessInfo::Builder::setId( ::greengage::protocol::wire::ProcessId::Reader value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::set(_builder.getPointerField(
+inline void TaskStart::Builder::setKey( ::greengage::protocol::wire::JobKey::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::greengage::protocol::wire::ProcessId::Builder ProcessInfo::Builder::initId() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::init(_builder.getPointerField(
+inline  ::greengage::protocol::wire::JobKey::Builder TaskStart::Builder::initKey() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ProcessInfo::Builder::adoptId(
-    ::capnp::Orphan< ::greengage::protocol::wire::ProcessId>&& value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::adopt(_builder.getPointerField(
+inline void TaskStart::Builder::adoptKey(
+    ::capnp::Orphan< ::greengage::protocol::wire::JobKey>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::greengage::protocol::wire::ProcessId> ProcessInfo::Builder::disownId() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::greengage::protocol::wire::JobKey> TaskStart::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t ProcessInfo::Reader::getRole() const {
-  return _reader.getDataField< ::uint8_t>(
+inline  ::uint32_t TaskStart::Reader::getTask() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t ProcessInfo::Builder::getRole() {
-  return _builder.getDataField< ::uint8_t>(
+inline  ::uint32_t TaskStart::Builder::getTask() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ProcessInfo::Builder::setRole( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
+inline void TaskStart::Builder::setTask( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ProcessInfo::Reader::hasPeerAddress() const {
+inline  ::uint32_t TaskStart::Reader::getAttempt() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TaskStart::Builder::getAttempt() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void TaskStart::Builder::setAttempt( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TaskStart::Reader::hasTemplateName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool ProcessInfo::Builder::hasPeerAddress() {
+inline bool TaskStart::Builder::hasTemplateName() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ProcessInfo::Reader::getPeerAddress() const {
+inline  ::capnp::Text::Reader TaskStart::Reader::getTemplateName() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ProcessInfo::Builder::getPeerAddress() {
+inline  ::capnp::Text::Builder TaskStart::Builder::getTemplateName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ProcessInfo::Builder::setPeerAddress( ::capnp::Text::Reader value) {
+inline void TaskStart::Builder::setTemplateName( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ProcessInfo::Builder::initPeerAddress(unsigned int size) {
+inline  ::capnp::Text::Builder TaskStart::Builder::initTemplateName(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void ProcessInfo::Builder::adoptPeerAddress(
+inline void TaskStart::Builder::adoptTemplateName(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ProcessInfo::Builder::disownPeerAddress() {
+inline ::capnp::Orphan< ::capnp::Text> TaskStart::Builder::disownTemplateName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool ProcessInfo::Reader::hasDataCentre() const {
+inline bool TaskStart::Reader::hasPayload() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool ProcessInfo::Builder::hasDataCentre() {
+inline bool TaskStart::Builder::hasPayload() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ProcessInfo::Reader::getDataCentre() const {
+inline  ::capnp::Text::Reader TaskStart::Reader::getPayload() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ProcessInfo::Builder::getDataCentre() {
+inline  ::capnp::Text::Builder TaskStart::Builder::getPayload() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void ProcessInfo::Builder::setDataCentre( ::capnp::Text::Reader value) {
+inline void TaskStart::Builder::setPayload( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ProcessInfo::Builder::initDataCentre(unsigned int size) {
+inline  ::capnp::Text::Builder TaskStart::Builder::initPayload(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void ProcessInfo::Builder::adoptDataCentre(
+inline void TaskStart::Builder::adoptPayload(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ProcessInfo::Builder::disownDataCentre() {
+inline ::capnp::Orphan< ::capnp::Text> TaskStart::Builder::disownPayload() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool ProcessInfo::Reader::hasRack() const {
+inline  ::uint32_t TaskStart::Reader::getTimeoutMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TaskStart::Builder::getTimeoutMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TaskStart::Builder::setTimeoutMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AgentInUse::Reader::hasProcess() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ProcessInfo::Builder::hasRack() {
+inline bool AgentInUse::Builder::hasProcess() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ProcessInfo::Reader::getRack() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::greengage::protocol::wire::ProcessInfo::Reader AgentInUse::Reader::getProcess() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ProcessInfo::Builder::getRack() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::greengage::protocol::wire::ProcessInfo::Builder AgentInUse::Builder::getProcess() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ProcessInfo::Builder::setRack( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::greengage::protocol::wire::ProcessInfo::Pipeline AgentInUse::Pipeline::getProcess() {
+  return  ::greengage::protocol::wire::ProcessInfo::Pipeline(_typeless.getPointerField(0));
 }
-inline  ::capnp::Text::Builder ProcessInfo::Builder::initRack(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+#endif  // !CAPNP_LITE
+inline void AgentInUse::Builder::setProcess( ::greengage::protocol::wire::ProcessInfo::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void ProcessInfo::Builder::adoptRack(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::greengage::protocol::wire::ProcessInfo::Builder AgentInUse::Builder::initProcess() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::Text> ProcessInfo::Builder::disownRack() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline void AgentInUse::Builder::adoptProcess(
+    ::capnp::Orphan< ::greengage::protocol::wire::ProcessInfo>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::greengage::protocol::wire::ProcessInfo> AgentInUse::Builder::disownProcess() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t ProcessInfo::Reader::getSlots() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::int64_t AgentInUse::Reader::getGoneSinceMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t ProcessInfo::Builder::getSlots() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::int64_t AgentInUse::Builder::getGoneSinceMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ProcessInfo::Builder::setSlots( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void AgentInUse::Builder::setGoneSinceMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t ProcessInfo::Reader::getMemoryMb() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t SubmitJob::Reader::getSubmission() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t ProcessInfo::Builder::getMemoryMb() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t SubmitJob::Builder::getSubmission() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ProcessInfo::Builder::setMemoryMb( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void SubmitJob::Builder::setSubmission( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t ProcessInfo::Reader::getAccelerators() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool SubmitJob::Reader::hasSpec() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t ProcessInfo::Builder::getAccelerators() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool SubmitJob::Builder::hasSpec() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void ProcessInfo::Builder::setAccelerators( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline  ::greengage::protocol::wire::JobSpec::Reader SubmitJob::Reader::getSpec() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobSpec>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::greengage::protocol::wire::JobSpec::Builder SubmitJob::Builder::getSpec() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobSpec>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::greengage::protocol::wire::JobSpec::Pipeline SubmitJob::Pipeline::getSpec() {
+  return  ::greengage::protocol::wire::JobSpec::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void SubmitJob::Builder::setSpec( ::greengage::protocol::wire::JobSpec::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobSpec>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::greengage::protocol::wire::JobSpec::Builder SubmitJob::Builder::initSpec() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobSpec>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SubmitJob::Builder::adoptSpec(
+    ::capnp::Orphan< ::greengage::protocol::wire::JobSpec>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobSpec>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::greengage::protocol::wire::JobSpec> SubmitJob::Builder::disownSpec() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobSpec>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ProcessInfo::Reader::getDraining() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::uint64_t JobAnswer::Reader::getSubmission() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool ProcessInfo::Builder::getDraining() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::uint64_t JobAnswer::Builder::getSubmission() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ProcessInfo::Builder::setDraining(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void JobAnswer::Builder::setSubmission( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool JobSpec::Reader::hasKey() const {
+inline bool JobAnswer::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool JobSpec::Builder::hasKey() {
+inline bool JobAnswer::Builder::hasKey() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::greengage::protocol::wire::JobKey::Reader JobSpec::Reader::getKey() const {
+inline  ::greengage::protocol::wire::JobKey::Reader JobAnswer::Reader::getKey() const {
   return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::greengage::protocol::wire::JobKey::Builder JobSpec::Builder::getKey() {
+inline  ::greengage::protocol::wire::JobKey::Builder JobAnswer::Builder::getKey() {
   return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::greengage::protocol::wire::JobKey::Pipeline JobSpec::Pipeline::getKey() {
+inline  ::greengage::protocol::wire::JobKey::Pipeline JobAnswer::Pipeline::getKey() {
   return  ::greengage::protocol::wire::JobKey::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void JobSpec::Builder::setKey( ::greengage::protocol::wire::JobKey::Reader value) {
+inline void JobAnswer::Builder::setKey( ::greengage::protocol::wire::JobKey::Reader value) {
   ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::greengage::protocol::wire::JobKey::Builder JobSpec::Builder::initKey() {
+inline  ::greengage::protocol::wire::JobKey::Builder JobAnswer::Builder::initKey() {
   return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void JobSpec::Builder::adoptKey(
+inline void JobAnswer::Builder::adoptKey(
     ::capnp::Orphan< ::greengage::protocol::wire::JobKey>&& value) {
   ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::greengage::protocol::wire::JobKey> JobSpec::Builder::disownKey() {
+inline ::capnp::Orphan< ::greengage::protocol::wire::JobKey> JobAnswer::Builder::disownKey() {
   return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool JobSpec::Reader::hasTemplateName() const {
+inline bool JobAnswer::Reader::hasOutcome() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool JobSpec::Builder::hasTemplateName() {
+inline bool JobAnswer::Builder::hasOutcome() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader JobSpec::Reader::getTemplateName() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder JobSpec::Builder::getTemplateName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::greengage::protocol::wire::JobOutcome::Reader JobAnswer::Reader::getOutcome() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobOutcome>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void JobSpec::Builder::setTemplateName( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder JobSpec::Builder::initTemplateName(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void JobSpec::Builder::adoptTemplateName(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> JobSpec::Builder::disownTemplateName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline  ::greengage::protocol::wire::JobOutcome::Builder JobAnswer::Builder::getOutcome() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobOutcome>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline bool JobSpec::Reader::hasPayloads() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool JobSpec::Builder::hasPayloads() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader JobSpec::Reader::getPayloads() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder JobSpec::Builder::getPayloads() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void JobSpec::Builder::setPayloads( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::greengage::protocol::wire::JobOutcome::Pipeline JobAnswer::Pipeline::getOutcome() {
+  return  ::greengage::protocol::wire::JobOutcome::Pipeline(_typeless.getPointerField(1));
 }
-inline void JobSpec::Builder::setPayloads(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+#endif  // !CAPNP_LITE
+inline void JobAnswer::Builder::setOutcome( ::greengage::protocol::wire::JobOutcome::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobOutcome>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder JobSpec::Builder::initPayloads(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::greengage::protocol::wire::JobOutcome::Builder JobAnswer::Builder::initOutcome() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobOutcome>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void JobSpec::Builder::adoptPayloads(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void JobAnswer::Builder::adoptOutcome(
+    ::capnp::Orphan< ::greengage::protocol::wire::JobOutcome>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobOutcome>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> JobSpec::Builder::disownPayloads() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::greengage::protocol::wire::JobOutcome> JobAnswer::Builder::disownOutcome() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobOutcome>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t JobSpec::Reader::getDeadlineMs() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::uint64_t JobReference::Reader::getSubmission() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t JobSpec::Builder::getDeadlineMs() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::uint64_t JobReference::Builder::getSubmission() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void JobSpec::Builder::setDeadlineMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void JobReference::Builder::setSubmission( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t JobSpec::Reader::getUrgency() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool JobReference::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint8_t JobSpec::Builder::getUrgency() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool JobReference::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void JobSpec::Builder::setUrgency( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline  ::greengage::protocol::wire::JobKey::Reader JobReference::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline bool JobSpec::Reader::getIdempotent() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<40>() * ::capnp::ELEMENTS);
+inline  ::greengage::protocol::wire::JobKey::Builder JobReference::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline bool JobSpec::Builder::getIdempotent() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<40>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline  ::greengage::protocol::wire::JobKey::Pipeline JobReference::Pipeline::getKey() {
+  return  ::greengage::protocol::wire::JobKey::Pipeline(_typeless.getPointerField(0));
 }
-inline void JobSpec::Builder::setIdempotent(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<40>() * ::capnp::ELEMENTS, value);
+#endif  // !CAPNP_LITE
+inline void JobReference::Builder::setKey( ::greengage::protocol::wire::JobKey::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline bool JobOutcome::Reader::getComplete() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::greengage::protocol::wire::JobKey::Builder JobReference::Builder::initKey() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline bool JobOutcome::Builder::getComplete() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void JobReference::Builder::adoptKey(
+    ::capnp::Orphan< ::greengage::protocol::wire::JobKey>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void JobOutcome::Builder::setComplete(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::greengage::protocol::wire::JobKey> JobReference::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool JobOutcome::Reader::hasResults() const {
+inline bool StartTasks::Reader::hasAgent() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool JobOutcome::Builder::hasResults() {
+inline bool StartTasks::Builder::hasAgent() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader JobOutcome::Reader::getResults() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+inline  ::greengage::protocol::wire::ProcessId::Reader StartTasks::Reader::getAgent() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder JobOutcome::Builder::getResults() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+inline  ::greengage::protocol::wire::ProcessId::Builder StartTasks::Builder::getAgent() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void JobOutcome::Builder::setResults( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::greengage::protocol::wire::ProcessId::Pipeline StartTasks::Pipeline::getAgent() {
+  return  ::greengage::protocol::wire::ProcessId::Pipeline(_typeless.getPointerField(0));
 }
-inline void JobOutcome::Builder::setResults(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+#endif  // !CAPNP_LITE
+inline void StartTasks::Builder::setAgent( ::greengage::protocol::wire::ProcessId::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder JobOutcome::Builder::initResults(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::greengage::protocol::wire::ProcessId::Builder StartTasks::Builder::initAgent() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void JobOutcome::Builder::adoptResults(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+inline void StartTasks::Builder::adoptAgent(
+    ::capnp::Orphan< ::greengage::protocol::wire::ProcessId>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> JobOutcome::Builder::disownResults() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::greengage::protocol::wire::ProcessId> StartTasks::Builder::disownAgent() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint16_t JobOutcome::Reader::getCode() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint16_t JobOutcome::Builder::getCode() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void JobOutcome::Builder::setCode( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint8_t JobOutcome::Reader::getRun() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t StartTasks::Reader::getShard() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t JobOutcome::Builder::getRun() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t StartTasks::Builder::getShard() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void JobOutcome::Builder::setRun( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void StartTasks::Builder::setShard( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool JobOutcome::Reader::hasMessage() const {
+inline bool StartTasks::Reader::hasToken() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool JobOutcome::Builder::hasMessage() {
+inline bool StartTasks::Builder::hasToken() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader JobOutcome::Reader::getMessage() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::greengage::protocol::wire::Token::Reader StartTasks::Reader::getToken() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder JobOutcome::Builder::getMessage() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::greengage::protocol::wire::Token::Builder StartTasks::Builder::getToken() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void JobOutcome::Builder::setMessage( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::greengage::protocol::wire::Token::Pipeline StartTasks::Pipeline::getToken() {
+  return  ::greengage::protocol::wire::Token::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void StartTasks::Builder::setToken( ::greengage::protocol::wire::Token::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder JobOutcome::Builder::initMessage(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::greengage::protocol::wire::Token::Builder StartTasks::Builder::initToken() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void JobOutcome::Builder::adoptMessage(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void StartTasks::Builder::adoptToken(
+    ::capnp::Orphan< ::greengage::protocol::wire::Token>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> JobOutcome::Builder::disownMessage() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::greengage::protocol::wire::Token> StartTasks::Builder::disownToken() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t JobOutcome::Reader::getRetryAfterMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t JobOutcome::Builder::getRetryAfterMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void JobOutcome::Builder::setRetryAfterMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool TaskRecord::Reader::hasKey() const {
+inline bool StartTasks::Reader::hasTasks() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool TaskRecord::Builder::hasKey() {
+inline bool StartTasks::Builder::hasTasks() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::greengage::protocol::wire::JobKey::Reader TaskRecord::Reader::getKey() const {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::greengage::protocol::wire::JobKey::Builder TaskRecord::Builder::getKey() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::greengage::protocol::wire::TaskStart,  ::capnp::Kind::STRUCT>::Reader StartTasks::Reader::getTasks() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskStart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::greengage::protocol::wire::JobKey::Pipeline TaskRecord::Pipeline::getKey() {
-  return  ::greengage::protocol::wire::JobKey::Pipeline(_typeless.getPointerField(0));
+inline  ::capnp::List< ::greengage::protocol::wire::TaskStart,  ::capnp::Kind::STRUCT>::Builder StartTasks::Builder::getTasks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskStart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
-inline void TaskRecord::Builder::setKey( ::greengage::protocol::wire::JobKey::Reader value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void StartTasks::Builder::setTasks( ::capnp::List< ::greengage::protocol::wire::TaskStart,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskStart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::greengage::protocol::wire::JobKey::Builder TaskRecord::Builder::initKey() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::greengage::protocol::wire::TaskStart,  ::capnp::Kind::STRUCT>::Builder StartTasks::Builder::initTasks(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskStart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void TaskRecord::Builder::adoptKey(
-    ::capnp::Orphan< ::greengage::protocol::wire::JobKey>&& value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void StartTasks::Builder::adoptTasks(
+    ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::TaskStart,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskStart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::greengage::protocol::wire::JobKey> TaskRecord::Builder::disownKey() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::TaskStart,  ::capnp::Kind::STRUCT>> StartTasks::Builder::disownTasks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskStart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t TaskRecord::Reader::getTask() const {
+inline  ::uint32_t TaskResults::Reader::getShard() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t TaskRecord::Builder::getTask() {
+inline  ::uint32_t TaskResults::Builder::getShard() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void TaskRecord::Builder::setTask( ::uint32_t value) {
+inline void TaskResults::Builder::setShard( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t TaskRecord::Reader::getAttempt() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool TaskResults::Reader::hasAgent() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t TaskRecord::Builder::getAttempt() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool TaskResults::Builder::hasAgent() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void TaskRecord::Builder::setAttempt( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline  ::greengage::protocol::wire::ProcessId::Reader TaskResults::Reader::getAgent() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint8_t TaskRecord::Reader::getTaskState() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::greengage::protocol::wire::ProcessId::Builder TaskResults::Builder::getAgent() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint8_t TaskRecord::Builder::getTaskState() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline  ::greengage::protocol::wire::ProcessId::Pipeline TaskResults::Pipeline::getAgent() {
+  return  ::greengage::protocol::wire::ProcessId::Pipeline(_typeless.getPointerField(0));
 }
-inline void TaskRecord::Builder::setTaskState( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+#endif  // !CAPNP_LITE
+inline void TaskResults::Builder::setAgent( ::greengage::protocol::wire::ProcessId::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint16_t TaskRecord::Reader::getCode() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::greengage::protocol::wire::ProcessId::Builder TaskResults::Builder::initAgent() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint16_t TaskRecord::Builder::getCode() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline void TaskResults::Builder::adoptAgent(
+    ::capnp::Orphan< ::greengage::protocol::wire::ProcessId>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void TaskRecord::Builder::setCode( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::greengage::protocol::wire::ProcessId> TaskResults::Builder::disownAgent() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool TaskRecord::Reader::hasBody() const {
+inline bool TaskResults::Reader::hasRecords() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool TaskRecord::Builder::hasBody() {
+inline bool TaskResults::Builder::hasRecords() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader TaskRecord::Reader::getBody() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>::Reader TaskResults::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder TaskRecord::Builder::getBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>::Builder TaskResults::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void TaskRecord::Builder::setBody( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void TaskResults::Builder::setRecords( ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder TaskRecord::Builder::initBody(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>::Builder TaskResults::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void TaskRecord::Builder::adoptBody(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void TaskResults::Builder::adoptRecords(
+    ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> TaskRecord::Builder::disownBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>> TaskResults::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t TaskRecord::Reader::getRunTimeUs() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t TaskRecord::Builder::getRunTimeUs() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void TaskRecord::Builder::setRunTimeUs( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool TaskStart::Reader::hasKey() const {
+inline bool CancelTasks::Reader::hasAgent() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool TaskStart::Builder::hasKey() {
+inline bool CancelTasks::Builder::hasAgent() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::greengage::protocol::wire::JobKey::Reader TaskStart::Reader::getKey() const {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::get(_reader.getPointerField(
+inline  ::greengage::protocol::wire::ProcessId::Reader CancelTasks::Reader::getAgent() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::greengage::protocol::wire::JobKey::Builder TaskStart::Builder::getKey() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::get(_builder.getPointerField(
+inline  ::greengage::protocol::wire::ProcessId::Builder CancelTasks::Builder::getAgent() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::greengage::protocol::wire::JobKey::Pipeline TaskStart::Pipeline::getKey() {
-  return  ::greengage::protocol::wire::JobKey::Pipeline(_typeless.getPointerField(0));
+inline  ::greengage::protocol::wire::ProcessId::Pipeline CancelTasks::Pipeline::getAgent() {
+  return  ::greengage::protocol::wire::ProcessId::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void TaskStart::Builder::setKey( ::greengage::protocol::wire::JobKey::Reader value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::set(_builder.getPointerField(
+inline void CancelTasks::Builder::setAgent( ::greengage::protocol::wire::ProcessId::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::greengage::protocol::wire::JobKey::Builder TaskStart::Builder::initKey() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::init(_builder.getPointerField(
+inline  ::greengage::protocol::wire::ProcessId::Builder CancelTasks::Builder::initAgent() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void TaskStart::Builder::adoptKey(
-    ::capnp::Orphan< ::greengage::protocol::wire::JobKey>&& value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::adopt(_builder.getPointerField(
+inline void CancelTasks::Builder::adoptAgent(
+    ::capnp::Orphan< ::greengage::protocol::wire::ProcessId>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::greengage::protocol::wire::JobKey> TaskStart::Builder::disownKey() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::greengage::protocol::wire::ProcessId> CancelTasks::Builder::disownAgent() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t TaskStart::Reader::getTask() const {
+inline  ::uint32_t CancelTasks::Reader::getShard() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t TaskStart::Builder::getTask() {
+inline  ::uint32_t CancelTasks::Builder::getShard() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void TaskStart::Builder::setTask( ::uint32_t value) {
+inline void CancelTasks::Builder::setShard( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t TaskStart::Reader::getAttempt() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t TaskStart::Builder::getAttempt() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void TaskStart::Builder::setAttempt( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool TaskStart::Reader::hasTemplateName() const {
+inline bool CancelTasks::Reader::hasToken() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool TaskStart::Builder::hasTemplateName() {
+inline bool CancelTasks::Builder::hasToken() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader TaskStart::Reader::getTemplateName() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::greengage::protocol::wire::Token::Reader CancelTasks::Reader::getToken() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder TaskStart::Builder::getTemplateName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::greengage::protocol::wire::Token::Builder CancelTasks::Builder::getToken() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void TaskStart::Builder::setTemplateName( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::greengage::protocol::wire::Token::Pipeline CancelTasks::Pipeline::getToken() {
+  return  ::greengage::protocol::wire::Token::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void CancelTasks::Builder::setToken( ::greengage::protocol::wire::Token::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder TaskStart::Builder::initTemplateName(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::greengage::protocol::wire::Token::Builder CancelTasks::Builder::initToken() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void TaskStart::Builder::adoptTemplateName(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void CancelTasks::Builder::adoptToken(
+    ::capnp::Orphan< ::greengage::protocol::wire::Token>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> TaskStart::Builder::disownTemplateName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::greengage::protocol::wire::Token> CancelTasks::Builder::disownToken() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool TaskStart::Reader::hasPayload() const {
+inline bool CancelTasks::Reader::hasKeys() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool TaskStart::Builder::hasPayload() {
+inline bool CancelTasks::Builder::hasKeys() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader TaskStart::Reader::getPayload() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>::Reader CancelTasks::Reader::getKeys() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder TaskStart::Builder::getPayload() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>::Builder CancelTasks::Builder::getKeys() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void TaskStart::Builder::setPayload( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void CancelTasks::Builder::setKeys( ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder TaskStart::Builder::initPayload(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void TaskStart::Builder::adoptPayload(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> TaskStart::Builder::disownPayload() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline  ::uint32_t TaskStart::Reader::getTimeoutMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t TaskStart::Builder::getTimeoutMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>::Builder CancelTasks::Builder::initKeys(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void TaskStart::Builder::setTimeoutMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void CancelTasks::Builder::adoptKeys(
+    ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>> CancelTasks::Builder::disownKeys() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool AgentInUse::Reader::hasProcess() const {
+inline bool Fence::Reader::hasAgent() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool AgentInUse::Builder::hasProcess() {
+inline bool Fence::Builder::hasAgent() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::greengage::protocol::wire::ProcessInfo::Reader AgentInUse::Reader::getProcess() const {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::get(_reader.getPointerField(
+inline  ::greengage::protocol::wire::ProcessId::Reader Fence::Reader::getAgent() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::greengage::protocol::wire::ProcessInfo::Builder AgentInUse::Builder::getProcess() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::get(_builder.getPointerField(
+inline  ::greengage::protocol::wire::ProcessId::Builder Fence::Builder::getAgent() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::greengage::protocol::wire::ProcessInfo::Pipeline AgentInUse::Pipeline::getProcess() {
-  return  ::greengage::protocol::wire::ProcessInfo::Pipeline(_typeless.getPointerField(0));
+inline  ::greengage::protocol::wire::ProcessId::Pipeline Fence::Pipeline::getAgent() {
+  return  ::greengage::protocol::wire::ProcessId::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void AgentInUse::Builder::setProcess( ::greengage::protocol::wire::ProcessInfo::Reader value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::set(_builder.getPointerField(
+inline void Fence::Builder::setAgent( ::greengage::protocol::wire::ProcessId::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::greengage::protocol::wire::ProcessInfo::Builder AgentInUse::Builder::initProcess() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::init(_builder.getPointerField(
+inline  ::greengage::protocol::wire::ProcessId::Builder Fence::Builder::initAgent() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void AgentInUse::Builder::adoptProcess(
-    ::capnp::Orphan< ::greengage::protocol::wire::ProcessInfo>&& value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::adopt(_builder.getPointerField(
+inline void Fence::Builder::adoptAgent(
+    ::capnp::Orphan< ::greengage::protocol::wire::ProcessId>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::greengage::protocol::wire::ProcessInfo> AgentInUse::Builder::disownProcess() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::greengage::protocol::wire::ProcessId> Fence::Builder::disownAgent() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t AgentInUse::Reader::getGoneSinceMs() const {
-  return _reader.getDataField< ::int64_t>(
+inline  ::uint32_t Fence::Reader::getShard() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t AgentInUse::Builder::getGoneSinceMs() {
-  return _builder.getDataField< ::int64_t>(
+inline  ::uint32_t Fence::Builder::getShard() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void AgentInUse::Builder::setGoneSinceMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
+inline void Fence::Builder::setShard( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t SubmitJob::Reader::getSubmission() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Fence::Reader::hasToken() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t SubmitJob::Builder::getSubmission() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Fence::Builder::hasToken() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void SubmitJob::Builder::setSubmission( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::greengage::protocol::wire::Token::Reader Fence::Reader::getToken() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::greengage::protocol::wire::Token::Builder Fence::Builder::getToken() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::greengage::protocol::wire::Token::Pipeline Fence::Pipeline::getToken() {
+  return  ::greengage::protocol::wire::Token::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void Fence::Builder::setToken( ::greengage::protocol::wire::Token::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::greengage::protocol::wire::Token::Builder Fence::Builder::initToken() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Fence::Builder::adoptToken(
+    ::capnp::Orphan< ::greengage::protocol::wire::Token>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::greengage::protocol::wire::Token> Fence::Builder::disownToken() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool SubmitJob::Reader::hasSpec() const {
+inline bool FenceReply::Reader::hasAgent() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool SubmitJob::Builder::hasSpec() {
+inline bool FenceReply::Builder::hasAgent() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::greengage::protocol::wire::JobSpec::Reader SubmitJob::Reader::getSpec() const {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobSpec>::get(_reader.getPointerField(
+inline  ::greengage::protocol::wire::ProcessId::Reader FenceReply::Reader::getAgent() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::greengage::protocol::wire::JobSpec::Builder SubmitJob::Builder::getSpec() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobSpec>::get(_builder.getPointerField(
+inline  ::greengage::protocol::wire::ProcessId::Builder FenceReply::Builder::getAgent() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::greengage::protocol::wire::JobSpec::Pipeline SubmitJob::Pipeline::getSpec() {
-  return  ::greengage::protocol::wire::JobSpec::Pipeline(_typeless.getPointerField(0));
+inline  ::greengage::protocol::wire::ProcessId::Pipeline FenceReply::Pipeline::getAgent() {
+  return  ::greengage::protocol::wire::ProcessId::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void SubmitJob::Builder::setSpec( ::greengage::protocol::wire::JobSpec::Reader value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobSpec>::set(_builder.getPointerField(
+inline void FenceReply::Builder::setAgent( ::greengage::protocol::wire::ProcessId::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::greengage::protocol::wire::JobSpec::Builder SubmitJob::Builder::initSpec() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobSpec>::init(_builder.getPointerField(
+inline  ::greengage::protocol::wire::ProcessId::Builder FenceReply::Builder::initAgent() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SubmitJob::Builder::adoptSpec(
-    ::capnp::Orphan< ::greengage::protocol::wire::JobSpec>&& value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobSpec>::adopt(_builder.getPointerField(
+inline void FenceReply::Builder::adoptAgent(
+    ::capnp::Orphan< ::greengage::protocol::wire::ProcessId>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::greengage::protocol::wire::JobSpec> SubmitJob::Builder::disownSpec() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobSpec>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::greengage::protocol::wire::ProcessId> FenceReply::Builder::disownAgent() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t JobAnswer::Reader::getSubmission() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::uint32_t FenceReply::Reader::getShard() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t JobAnswer::Builder::getSubmission() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint32_t FenceReply::Builder::getShard() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void JobAnswer::Builder::setSubmission( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void FenceReply::Builder::setShard( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool JobAnswer::Reader::hasKey() const {
+inline bool FenceReply::Reader::hasToken() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool FenceReply::Builder::hasToken() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::greengage::protocol::wire::Token::Reader FenceReply::Reader::getToken() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::greengage::protocol::wire::Token::Builder FenceReply::Builder::getToken() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::greengage::protocol::wire::Token::Pipeline FenceReply::Pipeline::getToken() {
+  return  ::greengage::protocol::wire::Token::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void FenceReply::Builder::setToken( ::greengage::protocol::wire::Token::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::greengage::protocol::wire::Token::Builder FenceReply::Builder::initToken() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void FenceReply::Builder::adoptToken(
+    ::capnp::Orphan< ::greengage::protocol::wire::Token>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::greengage::protocol::wire::Token> FenceReply::Builder::disownToken() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool HistoryQuery::Reader::hasAgent() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool JobAnswer::Builder::hasKey() {
+inline bool HistoryQuery::Builder::hasAgent() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::greengage::protocol::wire::JobKey::Reader JobAnswer::Reader::getKey() const {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::get(_reader.getPointerField(
+inline  ::greengage::protocol::wire::ProcessId::Reader HistoryQuery::Reader::getAgent() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::greengage::protocol::wire::JobKey::Builder JobAnswer::Builder::getKey() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::get(_builder.getPointerField(
+inline  ::greengage::protocol::wire::ProcessId::Builder HistoryQuery::Builder::getAgent() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::greengage::protocol::wire::JobKey::Pipeline JobAnswer::Pipeline::getKey() {
-  return  ::greengage::protocol::wire::JobKey::Pipeline(_typeless.getPointerField(0));
+inline  ::greengage::protocol::wire::ProcessId::Pipeline HistoryQuery::Pipeline::getAgent() {
+  return  ::greengage::protocol::wire::ProcessId::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void JobAnswer::Builder::setKey( ::greengage::protocol::wire::JobKey::Reader value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::set(_builder.getPointerField(
+inline void HistoryQuery::Builder::setAgent( ::greengage::protocol::wire::ProcessId::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::greengage::protocol::wire::JobKey::Builder JobAnswer::Builder::initKey() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::init(_builder.getPointerField(
+inline  ::greengage::protocol::wire::ProcessId::Builder HistoryQuery::Builder::initAgent() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void JobAnswer::Builder::adoptKey(
-    ::capnp::Orphan< ::greengage::protocol::wire::JobKey>&& value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::adopt(_builder.getPointerField(
+inline void HistoryQuery::Builder::adoptAgent(
+    ::capnp::Orphan< ::greengage::protocol::wire::ProcessId>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::greengage::protocol::wire::JobKey> JobAnswer::Builder::disownKey() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::greengage::protocol::wire::ProcessId> HistoryQuery::Builder::disownAgent() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool JobAnswer::Reader::hasOutcome() const {
+inline  ::uint32_t HistoryQuery::Reader::getShard() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t HistoryQuery::Builder::getShard() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HistoryQuery::Builder::setShard( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HistoryQuery::Reader::hasToken() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool JobAnswer::Builder::hasOutcome() {
+inline bool HistoryQuery::Builder::hasToken() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::greengage::protocol::wire::JobOutcome::Reader JobAnswer::Reader::getOutcome() const {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobOutcome>::get(_reader.getPointerField(
+inline  ::greengage::protocol::wire::Token::Reader HistoryQuery::Reader::getToken() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::greengage::protocol::wire::JobOutcome::Builder JobAnswer::Builder::getOutcome() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobOutcome>::get(_builder.getPointerField(
+inline  ::greengage::protocol::wire::Token::Builder HistoryQuery::Builder::getToken() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::greengage::protocol::wire::JobOutcome::Pipeline JobAnswer::Pipeline::getOutcome() {
-  return  ::greengage::protocol::wire::JobOutcome::Pipeline(_typeless.getPointerField(1));
+inline  ::greengage::protocol::wire::Token::Pipeline HistoryQuery::Pipeline::getToken() {
+  return  ::greengage::protocol::wire::Token::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void JobAnswer::Builder::setOutcome( ::greengage::protocol::wire::JobOutcome::Reader value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobOutcome>::set(_builder.getPointerField(
+inline void HistoryQuery::Builder::setToken( ::greengage::protocol::wire::Token::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::greengage::protocol::wire::JobOutcome::Builder JobAnswer::Builder::initOutcome() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobOutcome>::init(_builder.getPointerField(
+inline  ::greengage::protocol::wire::Token::Builder HistoryQuery::Builder::initToken() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void JobAnswer::Builder::adoptOutcome(
-    ::capnp::Orphan< ::greengage::protocol::wire::JobOutcome>&& value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobOutcome>::adopt(_builder.getPointerField(
+inline void HistoryQuery::Builder::adoptToken(
+    ::capnp::Orphan< ::greengage::protocol::wire::Token>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::greengage::protocol::wire::JobOutcome> JobAnswer::Builder::disownOutcome() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobOutcome>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::greengage::protocol::wire::Token> HistoryQuery::Builder::disownToken() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t JobReference::Reader::getSubmission() const {
+inline  ::uint64_t HistoryQuery::Reader::getQuery() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t JobReference::Builder::getSubmission() {
+inline  ::uint64_t HistoryQuery::Builder::getQuery() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void JobReference::Builder::setSubmission( ::uint64_t value) {
+inline void HistoryQuery::Builder::setQuery( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool JobReference::Reader::hasKey() const {
+inline bool HistoryQuery::Reader::hasKeys() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool JobReference::Builder::hasKey() {
+inline bool HistoryQuery::Builder::hasKeys() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::greengage::protocol::wire::JobKey::Reader JobReference::Reader::getKey() const {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::greengage::protocol::wire::JobKey::Builder JobReference::Builder::getKey() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>::Reader HistoryQuery::Reader::getKeys() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::greengage::protocol::wire::JobKey::Pipeline JobReference::Pipeline::getKey() {
-  return  ::greengage::protocol::wire::JobKey::Pipeline(_typeless.getPointerField(0));
+inline  ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>::Builder HistoryQuery::Builder::getKeys() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
-inline void JobReference::Builder::setKey( ::greengage::protocol::wire::JobKey::Reader value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void HistoryQuery::Builder::setKeys( ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::greengage::protocol::wire::JobKey::Builder JobReference::Builder::initKey() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>::Builder HistoryQuery::Builder::initKeys(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void JobReference::Builder::adoptKey(
-    ::capnp::Orphan< ::greengage::protocol::wire::JobKey>&& value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void HistoryQuery::Builder::adoptKeys(
+    ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::greengage::protocol::wire::JobKey> JobReference::Builder::disownKey() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::JobKey>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>> HistoryQuery::Builder::disownKeys() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool StartTasks::Reader::hasAgent() const {
+inline bool HistoryReply::Reader::hasAgent() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool StartTasks::Builder::hasAgent() {
+inline bool HistoryReply::Builder::hasAgent() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::greengage::protocol::wire::ProcessId::Reader StartTasks::Reader::getAgent() const {
+inline  ::greengage::protocol::wire::ProcessId::Reader HistoryReply::Reader::getAgent() const {
   return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::greengage::protocol::wire::ProcessId::Builder StartTasks::Builder::getAgent() {
+inline  ::greengage::protocol::wire::ProcessId::Builder HistoryReply::Builder::getAgent() {
   return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::greengage::protocol::wire::ProcessId::Pipeline StartTasks::Pipeline::getAgent() {
+inline  ::greengage::protocol::wire::ProcessId::Pipeline HistoryReply::Pipeline::getAgent() {
   return  ::greengage::protocol::wire::ProcessId::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void StartTasks::Builder::setAgent( ::greengage::protocol::wire::ProcessId::Reader value) {
+inline void HistoryReply::Builder::setAgent( ::greengage::protocol::wire::ProcessId::Reader value) {
   ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::greengage::protocol::wire::ProcessId::Builder StartTasks::Builder::initAgent() {
+inline  ::greengage::protocol::wire::ProcessId::Builder HistoryReply::Builder::initAgent() {
   return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StartTasks::Builder::adoptAgent(
+inline void HistoryReply::Builder::adoptAgent(
     ::capnp::Orphan< ::greengage::protocol::wire::ProcessId>&& value) {
   ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::greengage::protocol::wire::ProcessId> StartTasks::Builder::disownAgent() {
+inline ::capnp::Orphan< ::greengage::protocol::wire::ProcessId> HistoryReply::Builder::disownAgent() {
   return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t StartTasks::Reader::getShard() const {
+inline  ::uint32_t HistoryReply::Reader::getShard() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t StartTasks::Builder::getShard() {
+inline  ::uint32_t HistoryReply::Builder::getShard() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void StartTasks::Builder::setShard( ::uint32_t value) {
+inline void HistoryReply::Builder::setShard( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool StartTasks::Reader::hasToken() const {
+inline bool HistoryReply::Reader::hasToken() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool StartTasks::Builder::hasToken() {
+inline bool HistoryReply::Builder::hasToken() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::greengage::protocol::wire::Token::Reader StartTasks::Reader::getToken() const {
+inline  ::greengage::protocol::wire::Token::Reader HistoryReply::Reader::getToken() const {
   return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::greengage::protocol::wire::Token::Builder StartTasks::Builder::getToken() {
+inline  ::greengage::protocol::wire::Token::Builder HistoryReply::Builder::getToken() {
   return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::greengage::protocol::wire::Token::Pipeline StartTasks::Pipeline::getToken() {
+inline  ::greengage::protocol::wire::Token::Pipeline HistoryReply::Pipeline::getToken() {
   return  ::greengage::protocol::wire::Token::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void StartTasks::Builder::setToken( ::greengage::protocol::wire::Token::Reader value) {
+inline void HistoryReply::Builder::setToken( ::greengage::protocol::wire::Token::Reader value) {
   ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::greengage::protocol::wire::Token::Builder StartTasks::Builder::initToken() {
+inline  ::greengage::protocol::wire::Token::Builder HistoryReply::Builder::initToken() {
   return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void StartTasks::Builder::adoptToken(
+inline void HistoryReply::Builder::adoptToken(
     ::capnp::Orphan< ::greengage::protocol::wire::Token>&& value) {
   ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::greengage::protocol::wire::Token> StartTasks::Builder::disownToken() {
+inline ::capnp::Orphan< ::greengage::protocol::wire::Token> HistoryReply::Builder::disownToken() {
   return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool StartTasks::Reader::hasTasks() const {
+inline  ::uint64_t HistoryReply::Reader::getQuery() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HistoryReply::Builder::getQuery() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void HistoryReply::Builder::setQuery( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HistoryReply::Reader::hasRecords() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool StartTasks::Builder::hasTasks() {
+inline bool HistoryReply::Builder::hasRecords() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::greengage::protocol::wire::TaskStart,  ::capnp::Kind::STRUCT>::Reader StartTasks::Reader::getTasks() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskStart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>::Reader HistoryReply::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::greengage::protocol::wire::TaskStart,  ::capnp::Kind::STRUCT>::Builder StartTasks::Builder::getTasks() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskStart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>::Builder HistoryReply::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void StartTasks::Builder::setTasks( ::capnp::List< ::greengage::protocol::wire::TaskStart,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskStart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void HistoryReply::Builder::setRecords( ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::greengage::protocol::wire::TaskStart,  ::capnp::Kind::STRUCT>::Builder StartTasks::Builder::initTasks(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskStart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>::Builder HistoryReply::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void StartTasks::Builder::adoptTasks(
-    ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::TaskStart,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskStart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void HistoryReply::Builder::adoptRecords(
+    ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::TaskStart,  ::capnp::Kind::STRUCT>> StartTasks::Builder::disownTasks() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskStart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>> HistoryReply::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t TaskResults::Reader::getShard() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t TaskResults::Builder::getShard() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void TaskResults::Builder::setShard( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool TaskResults::Reader::hasAgent() const {
+inline bool AgentStatus::Reader::hasProcess() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool TaskResults::Builder::hasAgent() {
+inline bool AgentStatus::Builder::hasProcess() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::greengage::protocol::wire::ProcessId::Reader TaskResults::Reader::getAgent() const {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_reader.getPointerField(
+inline  ::greengage::protocol::wire::ProcessInfo::Reader AgentStatus::Reader::getProcess() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::greengage::protocol::wire::ProcessId::Builder TaskResults::Builder::getAgent() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_builder.getPointerField(
+inline  ::greengage::protocol::wire::ProcessInfo::Builder AgentStatus::Builder::getProcess() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::greengage::protocol::wire::ProcessId::Pipeline TaskResults::Pipeline::getAgent() {
-  return  ::greengage::protocol::wire::ProcessId::Pipeline(_typeless.getPointerField(0));
+inline  ::greengage::protocol::wire::ProcessInfo::Pipeline AgentStatus::Pipeline::getProcess() {
+  return  ::greengage::protocol::wire::ProcessInfo::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void TaskResults::Builder::setAgent( ::greengage::protocol::wire::ProcessId::Reader value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::set(_builder.getPointerField(
+inline void AgentStatus::Builder::setProcess( ::greengage::protocol::wire::ProcessInfo::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::greengage::protocol::wire::ProcessId::Builder TaskResults::Builder::initAgent() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::init(_builder.getPointerField(
+inline  ::greengage::protocol::wire::ProcessInfo::Builder AgentStatus::Builder::initProcess() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void TaskResults::Builder::adoptAgent(
-    ::capnp::Orphan< ::greengage::protocol::wire::ProcessId>&& value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::adopt(_builder.getPointerField(
+inline void AgentStatus::Builder::adoptProcess(
+    ::capnp::Orphan< ::greengage::protocol::wire::ProcessInfo>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::greengage::protocol::wire::ProcessId> TaskResults::Builder::disownAgent() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::greengage::protocol::wire::ProcessInfo> AgentStatus::Builder::disownProcess() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool TaskResults::Reader::hasRecords() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool TaskResults::Builder::hasRecords() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>::Reader TaskResults::Reader::getRecords() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::uint32_t AgentStatus::Reader::getRunningTasks() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>::Builder TaskResults::Builder::getRecords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint32_t AgentStatus::Builder::getRunningTasks() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void TaskResults::Builder::setRecords( ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void AgentStatus::Builder::setRunningTasks( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>::Builder TaskResults::Builder::initRecords(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+
+inline  ::uint32_t LeaseRequest::Reader::getShard() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void TaskResults::Builder::adoptRecords(
-    ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t LeaseRequest::Builder::getShard() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>> TaskResults::Builder::disownRecords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void LeaseRequest::Builder::setShard( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool CancelTasks::Reader::hasAgent() const {
+inline bool LeaseRequest::Reader::hasToken() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool CancelTasks::Builder::hasAgent() {
+inline bool LeaseRequest::Builder::hasToken() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::greengage::protocol::wire::ProcessId::Reader CancelTasks::Reader::getAgent() const {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_reader.getPointerField(
+inline  ::greengage::protocol::wire::Token::Reader LeaseRequest::Reader::getToken() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::greengage::protocol::wire::ProcessId::Builder CancelTasks::Builder::getAgent() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_builder.getPointerField(
+inline  ::greengage::protocol::wire::Token::Builder LeaseRequest::Builder::getToken() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::greengage::protocol::wire::ProcessId::Pipeline CancelTasks::Pipeline::getAgent() {
-  return  ::greengage::protocol::wire::ProcessId::Pipeline(_typeless.getPointerField(0));
+inline  ::greengage::protocol::wire::Token::Pipeline LeaseRequest::Pipeline::getToken() {
+  return  ::greengage::protocol::wire::Token::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void CancelTasks::Builder::setAgent( ::greengage::protocol::wire::ProcessId::Reader value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::set(_builder.getPointerField(
+inline void LeaseRequest::Builder::setToken( ::greengage::protocol::wire::Token::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::greengage::protocol::wire::ProcessId::Builder CancelTasks::Builder::initAgent() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::init(_builder.getPointerField(
+inline  ::greengage::protocol::wire::Token::Builder LeaseRequest::Builder::initToken() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void CancelTasks::Builder::adoptAgent(
-    ::capnp::Orphan< ::greengage::protocol::wire::ProcessId>&& value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::adopt(_builder.getPointerField(
+inline void LeaseRequest::Builder::adoptToken(
+    ::capnp::Orphan< ::greengage::protocol::wire::Token>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::greengage::protocol::wire::ProcessId> CancelTasks::Builder::disownAgent() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::greengage::protocol::wire::Token> LeaseRequest::Builder::disownToken() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t CancelTasks::Reader::getShard() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t LeaseRequest::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t CancelTasks::Builder::getShard() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t LeaseRequest::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void CancelTasks::Builder::setShard( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void LeaseRequest::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool CancelTasks::Reader::hasToken() const {
+inline bool LeaseRequest::Reader::hasNewAgents() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool CancelTasks::Builder::hasToken() {
+inline bool LeaseRequest::Builder::hasNewAgents() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::greengage::protocol::wire::Token::Reader CancelTasks::Reader::getToken() const {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_reader.getPointerField(
+inline  ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>::Reader LeaseRequest::Reader::getNewAgents() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::greengage::protocol::wire::Token::Builder CancelTasks::Builder::getToken() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_builder.getPointerField(
+inline  ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>::Builder LeaseRequest::Builder::getNewAgents() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::greengage::protocol::wire::Token::Pipeline CancelTasks::Pipeline::getToken() {
-  return  ::greengage::protocol::wire::Token::Pipeline(_typeless.getPointerField(1));
-}
-#endif  // !CAPNP_LITE
-inline void CancelTasks::Builder::setToken( ::greengage::protocol::wire::Token::Reader value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::set(_builder.getPointerField(
+inline void LeaseRequest::Builder::setNewAgents( ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::greengage::protocol::wire::Token::Builder CancelTasks::Builder::initToken() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>::Builder LeaseRequest::Builder::initNewAgents(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void CancelTasks::Builder::adoptToken(
-    ::capnp::Orphan< ::greengage::protocol::wire::Token>&& value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::adopt(_builder.getPointerField(
+inline void LeaseRequest::Builder::adoptNewAgents(
+    ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::greengage::protocol::wire::Token> CancelTasks::Builder::disownToken() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>> LeaseRequest::Builder::disownNewAgents() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool CancelTasks::Reader::hasKeys() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool LeaseRequest::Reader::getWantAgents() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
-inline bool CancelTasks::Builder::hasKeys() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+
+inline bool LeaseRequest::Builder::getWantAgents() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>::Reader CancelTasks::Reader::getKeys() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void LeaseRequest::Builder::setWantAgents(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>::Builder CancelTasks::Builder::getKeys() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+
+inline bool LeaseRequest::Reader::getRelease() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
 }
-inline void CancelTasks::Builder::setKeys( ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+
+inline bool LeaseRequest::Builder::getRelease() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>::Builder CancelTasks::Builder::initKeys(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline void LeaseRequest::Builder::setRelease(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS, value);
 }
-inline void CancelTasks::Builder::adoptKeys(
-    ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+
+inline bool LeaseRequest::Reader::getAllAgents() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<34>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>> CancelTasks::Builder::disownKeys() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+
+inline bool LeaseRequest::Builder::getAllAgents() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<34>() * ::capnp::ELEMENTS);
+}
+inline void LeaseRequest::Builder::setAllAgents(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<34>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Fence::Reader::hasAgent() const {
+inline bool LeaseReply::Reader::hasMember() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Fence::Builder::hasAgent() {
+inline bool LeaseReply::Builder::hasMember() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::greengage::protocol::wire::ProcessId::Reader Fence::Reader::getAgent() const {
+inline  ::greengage::protocol::wire::ProcessId::Reader LeaseReply::Reader::getMember() const {
   return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::greengage::protocol::wire::ProcessId::Builder Fence::Builder::getAgent() {
+inline  ::greengage::protocol::wire::ProcessId::Builder LeaseReply::Builder::getMember() {
   return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_builder.getPointerField(
