       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::greengage::protocol::wire::ProcessId::Pipeline Fence::Pipeline::getAgent() {
+inline  ::greengage::protocol::wire::ProcessId::Pipeline LeaseReply::Pipeline::getMember() {
   return  ::greengage::protocol::wire::ProcessId::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Fence::Builder::setAgent( ::greengage::protocol::wire::ProcessId::Reader value) {
+inline void LeaseReply::Builder::setMember( ::greengage::protocol::wire::ProcessId::Reader value) {
   ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::greengage::protocol::wire::ProcessId::Builder Fence::Builder::initAgent() {
+inline  ::greengage::protocol::wire::ProcessId::Builder LeaseReply::Builder::initMember() {
   return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Fence::Builder::adoptAgent(
+inline void LeaseReply::Builder::adoptMember(
     ::capnp::Orphan< ::greengage::protocol::wire::ProcessId>&& value) {
   ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::greengage::protocol::wire::ProcessId> Fence::Builder::disownAgent() {
+inline ::capnp::Orphan< ::greengage::protocol::wire::ProcessId> LeaseReply::Builder::disownMember() {
   return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Fence::Reader::getShard() const {
+inline  ::uint32_t LeaseReply::Reader::getShard() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Fence::Builder::getShard() {
+inline  ::uint32_t LeaseReply::Builder::getShard() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Fence::Builder::setShard( ::uint32_t value) {
+inline void LeaseReply::Builder::setShard( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Fence::Reader::hasToken() const {
+inline bool LeaseReply::Reader::hasToken() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Fence::Builder::hasToken() {
+inline bool LeaseReply::Builder::hasToken() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::greengage::protocol::wire::Token::Reader Fence::Reader::getToken() const {
+inline  ::greengage::protocol::wire::Token::Reader LeaseReply::Reader::getToken() const {
   return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::greengage::protocol::wire::Token::Builder Fence::Builder::getToken() {
+inline  ::greengage::protocol::wire::Token::Builder LeaseReply::Builder::getToken() {
   return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::greengage::protocol::wire::Token::Pipeline Fence::Pipeline::getToken() {
+inline  ::greengage::protocol::wire::Token::Pipeline LeaseReply::Pipeline::getToken() {
   return  ::greengage::protocol::wire::Token::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void Fence::Builder::setToken( ::greengage::protocol::wire::Token::Reader value) {
+inline void LeaseReply::Builder::setToken( ::greengage::protocol::wire::Token::Reader value) {
   ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::greengage::protocol::wire::Token::Builder Fence::Builder::initToken() {
+inline  ::greengage::protocol::wire::Token::Builder LeaseReply::Builder::initToken() {
   return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Fence::Builder::adoptToken(
+inline void LeaseReply::Builder::adoptToken(
     ::capnp::Orphan< ::greengage::protocol::wire::Token>&& value) {
   ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::greengage::protocol::wire::Token> Fence::Builder::disownToken() {
+inline ::capnp::Orphan< ::greengage::protocol::wire::Token> LeaseReply::Builder::disownToken() {
   return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool FenceReply::Reader::hasAgent() const {
+inline  ::uint64_t LeaseReply::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LeaseReply::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LeaseReply::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LeaseReply::Reader::getGranted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool LeaseReply::Builder::getGranted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void LeaseReply::Builder::setGranted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LeaseReply::Reader::hasPromised() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool FenceReply::Builder::hasAgent() {
+inline bool LeaseReply::Builder::hasPromised() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::greengage::protocol::wire::ProcessId::Reader FenceReply::Reader::getAgent() const {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::greengage::protocol::wire::Token::Reader LeaseReply::Reader::getPromised() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::greengage::protocol::wire::ProcessId::Builder FenceReply::Builder::getAgent() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::greengage::protocol::wire::Token::Builder LeaseReply::Builder::getPromised() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::greengage::protocol::wire::ProcessId::Pipeline FenceReply::Pipeline::getAgent() {
-  return  ::greengage::protocol::wire::ProcessId::Pipeline(_typeless.getPointerField(0));
+inline  ::greengage::protocol::wire::Token::Pipeline LeaseReply::Pipeline::getPromised() {
+  return  ::greengage::protocol::wire::Token::Pipeline(_typeless.getPointerField(2));
 }
 #endif  // !CAPNP_LITE
-inline void FenceReply::Builder::setAgent( ::greengage::protocol::wire::ProcessId::Reader value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void LeaseReply::Builder::setPromised( ::greengage::protocol::wire::Token::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::greengage::protocol::wire::ProcessId::Builder FenceReply::Builder::initAgent() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::greengage::protocol::wire::Token::Builder LeaseReply::Builder::initPromised() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void FenceReply::Builder::adoptAgent(
-    ::capnp::Orphan< ::greengage::protocol::wire::ProcessId>&& value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void LeaseReply::Builder::adoptPromised(
+    ::capnp::Orphan< ::greengage::protocol::wire::Token>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::greengage::protocol::wire::ProcessId> FenceReply::Builder::disownAgent() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::greengage::protocol::wire::Token> LeaseReply::Builder::disownPromised() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t FenceReply::Reader::getShard() const {
+inline  ::uint32_t LeaseReply::Reader::getOlderGrantRemainingMs() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t FenceReply::Builder::getShard() {
+inline  ::uint32_t LeaseReply::Builder::getOlderGrantRemainingMs() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void FenceReply::Builder::setShard( ::uint32_t value) {
+inline void LeaseReply::Builder::setOlderGrantRemainingMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool FenceReply::Reader::hasToken() const {
+inline bool LeaseReply::Reader::hasAgents() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool FenceReply::Builder::hasToken() {
+inline bool LeaseReply::Builder::hasAgents() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::greengage::protocol::wire::Token::Reader FenceReply::Reader::getToken() const {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>::Reader LeaseReply::Reader::getAgents() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::greengage::protocol::wire::Token::Builder FenceReply::Builder::getToken() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>::Builder LeaseReply::Builder::getAgents() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::greengage::protocol::wire::Token::Pipeline FenceReply::Pipeline::getToken() {
-  return  ::greengage::protocol::wire::Token::Pipeline(_typeless.getPointerField(1));
+inline void LeaseReply::Builder::setAgents( ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-#endif  // !CAPNP_LITE
-inline void FenceReply::Builder::setToken( ::greengage::protocol::wire::Token::Reader value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline  ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>::Builder LeaseReply::Builder::initAgents(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline  ::greengage::protocol::wire::Token::Builder FenceReply::Builder::initToken() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void LeaseReply::Builder::adoptAgents(
+    ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void FenceReply::Builder::adoptToken(
-    ::capnp::Orphan< ::greengage::protocol::wire::Token>&& value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>> LeaseReply::Builder::disownAgents() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::greengage::protocol::wire::Token> FenceReply::Builder::disownToken() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint32_t OwnerAnnouncement::Reader::getShard() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool HistoryQuery::Reader::hasAgent() const {
+inline  ::uint32_t OwnerAnnouncement::Builder::getShard() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void OwnerAnnouncement::Builder::setShard( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool OwnerAnnouncement::Reader::hasToken() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool HistoryQuery::Builder::hasAgent() {
+inline bool OwnerAnnouncement::Builder::hasToken() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::greengage::protocol::wire::ProcessId::Reader HistoryQuery::Reader::getAgent() const {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_reader.getPointerField(
+inline  ::greengage::protocol::wire::Token::Reader OwnerAnnouncement::Reader::getToken() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::greengage::protocol::wire::ProcessId::Builder HistoryQuery::Builder::getAgent() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_builder.getPointerField(
+inline  ::greengage::protocol::wire::Token::Builder OwnerAnnouncement::Builder::getToken() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::greengage::protocol::wire::ProcessId::Pipeline HistoryQuery::Pipeline::getAgent() {
-  return  ::greengage::protocol::wire::ProcessId::Pipeline(_typeless.getPointerField(0));
+inline  ::greengage::protocol::wire::Token::Pipeline OwnerAnnouncement::Pipeline::getToken() {
+  return  ::greengage::protocol::wire::Token::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void HistoryQuery::Builder::setAgent( ::greengage::protocol::wire::ProcessId::Reader value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::set(_builder.getPointerField(
+inline void OwnerAnnouncement::Builder::setToken( ::greengage::protocol::wire::Token::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::greengage::protocol::wire::ProcessId::Builder HistoryQuery::Builder::initAgent() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::init(_builder.getPointerField(
+inline  ::greengage::protocol::wire::Token::Builder OwnerAnnouncement::Builder::initToken() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void HistoryQuery::Builder::adoptAgent(
-    ::capnp::Orphan< ::greengage::protocol::wire::ProcessId>&& value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::adopt(_builder.getPointerField(
+inline void OwnerAnnouncement::Builder::adoptToken(
+    ::capnp::Orphan< ::greengage::protocol::wire::Token>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::greengage::protocol::wire::ProcessId> HistoryQuery::Builder::disownAgent() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::greengage::protocol::wire::Token> OwnerAnnouncement::Builder::disownToken() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t HistoryQuery::Reader::getShard() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t HistoryQuery::Builder::getShard() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void HistoryQuery::Builder::setShard( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool HistoryQuery::Reader::hasToken() const {
+inline bool OwnerAnnouncement::Reader::hasOwner() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool HistoryQuery::Builder::hasToken() {
+inline bool OwnerAnnouncement::Builder::hasOwner() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::greengage::protocol::wire::Token::Reader HistoryQuery::Reader::getToken() const {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_reader.getPointerField(
+inline  ::greengage::protocol::wire::ProcessInfo::Reader OwnerAnnouncement::Reader::getOwner() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::greengage::protocol::wire::Token::Builder HistoryQuery::Builder::getToken() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_builder.getPointerField(
+inline  ::greengage::protocol::wire::ProcessInfo::Builder OwnerAnnouncement::Builder::getOwner() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::greengage::protocol::wire::Token::Pipeline HistoryQuery::Pipeline::getToken() {
-  return  ::greengage::protocol::wire::Token::Pipeline(_typeless.getPointerField(1));
+inline  ::greengage::protocol::wire::ProcessInfo::Pipeline OwnerAnnouncement::Pipeline::getOwner() {
+  return  ::greengage::protocol::wire::ProcessInfo::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void HistoryQuery::Builder::setToken( ::greengage::protocol::wire::Token::Reader value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::set(_builder.getPointerField(
+inline void OwnerAnnouncement::Builder::setOwner( ::greengage::protocol::wire::ProcessInfo::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::greengage::protocol::wire::Token::Builder HistoryQuery::Builder::initToken() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::init(_builder.getPointerField(
+inline  ::greengage::protocol::wire::ProcessInfo::Builder OwnerAnnouncement::Builder::initOwner() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void HistoryQuery::Builder::adoptToken(
-    ::capnp::Orphan< ::greengage::protocol::wire::Token>&& value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::adopt(_builder.getPointerField(
+inline void OwnerAnnouncement::Builder::adoptOwner(
+    ::capnp::Orphan< ::greengage::protocol::wire::ProcessInfo>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::greengage::protocol::wire::Token> HistoryQuery::Builder::disownToken() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::greengage::protocol::wire::ProcessInfo> OwnerAnnouncement::Builder::disownOwner() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t HistoryQuery::Reader::getQuery() const {
+inline  ::uint64_t ConfigurationPull::Reader::getFromVersion() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t HistoryQuery::Builder::getQuery() {
+inline  ::uint64_t ConfigurationPull::Builder::getFromVersion() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void HistoryQuery::Builder::setQuery( ::uint64_t value) {
+inline void ConfigurationPull::Builder::setFromVersion( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool HistoryQuery::Reader::hasKeys() const {
+inline  ::uint64_t ConfigurationRecord::Reader::getOffset() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ConfigurationRecord::Builder::getOffset() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ConfigurationRecord::Builder::setOffset( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ConfigurationRecord::Reader::hasData() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool HistoryQuery::Builder::hasKeys() {
+inline bool ConfigurationRecord::Builder::hasData() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>::Reader HistoryQuery::Reader::getKeys() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ConfigurationRecord::Reader::getData() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>::Builder HistoryQuery::Builder::getKeys() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ConfigurationRecord::Builder::getData() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void HistoryQuery::Builder::setKeys( ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void ConfigurationRecord::Builder::setData( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>::Builder HistoryQuery::Builder::initKeys(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder ConfigurationRecord::Builder::initData(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void HistoryQuery::Builder::adoptKeys(
-    ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void ConfigurationRecord::Builder::adoptData(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>> HistoryQuery::Builder::disownKeys() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::JobKey,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ConfigurationRecord::Builder::disownData() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t ConfigurationRecords::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ConfigurationRecords::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ConfigurationRecords::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool HistoryReply::Reader::hasAgent() const {
+inline bool ConfigurationRecords::Reader::hasRecords() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool HistoryReply::Builder::hasAgent() {
+inline bool ConfigurationRecords::Builder::hasRecords() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::greengage::protocol::wire::ProcessId::Reader HistoryReply::Reader::getAgent() const {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_reader.getPointerField(
+inline  ::capnp::List< ::greengage::protocol::wire::ConfigurationRecord,  ::capnp::Kind::STRUCT>::Reader ConfigurationRecords::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::ConfigurationRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::greengage::protocol::wire::ProcessId::Builder HistoryReply::Builder::getAgent() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_builder.getPointerField(
+inline  ::capnp::List< ::greengage::protocol::wire::ConfigurationRecord,  ::capnp::Kind::STRUCT>::Builder ConfigurationRecords::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::ConfigurationRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::greengage::protocol::wire::ProcessId::Pipeline HistoryReply::Pipeline::getAgent() {
-  return  ::greengage::protocol::wire::ProcessId::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void HistoryReply::Builder::setAgent( ::greengage::protocol::wire::ProcessId::Reader value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::set(_builder.getPointerField(
+inline void ConfigurationRecords::Builder::setRecords( ::capnp::List< ::greengage::protocol::wire::ConfigurationRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::ConfigurationRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::greengage::protocol::wire::ProcessId::Builder HistoryReply::Builder::initAgent() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::greengage::protocol::wire::ConfigurationRecord,  ::capnp::Kind::STRUCT>::Builder ConfigurationRecords::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::ConfigurationRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void HistoryReply::Builder::adoptAgent(
-    ::capnp::Orphan< ::greengage::protocol::wire::ProcessId>&& value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::adopt(_builder.getPointerField(
+inline void ConfigurationRecords::Builder::adoptRecords(
+    ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::ConfigurationRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::ConfigurationRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::greengage::protocol::wire::ProcessId> HistoryReply::Builder::disownAgent() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::ConfigurationRecord,  ::capnp::Kind::STRUCT>> ConfigurationRecords::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::ConfigurationRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t HistoryReply::Reader::getShard() const {
+inline  ::uint32_t ResourceAmount::Reader::getCpuMillicores() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t HistoryReply::Builder::getShard() {
+inline  ::uint32_t ResourceAmount::Builder::getCpuMillicores() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void HistoryReply::Builder::setShard( ::uint32_t value) {
+inline void ResourceAmount::Builder::setCpuMillicores( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool HistoryReply::Reader::hasToken() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline  ::uint32_t ResourceAmount::Reader::getMemoryMb() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline bool HistoryReply::Builder::hasToken() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint32_t ResourceAmount::Builder::getMemoryMb() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline  ::greengage::protocol::wire::Token::Reader HistoryReply::Reader::getToken() const {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void ResourceAmount::Builder::setMemoryMb( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
-inline  ::greengage::protocol::wire::Token::Builder HistoryReply::Builder::getToken() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint32_t ResourceAmount::Reader::getGpus() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-#if !CAPNP_LITE
-inline  ::greengage::protocol::wire::Token::Pipeline HistoryReply::Pipeline::getToken() {
-  return  ::greengage::protocol::wire::Token::Pipeline(_typeless.getPointerField(1));
+
+inline  ::uint32_t ResourceAmount::Builder::getGpus() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-#endif  // !CAPNP_LITE
-inline void HistoryReply::Builder::setToken( ::greengage::protocol::wire::Token::Reader value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void ResourceAmount::Builder::setGpus( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
-inline  ::greengage::protocol::wire::Token::Builder HistoryReply::Builder::initToken() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint64_t RunKey::Reader::getJob() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void HistoryReply::Builder::adoptToken(
-    ::capnp::Orphan< ::greengage::protocol::wire::Token>&& value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t RunKey::Builder::getJob() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::greengage::protocol::wire::Token> HistoryReply::Builder::disownToken() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void RunKey::Builder::setJob( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t HistoryReply::Reader::getQuery() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::uint32_t RunKey::Reader::getStep() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RunKey::Builder::getStep() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RunKey::Builder::setStep( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RunKey::Reader::getIndex() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RunKey::Builder::getIndex() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void RunKey::Builder::setIndex( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RunKey::Reader::getRun() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RunKey::Builder::getRun() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void RunKey::Builder::setRun( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RunOrder::Reader::getIndex() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RunOrder::Builder::getIndex() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RunOrder::Builder::setIndex( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RunOrder::Reader::getRun() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t HistoryReply::Builder::getQuery() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint32_t RunOrder::Builder::getRun() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void HistoryReply::Builder::setQuery( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void RunOrder::Builder::setRun( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool HistoryReply::Reader::hasRecords() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool HistoryReply::Builder::hasRecords() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>::Reader HistoryReply::Reader::getRecords() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::uint64_t RunBatch::Reader::getJob() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>::Builder HistoryReply::Builder::getRecords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+
+inline  ::uint64_t RunBatch::Builder::getJob() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void HistoryReply::Builder::setRecords( ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void RunBatch::Builder::setJob( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>::Builder HistoryReply::Builder::initRecords(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+
+inline  ::uint32_t RunBatch::Reader::getStep() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void HistoryReply::Builder::adoptRecords(
-    ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t RunBatch::Builder::getStep() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>> HistoryReply::Builder::disownRecords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::TaskRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void RunBatch::Builder::setStep( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool AgentStatus::Reader::hasProcess() const {
+inline bool RunBatch::Reader::hasNeed() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool AgentStatus::Builder::hasProcess() {
+inline bool RunBatch::Builder::hasNeed() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::greengage::protocol::wire::ProcessInfo::Reader AgentStatus::Reader::getProcess() const {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::get(_reader.getPointerField(
+inline  ::greengage::protocol::wire::ResourceAmount::Reader RunBatch::Reader::getNeed() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ResourceAmount>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::greengage::protocol::wire::ProcessInfo::Builder AgentStatus::Builder::getProcess() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::get(_builder.getPointerField(
+inline  ::greengage::protocol::wire::ResourceAmount::Builder RunBatch::Builder::getNeed() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ResourceAmount>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::greengage::protocol::wire::ProcessInfo::Pipeline AgentStatus::Pipeline::getProcess() {
-  return  ::greengage::protocol::wire::ProcessInfo::Pipeline(_typeless.getPointerField(0));
+inline  ::greengage::protocol::wire::ResourceAmount::Pipeline RunBatch::Pipeline::getNeed() {
+  return  ::greengage::protocol::wire::ResourceAmount::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void AgentStatus::Builder::setProcess( ::greengage::protocol::wire::ProcessInfo::Reader value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::set(_builder.getPointerField(
+inline void RunBatch::Builder::setNeed( ::greengage::protocol::wire::ResourceAmount::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ResourceAmount>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::greengage::protocol::wire::ProcessInfo::Builder AgentStatus::Builder::initProcess() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::init(_builder.getPointerField(
+inline  ::greengage::protocol::wire::ResourceAmount::Builder RunBatch::Builder::initNeed() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ResourceAmount>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void AgentStatus::Builder::adoptProcess(
-    ::capnp::Orphan< ::greengage::protocol::wire::ProcessInfo>&& value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::adopt(_builder.getPointerField(
+inline void RunBatch::Builder::adoptNeed(
+    ::capnp::Orphan< ::greengage::protocol::wire::ResourceAmount>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ResourceAmount>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::greengage::protocol::wire::ProcessInfo> AgentStatus::Builder::disownProcess() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::greengage::protocol::wire::ResourceAmount> RunBatch::Builder::disownNeed() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ResourceAmount>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t AgentStatus::Reader::getRunningTasks() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool RunBatch::Reader::hasPayload() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t AgentStatus::Builder::getRunningTasks() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool RunBatch::Builder::hasPayload() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void AgentStatus::Builder::setRunningTasks( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader RunBatch::Reader::getPayload() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t LeaseRequest::Reader::getShard() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder RunBatch::Builder::getPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void RunBatch::Builder::setPayload( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RunBatch::Builder::initPayload(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void RunBatch::Builder::adoptPayload(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RunBatch::Builder::disownPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t LeaseRequest::Builder::getShard() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool RunBatch::Reader::hasRuns() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool RunBatch::Builder::hasRuns() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::greengage::protocol::wire::RunOrder,  ::capnp::Kind::STRUCT>::Reader RunBatch::Reader::getRuns() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunOrder,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::greengage::protocol::wire::RunOrder,  ::capnp::Kind::STRUCT>::Builder RunBatch::Builder::getRuns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunOrder,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void RunBatch::Builder::setRuns( ::capnp::List< ::greengage::protocol::wire::RunOrder,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunOrder,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::greengage::protocol::wire::RunOrder,  ::capnp::Kind::STRUCT>::Builder RunBatch::Builder::initRuns(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunOrder,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void LeaseRequest::Builder::setShard( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void RunBatch::Builder::adoptRuns(
+    ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::RunOrder,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunOrder,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::RunOrder,  ::capnp::Kind::STRUCT>> RunBatch::Builder::disownRuns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunOrder,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool LeaseRequest::Reader::hasToken() const {
+inline bool DispatchOrders::Reader::hasStarts() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool LeaseRequest::Builder::hasToken() {
+inline bool DispatchOrders::Builder::hasStarts() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::greengage::protocol::wire::Token::Reader LeaseRequest::Reader::getToken() const {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_reader.getPointerField(
+inline  ::capnp::List< ::greengage::protocol::wire::RunBatch,  ::capnp::Kind::STRUCT>::Reader DispatchOrders::Reader::getStarts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunBatch,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::greengage::protocol::wire::Token::Builder LeaseRequest::Builder::getToken() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_builder.getPointerField(
+inline  ::capnp::List< ::greengage::protocol::wire::RunBatch,  ::capnp::Kind::STRUCT>::Builder DispatchOrders::Builder::getStarts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunBatch,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::greengage::protocol::wire::Token::Pipeline LeaseRequest::Pipeline::getToken() {
-  return  ::greengage::protocol::wire::Token::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void LeaseRequest::Builder::setToken( ::greengage::protocol::wire::Token::Reader value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::set(_builder.getPointerField(
+inline void DispatchOrders::Builder::setStarts( ::capnp::List< ::greengage::protocol::wire::RunBatch,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunBatch,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::greengage::protocol::wire::Token::Builder LeaseRequest::Builder::initToken() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::greengage::protocol::wire::RunBatch,  ::capnp::Kind::STRUCT>::Builder DispatchOrders::Builder::initStarts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunBatch,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void LeaseRequest::Builder::adoptToken(
-    ::capnp::Orphan< ::greengage::protocol::wire::Token>&& value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::adopt(_builder.getPointerField(
+inline void DispatchOrders::Builder::adoptStarts(
+    ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::RunBatch,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunBatch,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::greengage::protocol::wire::Token> LeaseRequest::Builder::disownToken() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::RunBatch,  ::capnp::Kind::STRUCT>> DispatchOrders::Builder::disownStarts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunBatch,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t LeaseRequest::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t LeaseRequest::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void LeaseRequest::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool LeaseRequest::Reader::hasNewAgents() const {
+inline bool DispatchOrders::Reader::hasStops() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool LeaseRequest::Builder::hasNewAgents() {
+inline bool DispatchOrders::Builder::hasStops() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>::Reader LeaseRequest::Reader::getNewAgents() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>::Reader DispatchOrders::Reader::getStops() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>::Builder LeaseRequest::Builder::getNewAgents() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>::Builder DispatchOrders::Builder::getStops() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void LeaseRequest::Builder::setNewAgents( ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void DispatchOrders::Builder::setStops( ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>::Builder LeaseRequest::Builder::initNewAgents(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>::Builder DispatchOrders::Builder::initStops(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void LeaseRequest::Builder::adoptNewAgents(
-    ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void DispatchOrders::Builder::adoptStops(
+    ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>> LeaseRequest::Builder::disownNewAgents() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>> DispatchOrders::Builder::disownStops() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool LeaseRequest::Reader::getWantAgents() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
-}
-
-inline bool LeaseRequest::Builder::getWantAgents() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+inline bool DispatchOrders::Reader::hasChecks() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void LeaseRequest::Builder::setWantAgents(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+inline bool DispatchOrders::Builder::hasChecks() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool LeaseRequest::Reader::getRelease() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>::Reader DispatchOrders::Reader::getChecks() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline bool LeaseRequest::Builder::getRelease() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>::Builder DispatchOrders::Builder::getChecks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void LeaseRequest::Builder::setRelease(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<33>() * ::capnp::ELEMENTS, value);
+inline void DispatchOrders::Builder::setChecks( ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-
-inline bool LeaseRequest::Reader::getAllAgents() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<34>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>::Builder DispatchOrders::Builder::initChecks(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-
-inline bool LeaseRequest::Builder::getAllAgents() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<34>() * ::capnp::ELEMENTS);
+inline void DispatchOrders::Builder::adoptChecks(
+    ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void LeaseRequest::Builder::setAllAgents(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<34>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>> DispatchOrders::Builder::disownChecks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool LeaseReply::Reader::hasMember() const {
+inline bool RunEnd::Reader::hasRun() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool LeaseReply::Builder::hasMember() {
+inline bool RunEnd::Builder::hasRun() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::greengage::protocol::wire::ProcessId::Reader LeaseReply::Reader::getMember() const {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_reader.getPointerField(
+inline  ::greengage::protocol::wire::RunKey::Reader RunEnd::Reader::getRun() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::RunKey>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::greengage::protocol::wire::ProcessId::Builder LeaseReply::Builder::getMember() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_builder.getPointerField(
+inline  ::greengage::protocol::wire::RunKey::Builder RunEnd::Builder::getRun() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::RunKey>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::greengage::protocol::wire::ProcessId::Pipeline LeaseReply::Pipeline::getMember() {
-  return  ::greengage::protocol::wire::ProcessId::Pipeline(_typeless.getPointerField(0));
+inline  ::greengage::protocol::wire::RunKey::Pipeline RunEnd::Pipeline::getRun() {
+  return  ::greengage::protocol::wire::RunKey::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void LeaseReply::Builder::setMember( ::greengage::protocol::wire::ProcessId::Reader value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::set(_builder.getPointerField(
+inline void RunEnd::Builder::setRun( ::greengage::protocol::wire::RunKey::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::RunKey>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::greengage::protocol::wire::ProcessId::Builder LeaseReply::Builder::initMember() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::init(_builder.getPointerField(
+inline  ::greengage::protocol::wire::RunKey::Builder RunEnd::Builder::initRun() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::RunKey>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void LeaseReply::Builder::adoptMember(
-    ::capnp::Orphan< ::greengage::protocol::wire::ProcessId>&& value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::adopt(_builder.getPointerField(
+inline void RunEnd::Builder::adoptRun(
+    ::capnp::Orphan< ::greengage::protocol::wire::RunKey>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::RunKey>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::greengage::protocol::wire::ProcessId> LeaseReply::Builder::disownMember() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::greengage::protocol::wire::RunKey> RunEnd::Builder::disownRun() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::RunKey>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t LeaseReply::Reader::getShard() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::uint8_t RunEnd::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t LeaseReply::Builder::getShard() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::uint8_t RunEnd::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void LeaseReply::Builder::setShard( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void RunEnd::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool LeaseReply::Reader::hasToken() const {
+inline  ::uint32_t RunEnd::Reader::getRunTimeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RunEnd::Builder::getRunTimeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RunEnd::Builder::setRunTimeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ServerDescription::Reader::hasId() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool LeaseReply::Builder::hasToken() {
+inline bool ServerDescription::Builder::hasId() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::greengage::protocol::wire::Token::Reader LeaseReply::Reader::getToken() const {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::greengage::protocol::wire::Token::Builder LeaseReply::Builder::getToken() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ServerDescription::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::greengage::protocol::wire::Token::Pipeline LeaseReply::Pipeline::getToken() {
-  return  ::greengage::protocol::wire::Token::Pipeline(_typeless.getPointerField(1));
+inline  ::capnp::Text::Builder ServerDescription::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
-inline void LeaseReply::Builder::setToken( ::greengage::protocol::wire::Token::Reader value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void ServerDescription::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::greengage::protocol::wire::Token::Builder LeaseReply::Builder::initToken() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ServerDescription::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void LeaseReply::Builder::adoptToken(
-    ::capnp::Orphan< ::greengage::protocol::wire::Token>&& value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void ServerDescription::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::greengage::protocol::wire::Token> LeaseReply::Builder::disownToken() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ServerDescription::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t LeaseReply::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool ServerDescription::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t LeaseReply::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool ServerDescription::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void LeaseReply::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader ServerDescription::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline bool LeaseReply::Reader::getGranted() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder ServerDescription::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline bool LeaseReply::Builder::getGranted() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+inline void ServerDescription::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void LeaseReply::Builder::setGranted(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Builder ServerDescription::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ServerDescription::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServerDescription::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool LeaseReply::Reader::hasPromised() const {
+inline bool ServerDescription::Reader::hasLabels() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool LeaseReply::Builder::hasPromised() {
+inline bool ServerDescription::Builder::hasLabels() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::greengage::protocol::wire::Token::Reader LeaseReply::Reader::getPromised() const {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_reader.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader ServerDescription::Reader::getLabels() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::greengage::protocol::wire::Token::Builder LeaseReply::Builder::getPromised() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_builder.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ServerDescription::Builder::getLabels() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::greengage::protocol::wire::Token::Pipeline LeaseReply::Pipeline::getPromised() {
-  return  ::greengage::protocol::wire::Token::Pipeline(_typeless.getPointerField(2));
-}
-#endif  // !CAPNP_LITE
-inline void LeaseReply::Builder::setPromised( ::greengage::protocol::wire::Token::Reader value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::set(_builder.getPointerField(
+inline void ServerDescription::Builder::setLabels( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::greengage::protocol::wire::Token::Builder LeaseReply::Builder::initPromised() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void LeaseReply::Builder::adoptPromised(
-    ::capnp::Orphan< ::greengage::protocol::wire::Token>&& value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::greengage::protocol::wire::Token> LeaseReply::Builder::disownPromised() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void ServerDescription::Builder::setLabels(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint32_t LeaseReply::Reader::getOlderGrantRemainingMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ServerDescription::Builder::initLabels(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint32_t LeaseReply::Builder::getOlderGrantRemainingMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline void ServerDescription::Builder::adoptLabels(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void LeaseReply::Builder::setOlderGrantRemainingMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> ServerDescription::Builder::disownLabels() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool LeaseReply::Reader::hasAgents() const {
+inline bool ServerDescription::Reader::hasCapacity() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool LeaseReply::Builder::hasAgents() {
+inline bool ServerDescription::Builder::hasCapacity() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>::Reader LeaseReply::Reader::getAgents() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::greengage::protocol::wire::ResourceAmount::Reader ServerDescription::Reader::getCapacity() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ResourceAmount>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>::Builder LeaseReply::Builder::getAgents() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::greengage::protocol::wire::ResourceAmount::Builder ServerDescription::Builder::getCapacity() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ResourceAmount>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void LeaseReply::Builder::setAgents( ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::greengage::protocol::wire::ResourceAmount::Pipeline ServerDescription::Pipeline::getCapacity() {
+  return  ::greengage::protocol::wire::ResourceAmount::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void ServerDescription::Builder::setCapacity( ::greengage::protocol::wire::ResourceAmount::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ResourceAmount>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>::Builder LeaseReply::Builder::initAgents(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline  ::greengage::protocol::wire::ResourceAmount::Builder ServerDescription::Builder::initCapacity() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ResourceAmount>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void LeaseReply::Builder::adoptAgents(
-    ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void ServerDescription::Builder::adoptCapacity(
+    ::capnp::Orphan< ::greengage::protocol::wire::ResourceAmount>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ResourceAmount>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>> LeaseReply::Builder::disownAgents() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::AgentInUse,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::greengage::protocol::wire::ResourceAmount> ServerDescription::Builder::disownCapacity() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ResourceAmount>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t OwnerAnnouncement::Reader::getShard() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t OwnerAnnouncement::Builder::getShard() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void OwnerAnnouncement::Builder::setShard( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool OwnerAnnouncement::Reader::hasToken() const {
+inline bool ServerReport::Reader::hasDescription() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool OwnerAnnouncement::Builder::hasToken() {
+inline bool ServerReport::Builder::hasDescription() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::greengage::protocol::wire::Token::Reader OwnerAnnouncement::Reader::getToken() const {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_reader.getPointerField(
+inline  ::greengage::protocol::wire::ServerDescription::Reader ServerReport::Reader::getDescription() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ServerDescription>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::greengage::protocol::wire::Token::Builder OwnerAnnouncement::Builder::getToken() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::get(_builder.getPointerField(
+inline  ::greengage::protocol::wire::ServerDescription::Builder ServerReport::Builder::getDescription() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ServerDescription>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::greengage::protocol::wire::Token::Pipeline OwnerAnnouncement::Pipeline::getToken() {
-  return  ::greengage::protocol::wire::Token::Pipeline(_typeless.getPointerField(0));
+inline  ::greengage::protocol::wire::ServerDescription::Pipeline ServerReport::Pipeline::getDescription() {
+  return  ::greengage::protocol::wire::ServerDescription::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void OwnerAnnouncement::Builder::setToken( ::greengage::protocol::wire::Token::Reader value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::set(_builder.getPointerField(
+inline void ServerReport::Builder::setDescription( ::greengage::protocol::wire::ServerDescription::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ServerDescription>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::greengage::protocol::wire::Token::Builder OwnerAnnouncement::Builder::initToken() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::init(_builder.getPointerField(
+inline  ::greengage::protocol::wire::ServerDescription::Builder ServerReport::Builder::initDescription() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ServerDescription>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void OwnerAnnouncement::Builder::adoptToken(
-    ::capnp::Orphan< ::greengage::protocol::wire::Token>&& value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::adopt(_builder.getPointerField(
+inline void ServerReport::Builder::adoptDescription(
+    ::capnp::Orphan< ::greengage::protocol::wire::ServerDescription>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ServerDescription>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::greengage::protocol::wire::Token> OwnerAnnouncement::Builder::disownToken() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::Token>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::greengage::protocol::wire::ServerDescription> ServerReport::Builder::disownDescription() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ServerDescription>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool OwnerAnnouncement::Reader::hasOwner() const {
+inline  ::uint8_t ServerReport::Reader::getCondition() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t ServerReport::Builder::getCondition() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ServerReport::Builder::setCondition( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ServerReport::Reader::hasUsedByOthers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool OwnerAnnouncement::Builder::hasOwner() {
+inline bool ServerReport::Builder::hasUsedByOthers() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::greengage::protocol::wire::ProcessInfo::Reader OwnerAnnouncement::Reader::getOwner() const {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::get(_reader.getPointerField(
+inline  ::greengage::protocol::wire::ResourceAmount::Reader ServerReport::Reader::getUsedByOthers() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ResourceAmount>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::greengage::protocol::wire::ProcessInfo::Builder OwnerAnnouncement::Builder::getOwner() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::get(_builder.getPointerField(
+inline  ::greengage::protocol::wire::ResourceAmount::Builder ServerReport::Builder::getUsedByOthers() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ResourceAmount>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::greengage::protocol::wire::ProcessInfo::Pipeline OwnerAnnouncement::Pipeline::getOwner() {
-  return  ::greengage::protocol::wire::ProcessInfo::Pipeline(_typeless.getPointerField(1));
+inline  ::greengage::protocol::wire::ResourceAmount::Pipeline ServerReport::Pipeline::getUsedByOthers() {
+  return  ::greengage::protocol::wire::ResourceAmount::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void OwnerAnnouncement::Builder::setOwner( ::greengage::protocol::wire::ProcessInfo::Reader value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::set(_builder.getPointerField(
+inline void ServerReport::Builder::setUsedByOthers( ::greengage::protocol::wire::ResourceAmount::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ResourceAmount>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::greengage::protocol::wire::ProcessInfo::Builder OwnerAnnouncement::Builder::initOwner() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::init(_builder.getPointerField(
+inline  ::greengage::protocol::wire::ResourceAmount::Builder ServerReport::Builder::initUsedByOthers() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ResourceAmount>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void OwnerAnnouncement::Builder::adoptOwner(
-    ::capnp::Orphan< ::greengage::protocol::wire::ProcessInfo>&& value) {
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::adopt(_builder.getPointerField(
+inline void ServerReport::Builder::adoptUsedByOthers(
+    ::capnp::Orphan< ::greengage::protocol::wire::ResourceAmount>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ResourceAmount>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::greengage::protocol::wire::ProcessInfo> OwnerAnnouncement::Builder::disownOwner() {
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessInfo>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::greengage::protocol::wire::ResourceAmount> ServerReport::Builder::disownUsedByOthers() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ResourceAmount>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t ConfigurationPull::Reader::getFromVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t ConfigurationPull::Builder::getFromVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void ConfigurationPull::Builder::setFromVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t ConfigurationRecord::Reader::getOffset() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t ConfigurationRecord::Builder::getOffset() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void ConfigurationRecord::Builder::setOffset( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool ConfigurationRecord::Reader::hasData() const {
+inline bool ServerReport::Reader::hasEnds() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool ConfigurationRecord::Builder::hasData() {
+inline bool ServerReport::Builder::hasEnds() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ConfigurationRecord::Reader::getData() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::greengage::protocol::wire::RunEnd,  ::capnp::Kind::STRUCT>::Reader ServerReport::Reader::getEnds() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunEnd,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ConfigurationRecord::Builder::getData() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::greengage::protocol::wire::RunEnd,  ::capnp::Kind::STRUCT>::Builder ServerReport::Builder::getEnds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunEnd,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void ConfigurationRecord::Builder::setData( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void ServerReport::Builder::setEnds( ::capnp::List< ::greengage::protocol::wire::RunEnd,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunEnd,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ConfigurationRecord::Builder::initData(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::greengage::protocol::wire::RunEnd,  ::capnp::Kind::STRUCT>::Builder ServerReport::Builder::initEnds(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunEnd,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void ConfigurationRecord::Builder::adoptData(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void ServerReport::Builder::adoptEnds(
+    ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::RunEnd,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunEnd,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ConfigurationRecord::Builder::disownData() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::RunEnd,  ::capnp::Kind::STRUCT>> ServerReport::Builder::disownEnds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunEnd,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t ConfigurationRecords::Reader::getVersion() const {
+inline  ::uint64_t ConfigurationCopy::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ConfigurationRecords::Builder::getVersion() {
+inline  ::uint64_t ConfigurationCopy::Builder::getVersion() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ConfigurationRecords::Builder::setVersion( ::uint64_t value) {
+inline void ConfigurationCopy::Builder::setVersion( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ConfigurationRecords::Reader::hasRecords() const {
+inline bool ConfigurationCopy::Reader::hasDocument() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ConfigurationRecords::Builder::hasRecords() {
+inline bool ConfigurationCopy::Builder::hasDocument() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::greengage::protocol::wire::ConfigurationRecord,  ::capnp::Kind::STRUCT>::Reader ConfigurationRecords::Reader::getRecords() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::ConfigurationRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader ConfigurationCopy::Reader::getDocument() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::greengage::protocol::wire::ConfigurationRecord,  ::capnp::Kind::STRUCT>::Builder ConfigurationRecords::Builder::getRecords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::ConfigurationRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder ConfigurationCopy::Builder::getDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ConfigurationRecords::Builder::setRecords( ::capnp::List< ::greengage::protocol::wire::ConfigurationRecord,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::ConfigurationRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void ConfigurationCopy::Builder::setDocument( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::greengage::protocol::wire::ConfigurationRecord,  ::capnp::Kind::STRUCT>::Builder ConfigurationRecords::Builder::initRecords(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::ConfigurationRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder ConfigurationCopy::Builder::initDocument(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ConfigurationRecords::Builder::adoptRecords(
-    ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::ConfigurationRecord,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::ConfigurationRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void ConfigurationCopy::Builder::adoptDocument(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::ConfigurationRecord,  ::capnp::Kind::STRUCT>> ConfigurationRecords::Builder::disownRecords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::ConfigurationRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> ConfigurationCopy::Builder::disownDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
@@ -7107,6 +8909,168 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Message::Reader::isDispatchOrders() const {
+  return which() == Message::DISPATCH_ORDERS;
+}
+inline bool Message::Builder::isDispatchOrders() {
+  return which() == Message::DISPATCH_ORDERS;
+}
+inline bool Message::Reader::hasDispatchOrders() const {
+  if (which() != Message::DISPATCH_ORDERS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasDispatchOrders() {
+  if (which() != Message::DISPATCH_ORDERS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::greengage::protocol::wire::DispatchOrders::Reader Message::Reader::getDispatchOrders() const {
+  KJ_IREQUIRE((which() == Message::DISPATCH_ORDERS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::DispatchOrders>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::greengage::protocol::wire::DispatchOrders::Builder Message::Builder::getDispatchOrders() {
+  KJ_IREQUIRE((which() == Message::DISPATCH_ORDERS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::DispatchOrders>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setDispatchOrders( ::greengage::protocol::wire::DispatchOrders::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::DISPATCH_ORDERS);
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::DispatchOrders>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::greengage::protocol::wire::DispatchOrders::Builder Message::Builder::initDispatchOrders() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::DISPATCH_ORDERS);
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::DispatchOrders>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptDispatchOrders(
+    ::capnp::Orphan< ::greengage::protocol::wire::DispatchOrders>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::DISPATCH_ORDERS);
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::DispatchOrders>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::greengage::protocol::wire::DispatchOrders> Message::Builder::disownDispatchOrders() {
+  KJ_IREQUIRE((which() == Message::DISPATCH_ORDERS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::DispatchOrders>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Message::Reader::isServerReport() const {
+  return which() == Message::SERVER_REPORT;
+}
+inline bool Message::Builder::isServerReport() {
+  return which() == Message::SERVER_REPORT;
+}
+inline bool Message::Reader::hasServerReport() const {
+  if (which() != Message::SERVER_REPORT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasServerReport() {
+  if (which() != Message::SERVER_REPORT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::greengage::protocol::wire::ServerReport::Reader Message::Reader::getServerReport() const {
+  KJ_IREQUIRE((which() == Message::SERVER_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ServerReport>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::greengage::protocol::wire::ServerReport::Builder Message::Builder::getServerReport() {
+  KJ_IREQUIRE((which() == Message::SERVER_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ServerReport>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setServerReport( ::greengage::protocol::wire::ServerReport::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::SERVER_REPORT);
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ServerReport>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::greengage::protocol::wire::ServerReport::Builder Message::Builder::initServerReport() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::SERVER_REPORT);
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ServerReport>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptServerReport(
+    ::capnp::Orphan< ::greengage::protocol::wire::ServerReport>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::SERVER_REPORT);
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ServerReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::greengage::protocol::wire::ServerReport> Message::Builder::disownServerReport() {
+  KJ_IREQUIRE((which() == Message::SERVER_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ServerReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Message::Reader::isConfigurationCopy() const {
+  return which() == Message::CONFIGURATION_COPY;
+}
+inline bool Message::Builder::isConfigurationCopy() {
+  return which() == Message::CONFIGURATION_COPY;
+}
+inline bool Message::Reader::hasConfigurationCopy() const {
+  if (which() != Message::CONFIGURATION_COPY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasConfigurationCopy() {
+  if (which() != Message::CONFIGURATION_COPY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::greengage::protocol::wire::ConfigurationCopy::Reader Message::Reader::getConfigurationCopy() const {
+  KJ_IREQUIRE((which() == Message::CONFIGURATION_COPY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ConfigurationCopy>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::greengage::protocol::wire::ConfigurationCopy::Builder Message::Builder::getConfigurationCopy() {
+  KJ_IREQUIRE((which() == Message::CONFIGURATION_COPY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ConfigurationCopy>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setConfigurationCopy( ::greengage::protocol::wire::ConfigurationCopy::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CONFIGURATION_COPY);
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ConfigurationCopy>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::greengage::protocol::wire::ConfigurationCopy::Builder Message::Builder::initConfigurationCopy() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CONFIGURATION_COPY);
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ConfigurationCopy>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptConfigurationCopy(
+    ::capnp::Orphan< ::greengage::protocol::wire::ConfigurationCopy>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CONFIGURATION_COPY);
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ConfigurationCopy>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::greengage::protocol::wire::ConfigurationCopy> Message::Builder::disownConfigurationCopy() {
+  KJ_IREQUIRE((which() == Message::CONFIGURATION_COPY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ConfigurationCopy>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Frame::Reader::hasMessages() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/protocol/peer_decode.cpp
+++ b/src/protocol/peer_decode.cpp
@@ -1,5 +1,7 @@
 #include "protocol/peer_decode.h"
 
+#include "protocol/dispatch_codec.h"
+
 namespace greengage::protocol {
 
 namespace {
@@ -320,6 +322,19 @@
       };
     case wire::Message::DRAIN_AGENT:
       return DrainAgent{ Decode(aReader.getDrainAgent()) };
+    case wire::Message::DISPATCH_ORDERS:
+      return DecodeDispatchOrders(aReader.getDispatchOrders());
+    case wire::Message::SERVER_REPORT: {
+      auto report = DecodeServerReport(aReader.getServerReport());
+      if (!report) {
+        Reject(report.error().field, report.error().message);
+      }
+      return *std::move(report);
+    }
+    case wire::Message::CONFIGURATION_COPY: {
+      auto copy = aReader.getConfigurationCopy();
+      return ConfigurationCopy{ copy.getVersion(), copy.getDocument() };
+    }
     case wire::Message::CONFIGURATION_RECORDS: {
       auto records = aReader.getConfigurationRecords();
       return ConfigurationRecords{ records.getVersion(),
--- a/src/protocol/peer_encode.cpp
+++ b/src/protocol/peer_encode.cpp
@@ -1,5 +1,7 @@
 #include "protocol/peer_encode.h"
 
+#include "protocol/dispatch_codec.h"
+
 namespace greengage::protocol {
 
 namespace {
@@ -308,6 +310,23 @@
     Encode(aMessage.agent, builder.initDrainAgent());
   }
 
+  void operator()(const DispatchOrders& aMessage)
+  {
+    EncodeDispatchOrders(aMessage, builder.initDispatchOrders());
+  }
+
+  void operator()(const ServerReport& aMessage)
+  {
+    EncodeServerReport(aMessage, builder.initServerReport());
+  }
+
+  void operator()(const ConfigurationCopy& aMessage)
+  {
+    auto copy = builder.initConfigurationCopy();
+    copy.setVersion(aMessage.version);
+    copy.setDocument(ToText(aMessage.document));
+  }
+
   void operator()(const ConfigurationRecords& aMessage)
   {
     auto records = builder.initConfigurationRecords();
--- /dev/null
+++ b/src/state/dispatch/dispatch_job.cpp
@@ -0,0 +1,49 @@
+#include "state/dispatch/dispatch_job.h"
+
+namespace greengage::state {
+
+const char*
+ToString(DispatchReason aReason)
+{
+  switch (aReason) {
+    case DispatchReason::eNone:
+      return "none";
+    case DispatchReason::eAttemptsUsed:
+      return "attempts_used";
+    case DispatchReason::eTooLate:
+      return "too_late";
+    case DispatchReason::eOverload:
+      return "overload";
+    case DispatchReason::eImpossible:
+      return "impossible";
+    case DispatchReason::eServerLost:
+      return "server_lost";
+    case DispatchReason::eNotConfigured:
+      return "not_configured";
+    case DispatchReason::eUnsupported:
+      return "unsupported";
+    case DispatchReason::eAbandoned:
+      return "abandoned";
+    case DispatchReason::eCancelled:
+      return "cancelled";
+  }
+  return "unknown";
+}
+
+const char*
+ToString(DispatchResult aResult)
+{
+  switch (aResult) {
+    case DispatchResult::eCompleted:
+      return "completed";
+    case DispatchResult::eFailed:
+      return "failed";
+    case DispatchResult::eRejected:
+      return "rejected";
+    case DispatchResult::eUnknownQueue:
+      return "unknown_queue";
+  }
+  return "unknown";
+}
+
+}
--- a/src/transport/event_log.cpp
+++ b/src/transport/event_log.cpp
@@ -2,7 +2,11 @@
 
 #include <atomic>
 #include <chrono>
-#include <cstdio>
+#include <mutex>
+#include <utility>
+
+#include <fcntl.h>
+#include <unistd.h>
 
 #include <fmt/chrono.h>
 
@@ -29,6 +33,59 @@
   return "error";
 }
 
+/** Counts the lines of the present second and those that were dropped. */
+class LineBudget
+{
+public:
+  /** Takes one line of the budget; false if there is none left. */
+  bool Take(std::chrono::system_clock::time_point aNow)
+  {
+    auto second = std::chrono::floor<std::chrono::seconds>(aNow);
+    if (second != second_) {
+      second_ = second;
+      used_ = 0;
+    }
+    return ++used_ <= kMaxLinesPerSecond;
+  }
+
+  void AddDropped() { ++dropped_; }
+  std::uint64_t TakeDropped() { return std::exchange(dropped_, 0); }
+
+private:
+  std::chrono::sys_seconds second_{};
+  unsigned used_ = 0;
+  std::uint64_t dropped_ = 0;
+};
+
+std::mutex gBudgetMutex;
+LineBudget gBudget;
+
+std::string
+FormatLine(const EventKind& aKind,
+           std::chrono::system_clock::time_point aNow,
+           std::string_view aFields)
+{
+  auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(aNow);
+  auto millis = now.time_since_epoch().count() % 1000;
+  return fmt::format("time={:%FT%T}.{:03}Z level={} event={} "
+                     "name={} {} {}\n",
+                     fmt::gmtime(std::chrono::floor<std::chrono::seconds>(now)),
+                     millis,
+                     ToString(aKind.level),
+                     aKind.number,
+                     aKind.name,
+                     gProcess,
+                     aFields);
+}
+
+/** One call, so that lines of different threads do not mix. */
+bool
+WriteLine(const std::string& aLine)
+{
+  return ::write(STDOUT_FILENO, aLine.data(), aLine.size()) ==
+         static_cast<ssize_t>(aLine.size());
+}
+
 }
 
 void
@@ -37,6 +94,15 @@
   gLevel = aLevel;
 }
 
+void
+SetLogNonBlocking()
+{
+  int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+  if (flags >= 0) {
+    ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  }
+}
+
 void
 SetLogProcess(std::string aProgram, std::string aProcessId)
 {
@@ -49,21 +115,20 @@
   if (aKind.level < gLevel.load(std::memory_order_relaxed)) {
     return;
   }
-  auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
-    std::chrono::system_clock::now());
-  auto millis = now.time_since_epoch().count() % 1000;
-  // One call, so that lines of different threads do not mix.
-  std::string line =
-    fmt::format("time={:%FT%T}.{:03}Z level={} event={} "
-                "name={} {} {}\n",
-                fmt::gmtime(std::chrono::floor<std::chrono::seconds>(now)),
-                millis,
-                ToString(aKind.level),
-                aKind.number,
-                aKind.name,
-                gProcess,
-                aFields);
-  std::fwrite(line.data(), 1, line.size(), stderr);
+  auto now = std::chrono::system_clock::now();
+  std::lock_guard lock(gBudgetMutex);
+  if (!gBudget.Take(now) && aKind.level <= LogLevel::eInfo) {
+    gBudget.AddDropped();
+    return;
+  }
+  std::uint64_t dropped = gBudget.TakeDropped();
+  if (dropped > 0) {
+    WriteLine(
+      FormatLine(events::kLinesDropped, now, fmt::format("lines={}", dropped)));
+  }
+  if (!WriteLine(FormatLine(aKind, now, aFields))) {
+    gBudget.AddDropped();
+  }
 }
 
 std::string
--- a/src/transport/event_log.h
+++ b/src/transport/event_log.h
@@ -9,15 +9,29 @@
 
 namespace greengage::transport {
 
+/** Bound of the lines of one process; a line has about 250 bytes. */
+inline constexpr unsigned kMaxLinesPerSecond = 400;
+
 /** Lines below this level are not written; the default is eInfo. */
 void
 SetLogLevel(LogLevel aLevel);
 
+/**
+ * A line that standard output cannot take at once is dropped instead of
+ * blocking the process.
+ */
+void
+SetLogNonBlocking();
+
 /** Program and process identity that every line carries. */
 void
 SetLogProcess(std::string aProgram, std::string aProcessId);
 
-/** Writes one line to standard error; aFields are `key=value` pairs. */
+/**
+ * Writes one line to standard output; aFields are `key=value` pairs. Lines of
+ * the level info and below are dropped above kMaxLinesPerSecond, and all lines
+ * while standard output takes none; kLinesDropped tells how many.
+ */
 void
 WriteEvent(const EventKind& aKind, std::string_view aFields);
 
--- a/src/transport/events.h
+++ b/src/transport/events.h
@@ -115,6 +115,39 @@
                                             "log_outage_ended",
                                             LogLevel::eInfo };
 
+// Dispatch of jobs kept in memory, and the backend servers they run on.
+inline constexpr EventKind kJobEnded{ 1601, "job_ended", LogLevel::eInfo };
+inline constexpr EventKind kRunEnded{ 1602, "run_ended", LogLevel::eInfo };
+inline constexpr EventKind kRunDecision{ 1603,
+                                         "run_decision",
+                                         LogLevel::eInfo };
+inline constexpr EventKind kServerCondition{ 1604,
+                                             "server_condition",
+                                             LogLevel::eInfo };
+inline constexpr EventKind kReadyChanged{ 1605,
+                                          "ready_changed",
+                                          LogLevel::eInfo };
+inline constexpr EventKind kRequestRefused{ 1606,
+                                            "request_refused",
+                                            LogLevel::eInfo };
+inline constexpr EventKind kAnnouncementRefused{ 1607,
+                                                 "announcement_refused",
+                                                 LogLevel::eWarning };
+inline constexpr EventKind kPeerSilent{ 1608,
+                                        "peer_silent",
+                                        LogLevel::eWarning };
+
+// Settings and logging.
+inline constexpr EventKind kSettingsReloaded{ 1701,
+                                              "settings_reloaded",
+                                              LogLevel::eInfo };
+inline constexpr EventKind kSettingsRefused{ 1702,
+                                             "settings_refused",
+                                             LogLevel::eError };
+inline constexpr EventKind kLinesDropped{ 1703,
+                                          "lines_dropped",
+                                          LogLevel::eWarning };
+
 inline constexpr std::array kAll{
   kProcessStarted,   kProcessStopping,      kProcessStopped,
   kStartFailed,      kBackendUnreachable,   kPeerConnected,
@@ -124,7 +157,11 @@
   kOwnershipLost,    kShardWithoutOwner,    kAgentLost,
   kAgentReturned,    kAgentDraining,        kServerEjected,
   kServerReadmitted, kConfigurationApplied, kConfigurationRefused,
-  kLogOutageBegan,   kLogOutageEnded,
+  kLogOutageBegan,   kLogOutageEnded,       kJobEnded,
+  kRunEnded,         kRunDecision,          kServerCondition,
+  kReadyChanged,     kRequestRefused,       kAnnouncementRefused,
+  kPeerSilent,       kSettingsReloaded,     kSettingsRefused,
+  kLinesDropped,
 };
 
 }
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -88,6 +88,9 @@
     request_.target(aRequest.target);
     request_.set(http::field::host, ToString(pool_->server));
     request_.set(http::field::content_type, "application/json");
+    for (const HttpHeader& header : aRequest.headers) {
+      request_.set(header.name, header.value);
+    }
     request_.body() = std::move(aRequest.body);
     request_.prepare_payload();
     parser_.body_limit(kMaxResponseBytes);
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -27,7 +27,8 @@
 
 HttpServer::HttpServer(TrafficPool& aTraffic,
                        HttpHandler aHandler,
-                       HttpServerLimits aLimits)
+                       HttpServerLimits aLimits,
+                       HttpAbandonedHandler aAbandoned)
   : traffic_(aTraffic)
   , acceptor_(asio::make_strand(aTraffic.Context()))
   , acceptRetry_(acceptor_.get_executor())
@@ -35,6 +36,24 @@
 {
   state_->handler = std::move(aHandler);
   state_->limits = aLimits;
+  state_->abandoned = std::move(aAbandoned);
+}
+
+std::string_view
+FindHeader(const std::vector<HttpHeader>& aHeaders, std::string_view aName)
+{
+  for (const HttpHeader& header : aHeaders) {
+    if (boost::beast::iequals(header.name, aName)) {
+      return header.value;
+    }
+  }
+  return {};
+}
+
+void
+HttpServer::CloseAfterResponses()
+{
+  state_->stopping = true;
 }
 
 std::size_t
@@ -64,7 +83,7 @@
 void
 HttpServer::StopAccepting()
 {
-  state_->stopping = true;
+  CloseAfterResponses();
   asio::post(acceptor_.get_executor(), [this] {
     error_code ignored;
     acceptor_.close(ignored);
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -16,6 +16,14 @@
 
 namespace greengage::transport {
 
+struct HttpHeader
+{
+  std::string name;
+  std::string value;
+
+  bool operator==(const HttpHeader&) const = default;
+};
+
 /** A whole request, as the handler sees it. */
 struct HttpRequest
 {
@@ -23,17 +31,16 @@
   /** Path and query, still percent-encoded. */
   std::string target;
   std::string body;
+  std::vector<HttpHeader> headers;
+  /** Number of the request at its server, for HttpAbandonedHandler. */
+  std::uint64_t exchange = 0;
 
   bool operator==(const HttpRequest&) const = default;
 };
 
-struct HttpHeader
-{
-  std::string name;
-  std::string value;
-
-  bool operator==(const HttpHeader&) const = default;
-};
+/** Value of the first header with this name in any case; empty if none. */
+std::string_view
+FindHeader(const std::vector<HttpHeader>& aHeaders, std::string_view aName);
 
 struct HttpResponse
 {
@@ -51,6 +58,12 @@
 /** Handles one request; runs in a traffic thread. */
 using HttpHandler = std::function<void(HttpRequest, HttpResponder)>;
 
+/**
+ * The peer closed its connection while the request with this number was being
+ * handled; runs in a traffic thread.
+ */
+using HttpAbandonedHandler = std::function<void(std::uint64_t aExchange)>;
+
 /** Limits against slow and oversized requests. */
 struct HttpServerLimits
 {
@@ -77,7 +90,8 @@
 public:
   HttpServer(TrafficPool& aTraffic,
              HttpHandler aHandler,
-             HttpServerLimits aLimits = {});
+             HttpServerLimits aLimits = {},
+             HttpAbandonedHandler aAbandoned = nullptr);
 
   /** Binds and starts to accept; port 0 selects a free port. */
   tl::expected<boost::asio::ip::tcp::endpoint, TransportError> Start(
@@ -89,6 +103,9 @@
    */
   void StopAccepting();
 
+  /** Responses from now on ask the caller to close the connection. */
+  void CloseAfterResponses();
+
   /** Connections that are open, with those that are being refused. */
   std::size_t OpenConnections() const;
   /** Requests that were read and whose response is not written yet. */
--- a/src/transport/http_session.cpp
+++ b/src/transport/http_session.cpp
@@ -164,7 +164,17 @@
   ++state_->requests;
   HttpRequest value{ std::string(request.method_string()),
                      std::string(request.target()),
-                     std::move(request.body()) };
+                     std::move(request.body()),
+                     {},
+                     state_->nextExchange++ };
+  for (const auto& field : request) {
+    value.headers.push_back(
+      { std::string(field.name_string()), std::string(field.value()) });
+  }
+  exchange_ = value.exchange;
+  if (state_->abandoned) {
+    WatchPeer();
+  }
   state_->handler(
     std::move(value), [self = shared_from_this()](HttpResponse aResponse) {
       asio::post(self->stream_.get_executor(),
@@ -174,6 +184,36 @@
     });
 }
 
+void
+HttpSession::WatchPeer()
+{
+  stream_.socket().async_wait(
+    asio::ip::tcp::socket::wait_read,
+    [weak = weak_from_this(), exchange = exchange_](error_code aError) {
+      auto self = weak.lock();
+      if (self && !aError) {
+        self->OnPeerReadable(exchange);
+      }
+    });
+}
+
+void
+HttpSession::OnPeerReadable(std::uint64_t aExchange)
+{
+  if (!handling_ || exchange_ != aExchange) {
+    return;
+  }
+  char byte = 0;
+  error_code error;
+  stream_.socket().non_blocking(true, error);
+  std::size_t bytes = stream_.socket().receive(
+    asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+  // Bytes of a next request wait until this one is answered.
+  if (error != asio::error::would_block && bytes == 0) {
+    state_->abandoned(aExchange);
+  }
+}
+
 void
 HttpSession::Reject(error_code aError)
 {
--- a/src/transport/http_session.h
+++ b/src/transport/http_session.h
@@ -18,6 +18,9 @@
 struct HttpServerState
 {
   HttpHandler handler;
+  /** Empty if nobody asks. */
+  HttpAbandonedHandler abandoned;
+  std::atomic<std::uint64_t> nextExchange{ 1 };
   HttpServerLimits limits;
   std::atomic<std::size_t> connections{ 0 };
   /** Connections above the limit that get a refusal at the moment. */
@@ -55,6 +58,9 @@
   void SendContinue();
   void ReadBody();
   void Handle();
+  /** Tells the server if the peer closes before the response. */
+  void WatchPeer();
+  void OnPeerReadable(std::uint64_t aExchange);
   void Reject(boost::system::error_code aError);
   void Refuse(unsigned aStatus, state::RefusalCode aCode, const char* aMessage);
   void Write(HttpResponse aResponse);
@@ -75,6 +81,7 @@
   std::uint64_t timerNumber_ = 0;
   bool timedOut_ = false;
   bool handling_ = false;
+  std::uint64_t exchange_ = 0;
   bool keepAlive_ = true;
   bool headRequest_ = false;
   unsigned version_ = 11;
--- a/src/transport/peer_network.cpp
+++ b/src/transport/peer_network.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <netinet/tcp.h>
+
 #include <boost/asio/post.hpp>
 
 #include "transport/endpoint.h"
@@ -25,6 +27,26 @@
 
 }
 
+namespace {
+
+/**
+ * A connection whose bytes are not acknowledged for this long is closed; a
+ * peer behind a partition would otherwise hold it for minutes.
+ */
+constexpr std::chrono::milliseconds kUnacknowledgedTimeout{ 1500 };
+
+void
+SetPeerTimeout(asio::ip::tcp::socket& aSocket)
+{
+  using UserTimeout =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+  error_code ignored;
+  aSocket.set_option(
+    UserTimeout(static_cast<int>(kUnacknowledgedTimeout.count())), ignored);
+}
+
+}
+
 /** Control-thread view of one connection. */
 struct PeerNetwork::Connection
 {
@@ -134,6 +156,17 @@
 
 void
 PeerNetwork::Forget(const state::ProcessId& aPeer)
+{
+  auto peer = peers_.find(aPeer);
+  if (peer == peers_.end()) {
+    return;
+  }
+  Disconnect(aPeer);
+  peers_.erase(peer);
+}
+
+void
+PeerNetwork::Disconnect(const state::ProcessId& aPeer)
 {
   auto peer = peers_.find(aPeer);
   if (peer == peers_.end()) {
@@ -144,7 +177,6 @@
       (!connection->second->peer || connection->second->peer->id == aPeer)) {
     connection->second->session->Close();
   }
-  peers_.erase(peer);
 }
 
 std::size_t
@@ -220,6 +252,9 @@
     return;
   }
   auto socket = std::make_shared<asio::ip::tcp::socket>(traffic_.Context());
+  error_code ignored;
+  socket->open(endpoint->protocol(), ignored);
+  SetPeerTimeout(*socket);
   socket->async_connect(
     *endpoint, [this, connection, socket](error_code aError) {
       control_.Post([this, connection, socket, aError] {
@@ -248,6 +283,7 @@
       [this, aConnection, aReason] { OnClosed(aConnection, aReason); });
   };
   error_code ignored;
+  SetPeerTimeout(aSocket);
   auto remote = aSocket.remote_endpoint(ignored);
   aConnection->remote = ignored ? "unknown" : ToString(remote);
   handlers.sentFrame = hooks_.sentFrame;
--- a/src/transport/peer_network.h
+++ b/src/transport/peer_network.h
@@ -71,6 +71,12 @@
   /** Closes connections to a peer that is gone. */
   void Forget(const state::ProcessId& aPeer);
 
+  /**
+   * Closes the connection opened to a peer, because nothing is heard from it;
+   * the next message opens a new one.
+   */
+  void Disconnect(const state::ProcessId& aPeer);
+
   /** Open connections, accepted and opened. */
   std::size_t SessionCount() const;
 
--- a/src/transport/peer_traffic.cpp
+++ b/src/transport/peer_traffic.cpp
@@ -39,6 +39,9 @@
   MessageKind{ "configuration_pull", TrafficClass::eControl },
   MessageKind{ "configuration_records", TrafficClass::eControl },
   MessageKind{ "drain_agent", TrafficClass::eControl },
+  MessageKind{ "dispatch_orders", TrafficClass::eJob },
+  MessageKind{ "server_report", TrafficClass::eJob },
+  MessageKind{ "configuration_copy", TrafficClass::eControl },
 };
 static_assert(kMessageKinds.size() == std::variant_size_v<PeerMessage>,
               "every kind of peer message needs a name and a class");
