--- a/src/coordination/dispatch/dispatch_messages.h
+++ b/src/coordination/dispatch/dispatch_messages.h
@@ -24,6 +24,8 @@
   std::uint64_t job = 0;
   std::uint32_t step = 0;
   state::ResourceAmount need;
+  /** The agent sends a forecast if a run is going to last longer than this. */
+  std::uint32_t limitMs = 0;
   std::string payload;
   std::vector<RunOrder> runs;
 
@@ -79,6 +81,15 @@
   auto operator<=>(const RunEnd&) const = default;
 };
 
+/** A run that will last longer than its limit, by its progress so far. */
+struct RunForecast
+{
+  state::RunKey run;
+  std::uint32_t runTimeMs = 0;
+
+  auto operator<=>(const RunForecast&) const = default;
+};
+
 enum class ServerCondition : std::uint8_t
 {
   eReady,
@@ -108,6 +119,7 @@
   /** Capacity occupied by runs other than those of the receiver. */
   state::ResourceAmount usedByOthers;
   std::vector<RunEnd> ends;
+  std::vector<RunForecast> forecasts;
 
   auto operator<=>(const ServerReport&) const = default;
 };
--- a/src/coordination/dispatch/job_dispatcher.cpp
+++ b/src/coordination/dispatch/job_dispatcher.cpp
@@ -20,6 +20,24 @@
  * processes' work. Measured on the users' sites at 10 to 15 ms.
  */
 constexpr milliseconds kOverhead{ 15 };
+/**
+ * The objective grows with the work that the tasks turn out to be, so only
+ * the longest task of a job against the mean one counts ...
+ */
+constexpr double kLongestTask = 1.15;
+/**
+ * ... but the deadline does not: with estimates off by 40% the work is below
+ * this multiple of the expected work nineteen times in twenty.
+ */
+constexpr double kWorkUncertainty = 1.6;
+/** Standard deviation of the logarithm of the work, from the same spread. */
+constexpr double kWorkDeviation = 0.3;
+/** A run is reported once it will last this multiple of what is expected. */
+constexpr double kForecastFactor = 2;
+/** Work that is further off than this speaks of the server, not the task. */
+constexpr double kLargestWorkFactor = 2;
+/** What a move costs beside the new run: the stop and two messages. */
+constexpr double kMoveMs = 70;
 /** An answer later than three times the objective is worth nothing. */
 constexpr int kUsefulObjectives = 3;
 /** Entry to agent: how often an agent with runs hears from this entry. */
@@ -165,7 +183,9 @@
 }
 
 PlacementRequest
-JobDispatcher::RequestFor(const Job& aJob, std::size_t aStep) const
+JobDispatcher::RequestFor(const Job& aJob,
+                          std::size_t aStep,
+                          const Task* aTask) const
 {
   const DispatchStep& spec = aJob.spec.steps[aStep];
   auto now = clock_.MonotonicNow();
@@ -175,11 +195,16 @@
   request.requiredLabel = spec.requiredLabel;
   request.dataRack = spec.dataRack;
   request.farFactor = farFactor_;
-  request.workMs = aJob.steps[aStep].workMs;
+  bool known = aTask && aTask->workMs > 0;
+  request.workMs = known ? aTask->workMs : aJob.steps[aStep].workMs;
   double overhead = static_cast<double>(kOverhead.count());
-  request.objectiveMs =
-    MillisecondsBetween(now, std::min(aJob.objectiveAt, aJob.deadline)) -
-    overhead;
+  double untilObjective = MillisecondsBetween(now, aJob.objectiveAt) - overhead;
+  double untilDeadline = MillisecondsBetween(now, aJob.deadline) - overhead;
+  request.objectiveMs = known ? untilDeadline
+                              : std::min(untilObjective / kLongestTask,
+                                         untilDeadline / kWorkUncertainty);
+  request.deadlineMs = untilDeadline;
+  request.workDeviation = known ? 0 : kWorkDeviation;
   request.latestMs = MillisecondsBetween(now, aJob.uselessAt) - overhead;
   return request;
 }
@@ -292,6 +317,9 @@
   for (const RunEnd& end : aReport.ends) {
     OnRunEnd(aAgent, end);
   }
+  for (const RunForecast& forecast : aReport.forecasts) {
+    OnForecast(aAgent, forecast);
+  }
   Place();
   SendOrders();
 }
@@ -343,6 +371,62 @@
   }
 }
 
+void
+JobDispatcher::OnForecast(const ProcessId& aAgent,
+                          const RunForecast& aForecast)
+{
+  auto found = jobs_.find(aForecast.run.task.job);
+  if (found == jobs_.end()) {
+    return;
+  }
+  Job& job = *found->second;
+  std::uint32_t stepNumber = aForecast.run.task.step;
+  Step& step = job.steps[stepNumber];
+  Task& task = step.tasks[aForecast.run.task.index];
+  if (task.taskState != TaskState::eRunning || task.server != aAgent ||
+      task.run != aForecast.run.run) {
+    return;
+  }
+  double total = aForecast.runTimeMs;
+  double work = total * servers_.Model().Speed(aAgent);
+  if (work > kLargestWorkFactor * step.workMs) {
+    servers_.Model().AddOverdue(job.queue.name,
+                                job.spec.steps[stepNumber].estimate,
+                                aAgent,
+                                ToMilliseconds(total / kLargestWorkFactor));
+    work = kLargestWorkFactor * step.workMs;
+  }
+  task.workMs = work;
+  auto now = clock_.MonotonicNow();
+  double left = total - MillisecondsBetween(task.sentAt, now);
+  PlacementRequest request = RequestFor(job, stepNumber, &task);
+  auto shortest = servers_.ShortestRunTime(request);
+  if (left > request.deadlineMs &&
+      (!shortest || *shortest + kMoveMs > request.deadlineMs)) {
+    End(
+      job.spec.id,
+      { DispatchResult::eFailed, DispatchReason::eTooLate, milliseconds(0) });
+    return;
+  }
+  auto other = servers_.Choose(
+    request, step.runsByServer, job.spec.steps[stepNumber].maxPerServer);
+  if (other && other->server != aAgent && other->runTimeMs + kMoveMs < left) {
+    task.taskState = TaskState::eStopping;
+    StopTask(job, stepNumber, aForecast.run.task.index);
+  }
+}
+
+void
+JobDispatcher::StopTask(const Job& aJob,
+                        std::size_t aStep,
+                        std::uint32_t aIndex)
+{
+  const Task& task = aJob.steps[aStep].tasks[aIndex];
+  ++counters_.runsStopped;
+  outgoing_[task.server].stops.push_back(
+    { { aJob.spec.id, static_cast<std::uint32_t>(aStep), aIndex }, task.run });
+}
+
 void
 JobDispatcher::OnTaskDone(Job& aJob,
                           Step& aStep,
@@ -427,6 +511,9 @@
     if (step.tasks[index].taskState != TaskState::eWaiting) {
       continue;
     }
+    if (step.tasks[index].workMs > 0) {
+      request = RequestFor(aJob, aStep, &step.tasks[index]);
+    }
     auto placement = servers_.Choose(
       request, step.runsByServer, aJob.spec.steps[aStep].maxPerServer);
     if (!placement) {
@@ -477,7 +564,16 @@
       return aBatch.job == aJob.spec.id && aBatch.step == id;
     });
   if (batch == starts.end()) {
-    starts.push_back({ aJob.spec.id, id, spec.need, aJob.spec.payload, {} });
+    double untilDeadline = MillisecondsBetween(now, aJob.deadline) -
+                           static_cast<double>(kOverhead.count());
+    double limit =
+      std::min(untilDeadline, kForecastFactor * aPlacement.runTimeMs + kMoveMs);
+    starts.push_back({ aJob.spec.id,
+                       id,
+                       spec.need,
+                       static_cast<std::uint32_t>(std::max(1.0, limit)),
+                       aJob.spec.payload,
+                       {} });
     batch = std::prev(starts.end());
   }
   batch->runs.push_back({ aIndex, task.run });
@@ -490,10 +586,34 @@
   auto outgoing = std::exchange(outgoing_, {});
   for (auto& [agent, orders] : outgoing) {
     sentAt_[agent] = now;
+    RecordPlacements(agent, orders);
     hooks_.send(agent, std::move(orders));
   }
 }
 
+void
+JobDispatcher::RecordPlacements(const ProcessId& aAgent,
+                                const DispatchOrders& aOrders) const
+{
+  if (!hooks_.placed) {
+    return;
+  }
+  for (const RunBatch& batch : aOrders.starts) {
+    auto job = jobs_.find(batch.job);
+    if (job == jobs_.end()) {
+      continue;
+    }
+    PlacementRequest request = RequestFor(*job->second, batch.step);
+    hooks_.placed({ aAgent,
+                    batch.job,
+                    batch.step,
+                    static_cast<std::uint32_t>(batch.runs.size()),
+                    request.workMs,
+                    servers_.Model().Speed(aAgent),
+                    request.objectiveMs });
+  }
+}
+
 void
 JobDispatcher::Tick()
 {
@@ -551,10 +671,7 @@
       auto shortest = servers_.ShortestRunTime(request);
       if (shortest && *shortest <= request.latestMs) {
         task.taskState = TaskState::eStopping;
-        ++counters_.runsStopped;
-        outgoing_[task.server].stops.push_back(
-          { { aJob.spec.id, static_cast<std::uint32_t>(i), index },
-            task.run });
+        StopTask(aJob, i, index);
       }
     }
   }
@@ -569,10 +686,7 @@
       const Task& task = step.tasks[index];
       bool runs = task.taskState == TaskState::eRunning;
       if (runs && servers_.Knows(task.server)) {
-        ++counters_.runsStopped;
-        outgoing_[task.server].stops.push_back(
-          { { aJob.spec.id, static_cast<std::uint32_t>(i), index },
-            task.run });
+        StopTask(aJob, i, index);
       }
     }
   }
--- a/src/coordination/dispatch/job_dispatcher.h
+++ b/src/coordination/dispatch/job_dispatcher.h
@@ -39,10 +39,25 @@
   state::DispatchOutcome outcome;
 };
 
+/** Tasks of a job that were sent to one agent, with what decided it. */
+struct PlacementRecord
+{
+  state::ProcessId agent;
+  std::uint64_t job = 0;
+  std::uint32_t step = 0;
+  std::uint32_t tasks = 0;
+  double workMs = 0;
+  /** Learned speed of the server. */
+  double speed = 1;
+  /** Longest run time that still meets the objective. */
+  double objectiveMs = 0;
+};
+
 struct JobDispatcherHooks
 {
   std::function<void(SubmissionId, const state::DispatchOutcome&)> answer;
   std::function<void(const state::ProcessId& aAgent, DispatchOrders)> send;
+  std::function<void(const PlacementRecord&)> placed;
   std::function<void(const JobRecord&)> ended;
   /** A run ended otherwise than done. */
   std::function<void(const state::ProcessId& aAgent, const RunEnd&)> runEnded;
@@ -125,6 +140,8 @@
     state::ProcessId server;
     state::MonotonicTime sentAt;
     double expectedMs = 0;
+    /** Known from the progress of a run; zero before. */
+    double workMs = 0;
     bool overdue = false;
   };
 
@@ -164,7 +181,10 @@
     std::tuple<std::uint32_t, state::MonotonicTime, std::uint64_t>;
 
   void Prepare(Job& aJob, std::chrono::milliseconds aPatience);
-  PlacementRequest RequestFor(const Job& aJob, std::size_t aStep) const;
+  /** @param aTask null for a task of which no progress is known */
+  PlacementRequest RequestFor(const Job& aJob,
+                              std::size_t aStep,
+                              const Task* aTask = nullptr) const;
   /** Reason to reject the new job at once; eNone if it is taken. */
   state::DispatchReason ReasonToReject(const Job& aJob) const;
   std::chrono::milliseconds RetryAfter() const;
@@ -179,12 +199,16 @@
              std::uint32_t aIndex,
              const Placement& aPlacement);
   void SendOrders();
+  void RecordPlacements(const state::ProcessId& aAgent,
+                        const DispatchOrders& aOrders) const;
 
   void OnRunEnd(const state::ProcessId& aAgent, const RunEnd& aEnd);
+  void OnForecast(const state::ProcessId& aAgent, const RunForecast& aForecast);
   void OnTaskDone(Job& aJob, Step& aStep, Task& aTask, const RunEnd& aEnd);
   void OnTaskFailed(Job& aJob, Task& aTask, const state::ProcessId& aAgent);
   void WaitAgain(Job& aJob, Step& aStep, Task& aTask);
   void CheckRunning(Job& aJob);
+  void StopTask(const Job& aJob, std::size_t aStep, std::uint32_t aIndex);
   void StopRuns(Job& aJob);
   /** Answers all callers and forgets the job. */
   void End(std::uint64_t aJob, const state::DispatchOutcome& aOutcome);
--- a/src/coordination/dispatch/run_keeper.cpp
+++ b/src/coordination/dispatch/run_keeper.cpp
@@ -36,6 +36,11 @@
 constexpr milliseconds kAnswerPeriod{ 150 };
 /** Step by which a refused fencing token is raised; about one minute of ms. */
 constexpr std::uint64_t kTokenStep = 60'000;
+/** Progress of a younger run says too little, in whole percent. */
+constexpr milliseconds kMinForecastAge{ 60 };
+/** A run's progress is looked at this many times within its limit. */
+constexpr int kProgressChecksPerLimit = 5;
+constexpr double kLongestForecastMs = 60'000;
 /** Renewals without an answer before the server counts as unreachable. */
 constexpr unsigned kFailedRenewals = 2;
 
@@ -190,6 +195,7 @@
   Run run;
   run.entry = aEntry;
   run.need = aBatch.need;
+  run.limit = milliseconds(aBatch.limitMs);
   run.orderedAt = clock_.MonotonicNow();
   leaseExtendedAt_ =
     runs_.empty() ? run.orderedAt : std::min(leaseExtendedAt_, run.orderedAt);
@@ -378,18 +384,23 @@
 void
 RunKeeper::CheckListed(const RenewAnswer& aAnswer, MonotonicTime aSentAt)
 {
-  std::set<RunKey> listed(aAnswer.running.begin(), aAnswer.running.end());
-  for (const RunKey& key : aAnswer.running) {
-    auto run = runs_.find(key);
-    if (run == runs_.end()) {
+  std::set<RunKey> listed;
+  for (const auto& [key, percent] : aAnswer.running) {
+    listed.insert(key);
+    auto found = runs_.find(key);
+    if (found == runs_.end()) {
       StopUnknown(key);
-    } else if (!run->second.seen) {
-      run->second.seen = true;
-      run->second.startedAt = clock_.MonotonicNow();
-      if (run->second.phase == Phase::eStarting) {
-        run->second.phase = Phase::eRunning;
+      continue;
+    }
+    Run& run = found->second;
+    if (!run.seen) {
+      run.seen = true;
+      run.startedAt = clock_.MonotonicNow();
+      if (run.phase == Phase::eStarting) {
+        run.phase = Phase::eRunning;
       }
     }
+    Forecast(key, run, percent);
   }
   for (auto run = runs_.begin(); run != runs_.end();) {
     auto next = std::next(run);
@@ -410,6 +421,44 @@
   }
 }
 
+void
+RunKeeper::Forecast(const RunKey& aKey, Run& aRun, std::uint32_t aPercent)
+{
+  auto now = clock_.MonotonicNow();
+  aRun.listedAt = now;
+  auto age =
+    std::chrono::duration_cast<milliseconds>(now - aRun.startedAt).count();
+  if (aRun.forecast || aRun.stopWanted || aRun.limit.count() == 0 ||
+      age < kMinForecastAge.count()) {
+    return;
+  }
+  // The progress is in whole percent; half a percent more is the kinder guess.
+  double total = static_cast<double>(age) * 100 / (aPercent + 0.5);
+  if (total <= static_cast<double>(aRun.limit.count())) {
+    return;
+  }
+  aRun.forecast = true;
+  auto entry = entries_.find(aRun.entry);
+  if (entry != entries_.end()) {
+    auto time = static_cast<std::uint32_t>(std::min(total, kLongestForecastMs));
+    entry->second.forecasts.push_back({ aKey, time });
+  }
+}
+
+bool
+RunKeeper::NeedsProgress() const
+{
+  auto now = clock_.MonotonicNow();
+  return std::any_of(runs_.begin(), runs_.end(), [&](const auto& aItem) {
+    const Run& run = aItem.second;
+    auto due = std::max<MonotonicTime::duration>(
+      kMinForecastAge, run.limit / kProgressChecksPerLimit);
+    return run.phase == Phase::eRunning && !run.forecast &&
+           run.limit.count() > 0 &&
+           now - std::max(run.startedAt, run.listedAt) >= due;
+  });
+}
+
 void
 RunKeeper::StopUnknown(const RunKey& aRun)
 {
@@ -500,7 +549,7 @@
     return r.second.stopAnsweredAt && !r.second.seen;
   });
   bool old = !runs_.empty() && now - leaseExtendedAt_ >= kRenewAfter;
-  if (now >= nextRenewAt_ && (old || stopAnswered)) {
+  if (now >= nextRenewAt_ && (old || stopAnswered || NeedsProgress())) {
     Renew(milliseconds(0));
   }
 }
@@ -595,7 +644,7 @@
   for (auto& [id, entry] : entries_) {
     auto period = entry.sameDataCentre ? kNearReportPeriod : kFarReportPeriod;
     bool due = !aOnlyEnds && entry.changed && now - entry.reportedAt >= period;
-    if (due || !entry.ends.empty()) {
+    if (due || !entry.ends.empty() || !entry.forecasts.empty()) {
       SendReport(id, entry);
     }
   }
@@ -618,6 +667,8 @@
   }
   report.ends = std::move(aEntry.ends);
   aEntry.ends.clear();
+  report.forecasts = std::move(aEntry.forecasts);
+  aEntry.forecasts.clear();
   aEntry.changed = false;
   aEntry.reportedAt = clock_.MonotonicNow();
   hooks_.report(aId, report);
--- a/src/coordination/dispatch/run_keeper.h
+++ b/src/coordination/dispatch/run_keeper.h
@@ -104,11 +104,21 @@
   auto operator<=>(const ListedEnd&) const = default;
 };
 
+/** A run as the server lists it. */
+struct ListedRun
+{
+  state::RunKey run;
+  /** Share of its work that is done, 0 to 100. */
+  std::uint32_t percent = 0;
+
+  auto operator<=>(const ListedRun&) const = default;
+};
+
 struct RenewAnswer
 {
   std::uint64_t born = 0;
   std::chrono::milliseconds serverClock{ 0 };
-  std::vector<state::RunKey> running;
+  std::vector<ListedRun> running;
   std::vector<ListedEnd> ended;
 
   auto operator<=>(const RenewAnswer&) const = default;
@@ -199,6 +209,11 @@
     state::ProcessId entry;
     state::ResourceAmount need;
     Phase phase = Phase::eStarting;
+    std::chrono::milliseconds limit{ 0 };
+    /** The entry has been sent a forecast of this run. */
+    bool forecast = false;
+    /** Time of the last list that held the run. */
+    state::MonotonicTime listedAt;
     /** The server has answered the start or listed the run. */
     bool seen = false;
     bool stopWanted = false;
@@ -219,6 +234,7 @@
     bool changed = true;
     bool needsDescription = true;
     std::vector<RunEnd> ends;
+    std::vector<RunForecast> forecasts;
   };
 
   struct PendingRenewal
@@ -243,6 +259,9 @@
   bool HasOtherRun(const state::RunKey& aRun, const state::ProcessId& aEntry);
   void SetReachable(bool aReachable, const std::string& aReason);
   void CheckListed(const RenewAnswer& aAnswer, state::MonotonicTime aSentAt);
+  void Forecast(const state::RunKey& aKey, Run& aRun, std::uint32_t aPercent);
+  /** True if the progress of a run should be looked at now. */
+  bool NeedsProgress() const;
   void StopUnknown(const state::RunKey& aRun);
   void Renew(std::chrono::milliseconds aWait);
   void KeepLeases();
--- a/src/coordination/dispatch/server_pool.cpp
+++ b/src/coordination/dispatch/server_pool.cpp
@@ -20,6 +20,11 @@
 constexpr double kFarCost = 0.25;
 /** Weight of a full server against an empty one, in the same unit. */
 constexpr double kFillCost = 0.3;
+/**
+ * Weight of the probability to miss the deadline: a risk of 8% outweighs the
+ * use of a fast server for a task that a slow one could do.
+ */
+constexpr double kRiskCost = 10;
 /** Failures in a row, of any jobs, that take a server out of use. */
 constexpr unsigned kFailuresToEject = 3;
 constexpr milliseconds kFirstEjection{ 1000 };
@@ -124,15 +129,23 @@
 }
 
 double
-ServerPool::Cost(const Server& aServer, double aRunTimeMs, double aWorkMs) const
+ServerPool::Cost(const Server& aServer,
+                 double aRunTimeMs,
+                 const PlacementRequest& aRequest) const
 {
   const ResourceAmount& capacity = aServer.description->capacity;
   double used = aServer.usedByOthers.cpuMillicores + aServer.own.cpuMillicores;
   double fill = used / std::max<double>(1, capacity.cpuMillicores);
   // Fast servers are kept for tasks that only they can finish in time.
-  double speed = std::log(aWorkMs / std::max(1.0, aRunTimeMs));
+  double speed = std::log(aRequest.workMs / std::max(1.0, aRunTimeMs));
   double far = aServer.agent.dataCentre == dataCentre_ ? 0 : kFarCost;
-  return speed + far + kFillCost * fill;
+  double risk = 0;
+  if (aRequest.workDeviation > 0 && aRequest.deadlineMs > 0) {
+    // Probability that log-normal work outlasts the deadline.
+    double margin = std::log(aRequest.deadlineMs / std::max(1.0, aRunTimeMs));
+    risk = 0.5 * std::erfc(margin / aRequest.workDeviation / std::sqrt(2.0));
+  }
+  return speed + far + kFillCost * fill + kRiskCost * risk;
 }
 
 std::optional<Placement>
@@ -158,7 +171,7 @@
     bool meets = time <= aRequest.objectiveMs;
     // Among servers that miss the objective the fastest is best.
     double cost =
-      meets ? Cost(server, time, aRequest.workMs) : std::log(time);
+      meets ? Cost(server, time, aRequest) : std::log(time);
     bool better = !best || (meets && !best->meetsObjective) ||
                   (meets == best->meetsObjective && cost < bestCost);
     if (better) {
--- a/src/coordination/dispatch/server_pool.h
+++ b/src/coordination/dispatch/server_pool.h
@@ -27,6 +27,10 @@
   double workMs = 0;
   /** Longest run time that still meets the objective, in ms. */
   double objectiveMs = 0;
+  /** Time to the deadline, which does not grow with the work, in ms. */
+  double deadlineMs = 0;
+  /** Standard deviation of the logarithm of the work. */
+  double workDeviation = 0;
   /** Longest run time of which the answer is still of use, in ms. */
   double latestMs = 0;
 };
@@ -106,7 +110,9 @@
   bool IsUsable(const Server& aServer, const PlacementRequest& aRequest) const;
   bool HasRoom(const Server& aServer, const PlacementRequest& aRequest) const;
   double RunTime(const Server& aServer, const PlacementRequest& aRequest) const;
-  double Cost(const Server& aServer, double aRunTimeMs, double aWorkMs) const;
+  double Cost(const Server& aServer,
+              double aRunTimeMs,
+              const PlacementRequest& aRequest) const;
 
   std::string dataCentre_;
   const state::Clock& clock_;
--- a/src/daemon/dispatch/dispatch_entry_process.cpp
+++ b/src/daemon/dispatch/dispatch_entry_process.cpp
@@ -105,6 +105,18 @@
   hooks.send = [this](const ProcessId& aAgent, DispatchOrders aOrders) {
     peers_.Send(aAgent, std::move(aOrders));
   };
+  hooks.placed = [](const PlacementRecord& aRecord) {
+    LogEvent(events::kTasksPlaced,
+             "job={:016x} step={} tasks={} agent={} work_ms={:.0f} "
+             "speed={:.2f} objective_ms={:.0f}",
+             aRecord.job,
+             aRecord.step,
+             aRecord.tasks,
+             aRecord.agent.ToString(),
+             aRecord.workMs,
+             aRecord.speed,
+             aRecord.objectiveMs);
+  };
   hooks.ended = [this](const JobRecord& aRecord) {
     dispatchMetrics_.OnJobEnded(aRecord);
     LogEvent(events::kJobEnded,
--- a/src/protocol/dispatch_codec.cpp
+++ b/src/protocol/dispatch_codec.cpp
@@ -75,6 +75,7 @@
   aBuilder.setJob(aBatch.job);
   aBuilder.setStep(aBatch.step);
   Encode(aBatch.need, aBuilder.initNeed());
+  aBuilder.setLimitMs(aBatch.limitMs);
   aBuilder.setPayload(ToText(aBatch.payload));
   auto runs = aBuilder.initRuns(static_cast<unsigned>(aBatch.runs.size()));
   for (unsigned i = 0; i < aBatch.runs.size(); ++i) {
@@ -89,6 +90,7 @@
   RunBatch batch{ aReader.getJob(),
                   aReader.getStep(),
                   Decode(aReader.getNeed()),
+                  aReader.getLimitMs(),
                   aReader.getPayload(),
                   {} };
   for (auto run : aReader.getRuns()) {
@@ -165,15 +167,22 @@
   }
   aBuilder.setCondition(static_cast<std::uint8_t>(aReport.condition));
   Encode(aReport.usedByOthers, aBuilder.initUsedByOthers());
-  if (aReport.ends.empty()) {
-    return;
+  if (!aReport.ends.empty()) {
+    auto ends = aBuilder.initEnds(static_cast<unsigned>(aReport.ends.size()));
+    for (unsigned i = 0; i < aReport.ends.size(); ++i) {
+      const RunEnd& end = aReport.ends[i];
+      Encode(end.run, ends[i].initRun());
+      ends[i].setKind(static_cast<std::uint8_t>(end.kind));
+      ends[i].setRunTimeMs(end.runTimeMs);
+    }
   }
-  auto ends = aBuilder.initEnds(static_cast<unsigned>(aReport.ends.size()));
-  for (unsigned i = 0; i < aReport.ends.size(); ++i) {
-    const RunEnd& end = aReport.ends[i];
-    Encode(end.run, ends[i].initRun());
-    ends[i].setKind(static_cast<std::uint8_t>(end.kind));
-    ends[i].setRunTimeMs(end.runTimeMs);
+  if (!aReport.forecasts.empty()) {
+    auto forecasts = aBuilder.initForecasts(
+      static_cast<unsigned>(aReport.forecasts.size()));
+    for (unsigned i = 0; i < aReport.forecasts.size(); ++i) {
+      Encode(aReport.forecasts[i].run, forecasts[i].initRun());
+      forecasts[i].setRunTimeMs(aReport.forecasts[i].runTimeMs);
+    }
   }
 }
 
@@ -198,6 +207,10 @@
                             static_cast<RunEndKind>(end.getKind()),
                             end.getRunTimeMs() });
   }
+  for (auto forecast : aReader.getForecasts()) {
+    report.forecasts.push_back(
+      { Decode(forecast.getRun()), forecast.getRunTimeMs() });
+  }
   return report;
 }
 
--- a/src/protocol/peer.capnp
+++ b/src/protocol/peer.capnp
@@ -112,9 +112,11 @@
   need @2 :ResourceAmount;
   payload @3 :Text;
   runs @4 :List(RunOrder);
+  limitMs @5 :UInt32;
 }
 
 struct DispatchOrders { starts @0 :List(RunBatch); stops @1 :List(RunKey); checks @2 :List(RunKey); }
+struct RunForecast { run @0 :RunKey; runTimeMs @1 :UInt32; }
 struct RunEnd { run @0 :RunKey; kind @1 :UInt8; runTimeMs @2 :UInt32; }
 
 struct ServerDescription {
@@ -129,6 +131,7 @@
   condition @1 :UInt8;
   usedByOthers @2 :ResourceAmount;
   ends @3 :List(RunEnd);
+  forecasts @4 :List(RunForecast);
 }
 
 struct ConfigurationCopy { version @0 :UInt64; document @1 :Text; }
--- a/src/protocol/peer.capnp.h
+++ b/src/protocol/peer.capnp.h
@@ -47,6 +47,7 @@
 CAPNP_DECLARE_SCHEMA(8c358a3186081d70);
 CAPNP_DECLARE_SCHEMA(89a00dba17279571);
 CAPNP_DECLARE_SCHEMA(8f83b833ad458241);
+CAPNP_DECLARE_SCHEMA(e67c4a596e3ec8a4);
 CAPNP_DECLARE_SCHEMA(af57177a6cb1bd80);
 CAPNP_DECLARE_SCHEMA(a8ef758c52fb4d63);
 CAPNP_DECLARE_SCHEMA(8e56a30d3aac5bdc);
@@ -526,6 +527,21 @@
   };
 };
 
+struct RunForecast {
+  RunForecast() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e67c4a596e3ec8a4, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct RunEnd {
   RunEnd() = delete;
 
@@ -564,7 +580,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8e56a30d3aac5bdc, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(8e56a30d3aac5bdc, 1, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3562,6 +3578,8 @@
   inline bool hasRuns() const;
   inline  ::capnp::List< ::greengage::protocol::wire::RunOrder,  ::capnp::Kind::STRUCT>::Reader getRuns() const;
 
+  inline  ::uint32_t getLimitMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3617,6 +3635,9 @@
   inline void adoptRuns(::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::RunOrder,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::RunOrder,  ::capnp::Kind::STRUCT>> disownRuns();
 
+  inline  ::uint32_t getLimitMs();
+  inline void setLimitMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3745,6 +3766,93 @@
 };
 #endif  // !CAPNP_LITE
 
+class RunForecast::Reader {
+public:
+  typedef RunForecast Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRun() const;
+  inline  ::greengage::protocol::wire::RunKey::Reader getRun() const;
+
+  inline  ::uint32_t getRunTimeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RunForecast::Builder {
+public:
+  typedef RunForecast Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRun();
+  inline  ::greengage::protocol::wire::RunKey::Builder getRun();
+  inline void setRun( ::greengage::protocol::wire::RunKey::Reader value);
+  inline  ::greengage::protocol::wire::RunKey::Builder initRun();
+  inline void adoptRun(::capnp::Orphan< ::greengage::protocol::wire::RunKey>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::RunKey> disownRun();
+
+  inline  ::uint32_t getRunTimeMs();
+  inline void setRunTimeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RunForecast::Pipeline {
+public:
+  typedef RunForecast Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::greengage::protocol::wire::RunKey::Pipeline getRun();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class RunEnd::Reader {
 public:
   typedef RunEnd Reads;
@@ -3978,6 +4086,9 @@
   inline bool hasEnds() const;
   inline  ::capnp::List< ::greengage::protocol::wire::RunEnd,  ::capnp::Kind::STRUCT>::Reader getEnds() const;
 
+  inline bool hasForecasts() const;
+  inline  ::capnp::List< ::greengage::protocol::wire::RunForecast,  ::capnp::Kind::STRUCT>::Reader getForecasts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4030,6 +4141,13 @@
   inline void adoptEnds(::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::RunEnd,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::RunEnd,  ::capnp::Kind::STRUCT>> disownEnds();
 
+  inline bool hasForecasts();
+  inline  ::capnp::List< ::greengage::protocol::wire::RunForecast,  ::capnp::Kind::STRUCT>::Builder getForecasts();
+  inline void setForecasts( ::capnp::List< ::greengage::protocol::wire::RunForecast,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::greengage::protocol::wire::RunForecast,  ::capnp::Kind::STRUCT>::Builder initForecasts(unsigned int size);
+  inline void adoptForecasts(::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::RunForecast,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::RunForecast,  ::capnp::Kind::STRUCT>> disownForecasts();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7386,6 +7504,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t RunBatch::Reader::getLimitMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RunBatch::Builder::getLimitMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void RunBatch::Builder::setLimitMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool DispatchOrders::Reader::hasStarts() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -7488,6 +7620,59 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool RunForecast::Reader::hasRun() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RunForecast::Builder::hasRun() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::greengage::protocol::wire::RunKey::Reader RunForecast::Reader::getRun() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::RunKey>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::greengage::protocol::wire::RunKey::Builder RunForecast::Builder::getRun() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::RunKey>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::greengage::protocol::wire::RunKey::Pipeline RunForecast::Pipeline::getRun() {
+  return  ::greengage::protocol::wire::RunKey::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void RunForecast::Builder::setRun( ::greengage::protocol::wire::RunKey::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::RunKey>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::greengage::protocol::wire::RunKey::Builder RunForecast::Builder::initRun() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::RunKey>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RunForecast::Builder::adoptRun(
+    ::capnp::Orphan< ::greengage::protocol::wire::RunKey>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::RunKey>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::greengage::protocol::wire::RunKey> RunForecast::Builder::disownRun() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::RunKey>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t RunForecast::Reader::getRunTimeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RunForecast::Builder::getRunTimeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RunForecast::Builder::setRunTimeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RunEnd::Reader::hasRun() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -7826,6 +8011,40 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool ServerReport::Reader::hasForecasts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServerReport::Builder::hasForecasts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::greengage::protocol::wire::RunForecast,  ::capnp::Kind::STRUCT>::Reader ServerReport::Reader::getForecasts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunForecast,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::greengage::protocol::wire::RunForecast,  ::capnp::Kind::STRUCT>::Builder ServerReport::Builder::getForecasts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunForecast,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void ServerReport::Builder::setForecasts( ::capnp::List< ::greengage::protocol::wire::RunForecast,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunForecast,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::greengage::protocol::wire::RunForecast,  ::capnp::Kind::STRUCT>::Builder ServerReport::Builder::initForecasts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunForecast,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void ServerReport::Builder::adoptForecasts(
+    ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::RunForecast,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunForecast,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::RunForecast,  ::capnp::Kind::STRUCT>> ServerReport::Builder::disownForecasts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::RunForecast,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t ConfigurationCopy::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/transport/events.h
+++ b/src/transport/events.h
@@ -137,6 +137,10 @@
                                         "peer_silent",
                                         LogLevel::eWarning };
 
+inline constexpr EventKind kTasksPlaced{ 1609,
+                                         "tasks_placed",
+                                         LogLevel::eInfo };
+
 // Settings and logging.
 inline constexpr EventKind kSettingsReloaded{ 1701,
                                               "settings_reloaded",
@@ -160,7 +164,7 @@
   kLogOutageBegan,   kLogOutageEnded,       kJobEnded,
   kRunEnded,         kRunDecision,          kServerCondition,
   kReadyChanged,     kRequestRefused,       kAnnouncementRefused,
-  kPeerSilent,       kSettingsReloaded,     kSettingsRefused,
+  kPeerSilent,       kTasksPlaced,          kSettingsReloaded,     kSettingsRefused,
   kLinesDropped,
 };
 
