--- a/src/coordination/dispatch/job_dispatcher.cpp
+++ b/src/coordination/dispatch/job_dispatcher.cpp
@@ -36,6 +36,8 @@
 constexpr double kForecastFactor = 2;
 /** Work that is further off than this speaks of the server, not the task. */
 constexpr double kLargestWorkFactor = 2;
+/** A job is begun only as a whole in this part of the time it can wait. */
+constexpr int kWholeStartShare = 3;
 /** What a move costs beside the new run: the stop and two messages. */
 constexpr double kMoveMs = 70;
 /** An answer later than three times the objective is worth nothing. */
@@ -113,7 +115,7 @@
     End(id, { DispatchResult::eRejected, reject, RetryAfter() });
     return;
   }
-  waiting_.insert(KeyOf(reference));
+  Enqueue(reference);
   Place();
   SendOrders();
 }
@@ -175,7 +177,7 @@
   // The jobs that wait now are served or given up within their objectives.
   MonotonicTime last = clock_.MonotonicNow();
   if (!waiting_.empty()) {
-    last = std::max(last, std::get<1>(*waiting_.rbegin()));
+    last = std::max(last, std::get<2>(*waiting_.rbegin()));
   }
   auto wait = std::chrono::duration_cast<milliseconds>(last -
                                                        clock_.MonotonicNow());
@@ -205,7 +207,10 @@
                                          untilDeadline / kWorkUncertainty);
   request.deadlineMs = untilDeadline;
   request.workDeviation = known ? 0 : kWorkDeviation;
-  request.latestMs = MillisecondsBetween(now, aJob.uselessAt) - overhead;
+  // What was begun is finished if it can be: late answers are delivered.
+  request.latestMs = aJob.started
+                       ? untilDeadline
+                       : MillisecondsBetween(now, aJob.uselessAt) - overhead;
   return request;
 }
 
@@ -350,10 +355,12 @@
     case RunEndKind::eFailed:
       OnTaskFailed(job, task, aAgent);
       break;
-    case RunEndKind::eNoRoom:
     case RunEndKind::eRefused:
       servers_.OnRefused(aAgent);
       break;
+    case RunEndKind::eNoRoom:
+      // The report that brings this tells the room there is.
+      break;
     case RunEndKind::eOutdated:
       task.run += kRunStep;
       break;
@@ -423,8 +430,7 @@
 {
   const Task& task = aJob.steps[aStep].tasks[aIndex];
   ++counters_.runsStopped;
-  outgoing_[task.server].stops.push_back(
-    { { aJob.spec.id, static_cast<std::uint32_t>(aStep), aIndex }, task.run });
+  outgoing_[task.server].stops.push_back(KeyOf(aJob, aStep, aIndex));
 }
 
 void
@@ -453,7 +459,7 @@
   }
   if (aStep.done == aStep.tasks.size()) {
     // A later step may be ready now.
-    waiting_.insert(KeyOf(aJob));
+    Enqueue(aJob);
   }
 }
 
@@ -477,16 +483,37 @@
   }
   aTask.taskState = TaskState::eWaiting;
   ++aStep.waiting;
-  waiting_.insert(KeyOf(aJob));
+  Enqueue(aJob);
+}
+
+void
+JobDispatcher::Enqueue(Job& aJob)
+{
+  WaitingKey key = KeyOf(aJob);
+  if (aJob.waitingKey == key) {
+    return;
+  }
+  if (aJob.waitingKey) {
+    waiting_.erase(*aJob.waitingKey);
+  }
+  aJob.waitingKey = key;
+  waiting_.insert(key);
 }
 
 void
 JobDispatcher::Place()
 {
   for (auto key = waiting_.begin(); key != waiting_.end();) {
-    auto job = jobs_.find(std::get<2>(*key));
-    bool placed = job == jobs_.end() || PlaceJob(*job->second);
-    key = placed ? waiting_.erase(key) : std::next(key);
+    Job& job = *jobs_.at(std::get<3>(*key));
+    bool placed = PlaceJob(job);
+    ++key;
+    if (placed) {
+      waiting_.erase(*job.waitingKey);
+      job.waitingKey.reset();
+    } else {
+      // A job that was begun goes before those that were not.
+      Enqueue(job);
+    }
   }
 }
 
@@ -504,31 +531,91 @@
 
 bool
 JobDispatcher::PlaceStep(Job& aJob, std::size_t aStep)
+{
+  Step& step = aJob.steps[aStep];
+  std::uint32_t waiting = step.waiting;
+  auto places = FindPlaces(aJob, aStep);
+  bool all = places.size() == waiting;
+  auto patience = (aJob.latestStart - aJob.submittedAt) / kWholeStartShare;
+  bool early = clock_.MonotonicNow() < aJob.submittedAt + patience;
+  if (!all && !aJob.started && early) {
+    // A job that is begun in part holds room while it waits for the rest.
+    for (const auto& [index, placement] : places) {
+      Withdraw(aJob, aStep, index);
+    }
+    return false;
+  }
+  for (const auto& [index, placement] : places) {
+    Start(aJob, aStep, index, placement);
+  }
+  return all;
+}
+
+std::vector<std::pair<std::uint32_t, Placement>>
+JobDispatcher::FindPlaces(Job& aJob, std::size_t aStep)
 {
   Step& step = aJob.steps[aStep];
   PlacementRequest request = RequestFor(aJob, aStep);
+  std::vector<std::pair<std::uint32_t, Placement>> places;
   for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
-    if (step.tasks[index].taskState != TaskState::eWaiting) {
+    Task& task = step.tasks[index];
+    if (task.taskState != TaskState::eWaiting) {
       continue;
     }
-    if (step.tasks[index].workMs > 0) {
-      request = RequestFor(aJob, aStep, &step.tasks[index]);
+    if (task.workMs > 0) {
+      request = RequestFor(aJob, aStep, &task);
     }
     auto placement = servers_.Choose(
       request, step.runsByServer, aJob.spec.steps[aStep].maxPerServer);
     if (!placement) {
-      return false;
+      break;
     }
     if (!placement->meetsObjective && request.objectiveMs > 0) {
       auto shortest = servers_.ShortestRunTime(request);
       if (shortest && *shortest <= request.objectiveMs) {
         // A server that meets the objective may have room in time.
-        return false;
+        break;
       }
     }
-    Start(aJob, aStep, index, *placement);
+    Reserve(aJob, aStep, index, *placement);
+    places.emplace_back(index, *placement);
   }
-  return true;
+  return places;
+}
+
+void
+JobDispatcher::Reserve(Job& aJob,
+                       std::size_t aStep,
+                       std::uint32_t aIndex,
+                       const Placement& aPlacement)
+{
+  Step& step = aJob.steps[aStep];
+  Task& task = step.tasks[aIndex];
+  ++task.run;
+  task.server = aPlacement.server;
+  --step.waiting;
+  ++step.runsByServer[aPlacement.server];
+  servers_.OnRunSent(aPlacement.server,
+                     KeyOf(aJob, aStep, aIndex),
+                     aJob.spec.steps[aStep].need);
+}
+
+void
+JobDispatcher::Withdraw(Job& aJob, std::size_t aStep, std::uint32_t aIndex)
+{
+  Step& step = aJob.steps[aStep];
+  Task& task = step.tasks[aIndex];
+  servers_.OnRunEnded(task.server, KeyOf(aJob, aStep, aIndex));
+  --step.runsByServer[task.server];
+  ++step.waiting;
+  --task.run;
+}
+
+RunKey
+JobDispatcher::KeyOf(const Job& aJob, std::size_t aStep, std::uint32_t aIndex)
+{
+  return { { aJob.spec.id, static_cast<std::uint32_t>(aStep), aIndex },
+           aJob.steps[aStep].tasks[aIndex].run };
 }
 
 void
@@ -541,14 +628,10 @@
   Step& step = aJob.steps[aStep];
   Task& task = step.tasks[aIndex];
   auto now = clock_.MonotonicNow();
-  ++task.run;
   task.taskState = TaskState::eRunning;
-  task.server = aPlacement.server;
   task.sentAt = now;
   task.expectedMs = aPlacement.runTimeMs;
   task.overdue = false;
-  --step.waiting;
-  ++step.runsByServer[aPlacement.server];
   if (!aJob.started) {
     aJob.started = true;
     aJob.firstRunAt = now;
@@ -556,8 +639,6 @@
   ++aJob.runs;
   ++counters_.runsStarted;
   auto id = static_cast<std::uint32_t>(aStep);
-  RunKey key{ { aJob.spec.id, id, aIndex }, task.run };
-  servers_.OnRunSent(aPlacement.server, key, spec.need);
   auto& starts = outgoing_[aPlacement.server].starts;
   auto batch = std::find_if(
     starts.begin(), starts.end(), [&](const RunBatch& aBatch) {
@@ -701,7 +782,9 @@
   }
   auto job = std::move(found->second);
   jobs_.erase(found);
-  waiting_.erase(KeyOf(*job));
+  if (job->waitingKey) {
+    waiting_.erase(*job->waitingKey);
+  }
   StopRuns(*job);
   for (SubmissionId submission : job->submissions) {
     submissions_.erase(submission);
@@ -735,9 +818,11 @@
 }
 
 JobDispatcher::WaitingKey
-JobDispatcher::KeyOf(const Job& aJob) const
+JobDispatcher::KeyOf(const Job& aJob)
 {
-  return { aJob.queue.priority, aJob.latestStart, aJob.spec.id };
+  return {
+    aJob.queue.priority, !aJob.started, aJob.latestStart, aJob.spec.id
+  };
 }
 
 }
--- a/src/coordination/dispatch/job_dispatcher.h
+++ b/src/coordination/dispatch/job_dispatcher.h
@@ -154,6 +154,10 @@
     std::map<state::ProcessId, std::uint32_t> runsByServer;
   };
 
+  /** Priority, not started, latest start, job: the order of getting room. */
+  using WaitingKey =
+    std::tuple<std::uint32_t, bool, state::MonotonicTime, std::uint64_t>;
+
   struct Job
   {
     state::DispatchJob spec;
@@ -171,14 +175,13 @@
     double workMs = 0;
     std::uint32_t runs = 0;
     bool started = false;
+    /** Its place among those that wait for room. */
+    std::optional<WaitingKey> waitingKey;
     /** Servers on which a run of this job failed. */
     std::set<state::ProcessId> failedOn;
   };
 
   using JobPointer = std::unique_ptr<Job>;
-  /** Priority, latest start, job: the order in which jobs get room. */
-  using WaitingKey =
-    std::tuple<std::uint32_t, state::MonotonicTime, std::uint64_t>;
 
   void Prepare(Job& aJob, std::chrono::milliseconds aPatience);
   /** @param aTask null for a task of which no progress is known */
@@ -194,6 +197,21 @@
   /** False if a task still waits. */
   bool PlaceJob(Job& aJob);
   bool PlaceStep(Job& aJob, std::size_t aStep);
+  /** Places of all waiting tasks of a step, as far as there is room. */
+  std::vector<std::pair<std::uint32_t, Placement>> FindPlaces(
+    Job& aJob,
+    std::size_t aStep);
+  /** Takes room for one run of a task before its order is sent. */
+  void Reserve(Job& aJob,
+               std::size_t aStep,
+               std::uint32_t aIndex,
+               const Placement& aPlacement);
+  void Withdraw(Job& aJob, std::size_t aStep, std::uint32_t aIndex);
+  static state::RunKey KeyOf(const Job& aJob,
+                             std::size_t aStep,
+                             std::uint32_t aIndex);
+  /** Puts the job among those that wait for room. */
+  void Enqueue(Job& aJob);
   void Start(Job& aJob,
              std::size_t aStep,
              std::uint32_t aIndex,
@@ -212,7 +230,7 @@
   void StopRuns(Job& aJob);
   /** Answers all callers and forgets the job. */
   void End(std::uint64_t aJob, const state::DispatchOutcome& aOutcome);
-  WaitingKey KeyOf(const Job& aJob) const;
+  static WaitingKey KeyOf(const Job& aJob);
 
   double farFactor_;
   const state::Clock& clock_;
--- a/src/coordination/dispatch/run_keeper.cpp
+++ b/src/coordination/dispatch/run_keeper.cpp
@@ -21,9 +21,9 @@
 /** Pause after a renewal that failed. */
 constexpr milliseconds kRenewRetry{ 100 };
 /** A stop order without an effect is repeated after this. */
-constexpr milliseconds kStopRetry{ 200 };
-/** The longest that a server takes to stop a run is 50 ms. */
-constexpr milliseconds kStopTime{ 60 };
+constexpr milliseconds kStopRetry{ 75 };
+/** An unanswered start is stopped without a list after this. */
+constexpr milliseconds kListTimeout{ 100 };
 /** A server's clock may run 2% slow; leases are taken as this much longer. */
 constexpr milliseconds kLeaseMargin{ 50 };
 /** Connections hold messages for a few seconds at most. */
@@ -314,8 +314,9 @@
       break;
     case StartAnswer::eNoAnswer:
       if (!run.seen && run.phase == Phase::eStarting) {
-        Note("stop", aRun, run.entry, "start_unanswered");
-        Stop(aRun, run);
+        // The list tells whether it runs; if it does, nothing is lost.
+        run.unansweredAt = clock_.MonotonicNow();
+        Renew(milliseconds(0));
       }
       return;
   }
@@ -335,9 +336,9 @@
     found->second.stopAnsweredAt = now;
   }
   if (!found->second.seen) {
-    // Either it was never started, or the server stops it now; the next list
-    // after the time of a stop tells that it is gone.
-    nextRenewAt_ = std::min(nextRenewAt_, now + kStopTime);
+    // The server refuses the start from now on, so a list without the run
+    // tells that it is gone for good.
+    Renew(milliseconds(0));
   }
 }
 
@@ -409,9 +410,13 @@
     if (!listed.contains(run->first)) {
       // What started or stopped before the question must be in its answer.
       bool started = value.seen && value.startedAt < aSentAt;
-      bool stopped =
-        value.stopAnsweredAt && *value.stopAnsweredAt + kStopTime <= aSentAt;
+      bool stopped = value.stopAnsweredAt && *value.stopAnsweredAt <= aSentAt;
       gone = started || stopped;
+      bool unanswered = value.unansweredAt && *value.unansweredAt <= aSentAt;
+      if (!gone && unanswered && !value.stopWanted) {
+        Note("stop", run->first, value.entry, "start_unanswered");
+        Stop(run->first, run->second);
+      }
     }
     if (gone) {
       Note("end", run->first, value.entry, "not_listed");
@@ -514,7 +519,12 @@
   for (auto& [key, run] : runs_) {
     bool retry = run.stopWanted && !run.stopAnsweredAt &&
                  now - run.stopSentAt >= kStopRetry;
-    if (retry) {
+    bool unlisted = run.unansweredAt && !run.seen && !run.stopWanted &&
+                    now - *run.unansweredAt >= kListTimeout;
+    if (unlisted) {
+      Note("stop", key, run.entry, "start_unanswered");
+    }
+    if (retry || unlisted) {
       Stop(key, run);
     }
   }
--- a/src/coordination/dispatch/run_keeper.h
+++ b/src/coordination/dispatch/run_keeper.h
@@ -217,6 +217,8 @@
     /** The server has answered the start or listed the run. */
     bool seen = false;
     bool stopWanted = false;
+    /** When the start was given up as unanswered. */
+    std::optional<state::MonotonicTime> unansweredAt;
     state::MonotonicTime orderedAt;
     state::MonotonicTime startedAt;
     /** Time of the last stop order. */
--- a/src/daemon/dispatch/dispatch_entry_process.cpp
+++ b/src/daemon/dispatch/dispatch_entry_process.cpp
@@ -30,8 +30,6 @@
 constexpr milliseconds kRotationTime{ 2500 };
 /** Latest end after a stop signal; the platform kills after 6 s. */
 constexpr milliseconds kStopLimit{ 5300 };
-/** Leaves time for the last answers to be sent. */
-constexpr milliseconds kLastAnswers{ 150 };
 /** An agent with runs that says nothing for this long gets a new connection. */
 constexpr milliseconds kPeerSilence{ 700 };
 constexpr milliseconds kRetryWithoutConfiguration{ 1000 };
@@ -460,15 +458,18 @@
   if (elapsed < kRotationTime || (!idle && elapsed < kStopLimit)) {
     return;
   }
+  if (!leaving_) {
+    leaving_ = true;
+    callers_.StopAccepting();
+    peers_.Leave();
+    return;
+  }
+  // A request may come on an open connection until the process has ended, so
+  // it ends in the very step that finds none in progress.
   auto stopped = std::exchange(stopped_, nullptr);
-  callers_.StopAccepting();
-  peers_.Leave();
-  peers_.Tick();
-  control_.After(kLastAnswers, [this, stopped] {
-    peers_.Stop();
-    LogEvent(events::kProcessStopped, "reason=request");
-    stopped();
-  });
+  peers_.Stop();
+  LogEvent(events::kProcessStopped, "reason=request");
+  stopped();
 }
 
 }
--- a/src/daemon/dispatch/dispatch_entry_process.h
+++ b/src/daemon/dispatch/dispatch_entry_process.h
@@ -152,6 +152,8 @@
   std::optional<coordination::ConfigurationCopy> configuration_;
   std::function<void()> stopped_;
   state::MonotonicTime stopRequestedAt_;
+  /** The peers were told that this entry ends. */
+  bool leaving_ = false;
   unsigned ticks_ = 0;
 };
 
