Trust the learned speed of a known server

Change: the deviation of a learned speed falls with its samples; only what exceeds the work by 30% lowers a speed.

--- a/src/coordination/dispatch/job_dispatcher.cpp
+++ b/src/coordination/dispatch/job_dispatcher.cpp
@@ -37,6 +37,8 @@
 constexpr double kForecastFactor = 2;
 /** Work that is further off than this speaks of the server, not the task. */
 constexpr double kLargestWorkFactor = 2;
+/** What the work does not explain lowers a speed from this factor on. */
+constexpr double kSlowServerFactor = 1.3;
 /** A job is begun only as a whole in this part of the time it can wait. */
 constexpr int kWholeStartShare = 3;
 /** What a move costs beside the new run: the stop and two messages. */
@@ -435,7 +437,7 @@
   double share =
     workVariance / (workVariance + speedDeviation * speedDeviation);
   double workFactor = std::min(std::pow(excess, share), kLargestWorkFactor);
-  if (excess > workFactor) {
+  if (excess > kSlowServerFactor * workFactor) {
     model.AddOverdue(aJob.queue.name,
                      aJob.spec.steps[aStep].estimate,
                      aAgent,
--- a/src/coordination/dispatch/run_time_model.cpp
+++ b/src/coordination/dispatch/run_time_model.cpp
@@ -22,7 +22,7 @@
 /** Spread of the speeds of unknown servers, as a logarithm ... */
 constexpr double kPriorSpeedDeviation = 0.5;
 /** ... and of those that are known well. */
-constexpr double kLeastSpeedDeviation = 0.1;
+constexpr double kLeastSpeedDeviation = 0.05;
 /** Samples of a queue before its regression is used. */
 constexpr double kQueueSamples = 30;
 /** A server's speed follows the last dozen of its runs. */
@@ -87,7 +87,7 @@
 {
   auto found = servers_.find(aServer);
   double weight = found == servers_.end() ? 0 : found->second.weight;
-  return kLeastSpeedDeviation + kPriorSpeedDeviation / std::sqrt(1 + weight);
+  return kLeastSpeedDeviation + kPriorSpeedDeviation / (1 + weight);
 }
 
 double
--- a/tests/dispatch/fake_server.cpp
+++ b/tests/dispatch/fake_server.cpp
@@ -136,7 +136,7 @@
 }
 
 void
-FakeServer::End(const RunKey& aRun, RunEndKind aKind)
+FakeServer::End(RunKey aRun, RunEndKind aKind)
 {
   runs_.erase(aRun);
   auto& ended = endedRuns_[aRun.task];
--- a/tests/dispatch/fake_server.h
+++ b/tests/dispatch/fake_server.h
@@ -61,7 +61,7 @@
   };
 
   std::string Id() const;
-  void End(const state::RunKey& aRun, coordination::RunEndKind aKind);
+  void End(state::RunKey aRun, coordination::RunEndKind aKind);
   std::chrono::milliseconds Clock(Milliseconds aNow) const;
 
   Milliseconds born_;
