--- a/src/coordination/dispatch/run_keeper.cpp
+++ b/src/coordination/dispatch/run_keeper.cpp
@@ -389,10 +389,7 @@
   CheckListed(aAnswer, sent.sentAt);
   Flush(true);
   if (sent.waits || HasUnacknowledgedEnds()) {
-    bool waiting = std::any_of(renewals_.begin(),
-                               renewals_.end(),
-                               [](const auto& r) { return r.second.waits; });
-    if (!waiting) {
+    if (!IsRenewalWaiting()) {
       Renew(runs_.empty() ? kIdleWait : kBusyWait);
     }
   }
@@ -565,16 +562,13 @@
   if (!runs_.empty() && !reachable_ && now - leaseExtendedAt_ > leaseLength) {
     EndAll(RunEndKind::eLost, "the leases have ended");
   }
-  bool waiting = std::any_of(renewals_.begin(),
-                             renewals_.end(),
-                             [](const auto& r) { return r.second.waits; });
-  if (!waiting && now >= nextRenewAt_) {
+  if (!IsRenewalWaiting() && now >= nextRenewAt_) {
     Renew(runs_.empty() ? kIdleWait : kBusyWait);
     return;
   }
   bool stopAnswered =
-    std::any_of(runs_.begin(), runs_.end(), [](const auto& r) {
-      return r.second.stopAnsweredAt && !r.second.seen;
+    std::any_of(runs_.begin(), runs_.end(), [](const auto& aRun) {
+      return aRun.second.stopAnsweredAt && !aRun.second.seen;
     });
   bool old = !runs_.empty() && now - leaseExtendedAt_ >= kRenewAfter;
   if (now >= nextRenewAt_ && (old || stopAnswered || NeedsProgress())) {
@@ -582,6 +576,15 @@
   }
 }
 
+bool
+RunKeeper::IsRenewalWaiting() const
+{
+  return std::any_of(
+    renewals_.begin(), renewals_.end(), [](const auto& aRenewal) {
+      return aRenewal.second.waits;
+    });
+}
+
 void
 RunKeeper::Renew(milliseconds aWait)
 {
--- a/src/coordination/dispatch/run_keeper.h
+++ b/src/coordination/dispatch/run_keeper.h
@@ -271,6 +271,8 @@
   void SendStop(const state::RunKey& aRun);
   void StopUnknown(const state::RunKey& aRun);
   void Renew(std::chrono::milliseconds aWait);
+  /** True while a renewal waits at the server for an end. */
+  bool IsRenewalWaiting() const;
   void KeepLeases();
   void StopSilentEntries();
   void MarkChanged();
--- a/src/daemon/dispatch/dispatch_entry_process.cpp
+++ b/src/daemon/dispatch/dispatch_entry_process.cpp
@@ -427,9 +427,17 @@
 DispatchEntryProcess::CheckSilence()
 {
   auto now = clock_.MonotonicNow();
+  if (now < nextSilenceCheck_) {
+    return;
+  }
   for (const ProcessId& agent : dispatcher_.Servers().AgentsInUse()) {
     auto silence = now - dispatcher_.Servers().HeardAt(agent);
     if (silence > kPeerSilence) {
+      nextSilenceCheck_ = now + kPeerSilence;
+      LogEvent(events::kPeerSilent,
+               "peer={} silence_ms={}",
+               agent.ToString(),
+               std::chrono::duration_cast<milliseconds>(silence).count());
       peers_.Disconnect(agent);
     }
   }
--- a/src/daemon/dispatch/dispatch_entry_process.h
+++ b/src/daemon/dispatch/dispatch_entry_process.h
@@ -154,6 +154,8 @@
   state::MonotonicTime stopRequestedAt_;
   /** The peers were told that this entry ends. */
   bool leaving_ = false;
+  /** A new connection needs time before the next verdict. */
+  state::MonotonicTime nextSilenceCheck_;
   unsigned ticks_ = 0;
 };
 
--- /dev/null
+++ b/tests/dispatch/document_follower_test.cpp
@@ -0,0 +1,98 @@
+#include <gtest/gtest.h>
+
+#include "coordination/dispatch/document_follower.h"
+#include "coordination/simulation/virtual_clock.h"
+
+namespace greengage::coordination {
+namespace {
+
+using Newest = DocumentFollowerHooks::Newest;
+using Page = DocumentFollowerHooks::Page;
+using std::chrono::milliseconds;
+
+class DocumentFollowerTest : public ::testing::Test
+{
+protected:
+  DocumentFollowerHooks Hooks()
+  {
+    DocumentFollowerHooks hooks;
+    hooks.readNewest = [this](std::function<void(Newest)> aDone) {
+      ++newestReads_;
+      newestDone_ = std::move(aDone);
+    };
+    hooks.readSince = [this](std::uint64_t aFrom,
+                             milliseconds,
+                             std::function<void(Page)> aDone) {
+      from_ = aFrom;
+      pageDone_ = std::move(aDone);
+    };
+    hooks.document = [this](const std::string& aDocument) {
+      documents_.push_back(aDocument);
+    };
+    hooks.availability = [this](bool aAvailable) {
+      availability_.push_back(aAvailable);
+    };
+    return hooks;
+  }
+
+  void Wait(milliseconds aTime)
+  {
+    time_ += aTime;
+    follower_.Tick();
+  }
+
+  milliseconds time_{ 1000 };
+  simulation::VirtualClock clock_{ time_, {} };
+  std::function<void(Newest)> newestDone_;
+  std::function<void(Page)> pageDone_;
+  unsigned newestReads_ = 0;
+  std::uint64_t from_ = 0;
+  std::vector<std::string> documents_;
+  std::vector<bool> availability_;
+  DocumentFollower follower_{ clock_, Hooks() };
+};
+
+// Guards against a process that starts with an old document or misses a change.
+TEST_F(DocumentFollowerTest, BeginsWithTheNewestAndFollows)
+{
+  follower_.Tick();
+  newestDone_(NewestDocument{ "a", 7 });
+  EXPECT_EQ(from_, 7u);
+  pageDone_(DocumentPage{ { "b", "c" }, 9 });
+  EXPECT_EQ(from_, 9u);
+  EXPECT_EQ(documents_, (std::vector<std::string>{ "a", "b", "c" }));
+}
+
+// Guards against a follower that waits for ever for records that were deleted.
+TEST_F(DocumentFollowerTest, ReadsTheNewestAgainAfterAGap)
+{
+  follower_.Tick();
+  newestDone_(NewestDocument{ "a", 7 });
+  pageDone_(tl::unexpected(DocumentReadError::eExpired));
+  EXPECT_EQ(newestReads_, 2u);
+  newestDone_(NewestDocument{ "d", 30 });
+  EXPECT_EQ(from_, 30u);
+  EXPECT_EQ(documents_.back(), "d");
+}
+
+// Guards against calls in a tight loop while the log is away, each of which is
+// paid for, and against an outage that nobody is told of.
+TEST_F(DocumentFollowerTest, PausesDuringAnOutage)
+{
+  follower_.Tick();
+  newestDone_(tl::unexpected(DocumentReadError::eUnavailable));
+  Wait(milliseconds(10));
+  EXPECT_EQ(newestReads_, 1u);
+  Wait(milliseconds(200));
+  EXPECT_EQ(newestReads_, 2u);
+  for (unsigned i = 0; i < 20; ++i) {
+    newestDone_(tl::unexpected(DocumentReadError::eUnavailable));
+    Wait(milliseconds(700));
+  }
+  EXPECT_EQ(newestReads_, 22u);
+  newestDone_(NewestDocument{ std::nullopt, 0 });
+  EXPECT_EQ(availability_, (std::vector<bool>{ false, true }));
+}
+
+}
+}
--- /dev/null
+++ b/tests/platform/codec_test.cpp
@@ -0,0 +1,388 @@
+#include <gtest/gtest.h>
+
+#include "platform/caller_codec.h"
+#include "platform/node_settings.h"
+#include "platform/operator_codec.h"
+#include "platform/server_codec.h"
+#include "platform/store_client.h"
+#include "platform/task_name.h"
+
+namespace greengage::platform {
+namespace {
+
+using namespace coordination;
+using daemon::FrontRequest;
+using state::DispatchReason;
+using state::DispatchResult;
+using state::RunKey;
+using transport::HttpRequest;
+using transport::HttpResponse;
+
+HttpRequest
+Post(std::string aBody)
+{
+  return { "POST",
+           "/lohu930/5c0e7a21d94b36f8",
+           std::move(aBody),
+           { { "Host", "nony24.example" }, { "x-deadline-ms", "1500" } },
+           1 };
+}
+
+RunKey
+SomeRun()
+{
+  return { { 0x5c0e7a21d94b36f8, 1, 17 }, 2 };
+}
+
+// Guards against task names that the server does not take or that come back
+// as another task.
+TEST(TaskNameTest, IsReadBackAsWritten)
+{
+  EXPECT_EQ(EncodeTaskName(SomeRun().task), "5c0e7a21d94b36f8.0.1.17");
+  EXPECT_EQ(DecodeTaskName("5c0e7a21d94b36f8.0.1.17"), SomeRun().task);
+  for (const char* bad : { "",
+                           "5c0e7a21d94b36f8",
+                           "5c0e7a21d94b36f8.0.1",
+                           "5c0e7a21d94b36f8.1.1.17",
+                           "5c0e7a21d94b36f8.0.1.17.2",
+                           "5c0e7a21d94b36g8.0.1.17",
+                           "5c0e7a21d94b36f8.0.1.x" }) {
+    EXPECT_FALSE(DecodeTaskName(bad)) << bad;
+  }
+}
+
+// Guards against fields of a job that are lost or mixed up on the way in.
+TEST(CallerCodecTest, ReadsAJob)
+{
+  auto request = DecodeFrontRequest(Post(
+    R"({"spec":"text","bestEffort":true,"steps":[
+        {"count":4,"cpu":500,"memMb":256,"estimateMs":900,"affinity":"r1-3"},
+        {"count":20,"cpu":2000,"gpu":1,"after":[0],"requiredLabel":"b",
+         "maxPerServer":3}]})"));
+  ASSERT_TRUE(request);
+  EXPECT_EQ(request->kind, FrontRequest::Kind::eSubmit);
+  EXPECT_EQ(request->host, "nony24.example");
+  EXPECT_EQ(request->path, "/lohu930/5c0e7a21d94b36f8");
+  EXPECT_EQ(request->patience, std::chrono::milliseconds(1500));
+  EXPECT_FALSE(request->unsupported);
+  const auto& steps = request->job.steps;
+  ASSERT_EQ(steps.size(), 2u);
+  EXPECT_EQ(steps[0].taskCount, 4u);
+  EXPECT_EQ(steps[0].need, (state::ResourceAmount{ 500, 256, 0 }));
+  EXPECT_EQ(steps[0].dataRack, "r1-3");
+  EXPECT_EQ(steps[1].after, (std::vector<std::uint32_t>{ 0 }));
+  EXPECT_EQ(steps[1].requiredLabel, "b");
+  EXPECT_EQ(steps[1].maxPerServer, 3u);
+}
+
+// Guards against kinds of jobs that are run although what they need is not
+// kept: they are refused with a true "not run".
+TEST(CallerCodecTest, MarksKindsThatAreNotServed)
+{
+  for (const char* body :
+       { R"({"spec":"","steps":[{"count":1}]})",
+         R"({"bestEffort":true,"longRunning":true,"steps":[{"count":1}]})",
+         R"({"bestEffort":true,"repeatCount":2,"steps":[{"count":1}]})",
+         R"({"bestEffort":true,"steps":[{"count":1,"gang":true}]})" }) {
+    auto request = DecodeFrontRequest(Post(body));
+    ASSERT_TRUE(request) << body;
+    EXPECT_TRUE(request->unsupported) << body;
+  }
+}
+
+// Guards against malformed requests that end a process or are taken for others.
+TEST(CallerCodecTest, RefusesMalformedJobs)
+{
+  for (const char* body : { "",
+                            "[]",
+                            "{",
+                            R"({"bestEffort":true})",
+                            R"({"bestEffort":true,"steps":[]})",
+                            R"({"bestEffort":true,"steps":[{"count":0}]})",
+                            R"({"bestEffort":true,"steps":[{"count":-1}]})",
+                            R"({"bestEffort":true,"steps":[{"count":1e9}]})",
+                            R"({"bestEffort":true,"steps":[7]})",
+                            R"({"bestEffort":"yes","steps":[{"count":1}]})",
+                            R"({"spec":7,"steps":[{"count":1}]})",
+                            R"({"steps":[{"count":1,"after":[0]}]})" }) {
+    auto request = DecodeFrontRequest(Post(body));
+    ASSERT_FALSE(request) << body;
+    EXPECT_EQ(request.error().status, 400u) << body;
+  }
+  HttpRequest put = Post("{}");
+  put.method = "PUT";
+  EXPECT_EQ(DecodeFrontRequest(put).error().status, 405u);
+}
+
+// Guards against answers that claim what is not known: only a rejection says
+// that nothing has run.
+TEST(CallerCodecTest, AnswersSayWhatHappened)
+{
+  auto status = [](DispatchResult aResult, DispatchReason aReason) {
+    return EncodeOutcome({ aResult, aReason, std::chrono::milliseconds(1200) });
+  };
+  EXPECT_EQ(status(DispatchResult::eCompleted, DispatchReason::eNone).status,
+            200u);
+  HttpResponse failed =
+    status(DispatchResult::eFailed, DispatchReason::eAttemptsUsed);
+  EXPECT_EQ(failed.status, 200u);
+  EXPECT_EQ(failed.body, R"({"state":"failed"})");
+  EXPECT_EQ(status(DispatchResult::eFailed, DispatchReason::eTooLate).status,
+            504u);
+  EXPECT_EQ(status(DispatchResult::eFailed, DispatchReason::eServerLost).status,
+            502u);
+  EXPECT_EQ(status(DispatchResult::eUnknownQueue, DispatchReason::eNone).status,
+            404u);
+  HttpResponse overload =
+    status(DispatchResult::eRejected, DispatchReason::eOverload);
+  EXPECT_EQ(overload.status, 429u);
+  EXPECT_EQ(transport::FindHeader(overload.headers, "retry-after"), "2");
+  EXPECT_EQ(
+    status(DispatchResult::eRejected, DispatchReason::eNotConfigured).status,
+    503u);
+}
+
+// Guards against queues that are read with wrong limits or objectives.
+TEST(OperatorCodecTest, ReadsQueues)
+{
+  auto configuration = DecodeConfiguration(
+    R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/p/",
+        "kind":"non_idempotent","timeoutMs":1500,"targetRuntimeMs":60,
+        "priority":2,"service":"s","maxAttempts":3,"stretch":1.6}],
+        "services":[],"limits":{}})");
+  ASSERT_TRUE(configuration);
+  EXPECT_EQ(configuration->version, 7u);
+  ASSERT_EQ(configuration->queues.size(), 1u);
+  const state::WorkQueue& queue = configuration->queues[0];
+  EXPECT_EQ(queue.priority, 2u);
+  EXPECT_EQ(queue.maxAttempts, 3u);
+  EXPECT_EQ(queue.objectiveStretch, 1.6);
+  EXPECT_EQ(queue.objectiveMargin, std::chrono::milliseconds(60));
+  EXPECT_EQ(state::FindQueue(*configuration, "h", "/p/5c"), &queue);
+  EXPECT_EQ(state::FindQueue(*configuration, "other", "/p/5c"), nullptr);
+}
+
+// Guards against foreign or broken documents that replace the one in force.
+TEST(OperatorCodecTest, RefusesBrokenDocuments)
+{
+  for (const char* text :
+       { "",
+         "7",
+         "{}",
+         R"({"version":0,"routes":[]})",
+         R"({"version":1})",
+         R"({"version":1,"routes":[{"name":"r"}]})",
+         R"({"version":1,"routes":[{"pathPrefix":"/p/","priority":"x"}]})" }) {
+    EXPECT_FALSE(DecodeConfiguration(text)) << text;
+  }
+}
+
+// Guards against the longest prefix losing to a shorter one.
+TEST(OperatorCodecTest, LongestPrefixSelectsTheQueue)
+{
+  auto configuration = DecodeConfiguration(
+    R"({"version":1,"routes":[{"name":"a","host":"h","pathPrefix":"/p/"},
+        {"name":"b","host":"h","pathPrefix":"/p/q/"}]})");
+  ASSERT_TRUE(configuration);
+  EXPECT_EQ(state::FindQueue(*configuration, "h", "/p/q/x")->name, "b");
+  EXPECT_EQ(state::FindQueue(*configuration, "h", "/p/x")->name, "a");
+}
+
+HttpRequest
+Heartbeat(std::string aBody)
+{
+  return { "POST", "/-/instances/i-7f3a/heartbeat", std::move(aBody), {}, 1 };
+}
+
+// Guards against a server whose room or state is misread.
+TEST(ServerCodecTest, ReadsAnAnnouncement)
+{
+  auto notice = DecodeNotice(Heartbeat(
+    R"({"service":"s","address":"10.0.0.9:1","state":"draining","seq":4,
+        "capacity":{"cpu":16000,"memMb":32768,"gpu":1},
+        "labels":["a","r1-3"],"clockMs":482113,"born":1777507529535})"));
+  ASSERT_TRUE(notice);
+  const auto& announcement = std::get<ServerAnnouncement>(*notice);
+  EXPECT_EQ(announcement.description.id, "i-7f3a");
+  EXPECT_EQ(announcement.description.capacity,
+            (state::ResourceAmount{ 16000, 32768, 1 }));
+  EXPECT_TRUE(announcement.draining);
+  EXPECT_EQ(announcement.born, 1777507529535u);
+  EXPECT_EQ(announcement.sequence, 4u);
+}
+
+// Guards against announcements of other writers: fields missing, of another
+// type, or a state that is not known name no server to use.
+TEST(ServerCodecTest, RefusesForeignAnnouncements)
+{
+  for (const char* body :
+       { "",
+         "{}",
+         "\xff\xfe",
+         R"({"service":"s","state":"ready","seq":4})",
+         R"({"service":"s","state":"odd","seq":4,"capacity":{"cpu":1}})",
+         R"({"service":7,"state":"ready","capacity":{"cpu":1}})",
+         R"({"service":"s","state":"ready","capacity":{"cpu":"1"}})" }) {
+    auto notice = DecodeNotice(Heartbeat(body));
+    ASSERT_FALSE(notice) << body;
+    EXPECT_EQ(notice.error().status, 400u);
+  }
+  HttpRequest other = Heartbeat("{}");
+  other.target = "/elsewhere";
+  EXPECT_EQ(DecodeNotice(other).error().status, 404u);
+  other.target = "/-/instances/i-7f3a/leave";
+  auto leave = DecodeNotice(other);
+  ASSERT_TRUE(leave);
+  EXPECT_EQ(std::get<daemon::ServerLeave>(*leave).serverId, "i-7f3a");
+}
+
+// Guards against orders that name another task, run or life of the server.
+TEST(ServerCodecTest, WritesOrders)
+{
+  HttpRequest start = EncodeStart(
+    { "i-7f3a", SomeRun(), "text", 7, std::chrono::milliseconds(486000) });
+  EXPECT_EQ(start.target, "/-/run-start");
+  EXPECT_EQ(
+    start.body,
+    R"({"task":"5c0e7a21d94b36f8.0.1.17","run":2,"spec":"text","deadlineMs":486000,"fencingToken":7})");
+  EXPECT_EQ(transport::FindHeader(start.headers, "X-Expect-Instance"),
+            "i-7f3a");
+  HttpRequest renew = EncodeRenew({ 1,
+                                    7,
+                                    57,
+                                    std::chrono::milliseconds(486000),
+                                    std::chrono::milliseconds(1000) });
+  EXPECT_EQ(
+    renew.body,
+    R"({"fencingToken":7,"lastSeen":57,"deadlineMs":486000,"waitMs":1000})");
+}
+
+// Guards against a refusal that is taken for another one: only some of them
+// allow the task to be started elsewhere at once.
+TEST(ServerCodecTest, ReadsAnswersToStarts)
+{
+  auto answer = [](unsigned aStatus, std::string aBody) {
+    HttpResponse response;
+    response.status = aStatus;
+    response.body = std::move(aBody);
+    return DecodeStartAnswer(response);
+  };
+  EXPECT_EQ(answer(200, "{}"), StartAnswer::eStarted);
+  EXPECT_EQ(answer(409, R"({"reason":"room"})"), StartAnswer::eNoRoom);
+  EXPECT_EQ(answer(409, R"({"reason":"fence"})"), StartAnswer::eFenced);
+  EXPECT_EQ(answer(409, R"({"reason":"old"})"), StartAnswer::eOutdated);
+  EXPECT_EQ(answer(409, R"({"reason":"late"})"), StartAnswer::eLate);
+  for (unsigned status : { 400u, 421u, 429u, 503u }) {
+    EXPECT_EQ(answer(status, ""), StartAnswer::eRefused);
+  }
+}
+
+// Guards against ends that are never acknowledged because their task is
+// foreign, and against rows that cannot be read.
+TEST(ServerCodecTest, ReadsTheLists)
+{
+  HttpResponse response;
+  response.body =
+    R"({"clockMs":482113,"born":5,
+        "running":[["5c0e7a21d94b36f8.0.1.17",2,"",41,0],["odd",1],7],
+        "finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],
+                    [59,"5c0e7a21d94b36f8.3.1.9",1,"lapsed",""],
+                    [60,"5c0e7a21d94b36f8.0.1.9",2,"failed",""],"odd"]})";
+  auto answer = DecodeRenewAnswer(response);
+  ASSERT_TRUE(answer);
+  ASSERT_EQ(answer->running.size(), 1u);
+  EXPECT_EQ(answer->running[0], (ListedRun{ SomeRun(), 41 }));
+  ASSERT_EQ(answer->ended.size(), 3u);
+  EXPECT_EQ(answer->ended[0].kind, RunEndKind::eDone);
+  EXPECT_EQ(answer->ended[1].number, 59u);
+  EXPECT_EQ(answer->ended[1].run, RunKey{});
+  EXPECT_EQ(answer->ended[2].kind, RunEndKind::eFailed);
+  response.body = "no lists";
+  EXPECT_FALSE(DecodeRenewAnswer(response));
+}
+
+std::string
+Keyed(const std::string& aKey, const std::string& aValue)
+{
+  std::string record(1, static_cast<char>(aKey.size()));
+  record += aKey + aValue;
+  std::string bytes{ 0, 0, 0, static_cast<char>(record.size()) };
+  return bytes + record;
+}
+
+// Guards against records that are cut, or lengths that point past the end.
+TEST(StoreCodecTest, ReadsKeyedRecords)
+{
+  std::string head(16, '\0');
+  head[7] = 9;
+  head[15] = 2;
+  auto page =
+    DecodeKeyedPage(head + Keyed("config", "{}") + Keyed("wave/1", ""));
+  ASSERT_TRUE(page);
+  EXPECT_EQ(page->end, 9u);
+  EXPECT_EQ(page->firstRetained, 2u);
+  ASSERT_EQ(page->records.size(), 2u);
+  EXPECT_EQ(page->records[0], (StoreRecord{ "config", "{}" }));
+  std::string whole = head + Keyed("config", "{}");
+  for (std::size_t size = 0; size < whole.size(); ++size) {
+    bool between = size == head.size();
+    EXPECT_EQ(DecodeKeyedPage(whole.substr(0, size)).has_value(), between);
+  }
+}
+
+// Guards against a newest value that is not decoded, or another key's.
+TEST(StoreCodecTest, ReadsTheNewestValue)
+{
+  auto newest = DecodeNewest(
+    R"({"items":[{"key":"wave/1","value":"e30=","offset":1},
+                 {"key":"config","value":"eyJ2IjoxfQ==","offset":4}],
+        "hasMore":false,"end":6})",
+    "config");
+  ASSERT_TRUE(newest);
+  EXPECT_EQ(newest->document, R"({"v":1})");
+  EXPECT_EQ(newest->nextOffset, 6u);
+  EXPECT_FALSE(DecodeNewest("[]", "config"));
+  EXPECT_FALSE(DecodeNewest(R"({"end":"x"})", "config"));
+}
+
+constexpr const char* kSettings =
+  R"({"zone":"bole","ip":"10.1.0.13","listen":{"front":"10.1.0.13:1",
+      "readyAddr":"10.1.0.13:2","control":"10.1.0.13:3"},
+      "internalPortRange":[7720,7735],"seeds":["10.1.0.13:3"],
+      "bounds":{"maxHoldMs":1000,"farFactor":1.5},"app":null,
+      "platform":{"address":"10.200.1.7:8169"},"new":{"field":1}})";
+
+// Guards against settings that are read as others, and new fields that stop a
+// process.
+TEST(NodeSettingsTest, ReadsTheFile)
+{
+  auto settings = DecodeNodeSettings(kSettings);
+  ASSERT_TRUE(settings) << settings.error();
+  EXPECT_EQ(settings->dataCentre, "bole");
+  EXPECT_EQ(settings->callerAddress, "10.1.0.13:1");
+  EXPECT_EQ(settings->controlAddress, "10.1.0.13:3");
+  EXPECT_EQ(settings->firstInternalPort, 7720u);
+  EXPECT_EQ(settings->seeds, (std::vector<std::string>{ "10.1.0.13:3" }));
+  EXPECT_EQ(settings->storeAddress, "10.200.1.7:8169");
+  EXPECT_EQ(settings->serverAddress, "");
+  EXPECT_EQ(settings->maxLease, std::chrono::milliseconds(1000));
+}
+
+// Guards against errors that do not name what is wrong.
+TEST(NodeSettingsTest, NamesTheBadField)
+{
+  for (auto [from, to, field] :
+       { std::tuple{ R"("zone":"bole")", R"("zone":7)", "zone" },
+         std::tuple{ "1000,", R"("x",)", "bounds.maxHoldMs" },
+         std::tuple{ "[7720,7735]", "[0]", "internalPortRange" } }) {
+    std::string text = kSettings;
+    text.replace(text.find(from), std::string(from).size(), to);
+    auto settings = DecodeNodeSettings(text);
+    ASSERT_FALSE(settings) << field;
+    EXPECT_NE(settings.error().find(field), std::string::npos)
+      << settings.error();
+  }
+}
+
+}
+}
--- a/tests/protocol/peer_codec_test.cpp
+++ b/tests/protocol/peer_codec_test.cpp
@@ -44,6 +44,18 @@
                 { { key, 4, 1, "quote", "2", std::chrono::milliseconds(9) } } },
     reply,
     ConfigurationRecords{ 12, { { 11, "{}" } } },
+    DispatchOrders{},
+    DispatchOrders{ { { 5, 1, { 1600, 64, 1 }, 250, "text", { { 3, 2 } } } },
+                    { { { 5, 1, 4 }, 2 } },
+                    { { { 6, 0, 0 }, 1 } } },
+    ServerReport{},
+    ServerReport{
+      ServerDescription{ "i-1", "portal", { "a", "r1" }, { 16000, 64, 2 } },
+      ServerCondition::eDraining,
+      { 3200, 128, 0 },
+      { { { { 5, 1, 3 }, 2 }, RunEndKind::eFailed, 77 } },
+      { { { { 5, 1, 4 }, 2 }, 900 } } },
+    ConfigurationCopy{ 9, "{\"version\":9}" },
   };
   auto decoded = DecodeFrame(ToBytes(EncodeFrame(messages)));
   ASSERT_TRUE(decoded) << decoded.error().message;
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -1,12 +1,12 @@
 #!/usr/bin/env bash
-# Runs clang-tidy on the sources of src/ and tests/, or on the files given.
+# Runs clang-tidy on the sources of src/, platform/ and tests/, or on the files given.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build_dir=${BUILD_DIR:-build}
 if (($#)); then
   files=("$@")
 else
-  mapfile -t files < <(git ls-files --cached --others --exclude-standard 'src/*.cpp' 'tests/*.cpp' | grep -v '\.capnp\.')
+  mapfile -t files < <(git ls-files --cached --others --exclude-standard 'src/*.cpp' 'platform/*.cpp' 'tests/*.cpp' | grep -v '\.capnp\.')
 fi
 printf '%s\n' "${files[@]}" |
   xargs -r -P "${JOBS:-10}" -n 1 clang-tidy --quiet -p "$build_dir" 2>"$build_dir/lint.stderr" || {
