--- a/src/coordination/dispatch/job_dispatcher.cpp
+++ b/src/coordination/dispatch/job_dispatcher.cpp
@@ -39,6 +39,8 @@
 constexpr double kLargestWorkFactor = 2;
 /** What the work does not explain lowers a speed from this factor on. */
 constexpr double kSlowServerFactor = 1.3;
+/** Time after the start in which the first agents are still to be met. */
+constexpr milliseconds kMeetingTime{ 1000 };
 /** A job is begun only as a whole in this part of the time it can wait. */
 constexpr int kWholeStartShare = 3;
 /** What a move costs beside the new run: the stop and two messages. */
@@ -46,7 +48,7 @@
 /** An answer later than three times the objective is worth nothing. */
 constexpr int kUsefulObjectives = 3;
 /** Entry to agent: how often an agent with runs hears from this entry. */
-constexpr milliseconds kKeepAlive{ 200 };
+constexpr milliseconds kKeepAlive{ 150 };
 /** A run is overdue after this multiple of its expected time, and more ... */
 constexpr double kOverdueFactor = 2.2;
 /** ... by this, so that short tasks are not stopped for a late message. */
@@ -83,6 +85,7 @@
   , hooks_(std::move(aHooks))
   , pauses_(aClock)
   , servers_(std::move(aDataCentre), aClock)
+  , createdAt_(aClock.MonotonicNow())
 {
 }
 
@@ -169,6 +172,11 @@
     PlacementRequest request = RequestFor(aJob, i);
     auto shortest = servers_.ShortestRunTime(request);
     if (!shortest) {
+      // After a start of everything, agents are met within a second.
+      bool starting = clock_.MonotonicNow() - createdAt_ < kMeetingTime;
+      if (starting && servers_.ReadyServers() == 0) {
+        continue;
+      }
       return DispatchReason::eImpossible;
     }
     if (*shortest > request.latestMs) {
@@ -218,6 +226,8 @@
   request.latestMs = aJob.started
                        ? untilDeadline
                        : MillisecondsBetween(now, aJob.uselessAt) - overhead;
+  // The work may be less than expected; a forecast tells soon.
+  request.latestMs *= known ? 1 : kWorkUncertainty;
   return request;
 }
 
--- a/src/coordination/dispatch/job_dispatcher.h
+++ b/src/coordination/dispatch/job_dispatcher.h
@@ -251,6 +251,7 @@
   std::map<state::ProcessId, DispatchOrders> outgoing_;
   std::map<state::ProcessId, state::MonotonicTime> sentAt_;
   DispatchCounters counters_;
+  state::MonotonicTime createdAt_;
 };
 
 }
--- a/src/coordination/dispatch/run_keeper.cpp
+++ b/src/coordination/dispatch/run_keeper.cpp
@@ -12,12 +12,12 @@
 
 namespace {
 
-/** Wait of a renewal while something runs: well below the longest lease. */
-constexpr milliseconds kBusyWait{ 400 };
+/** Wait of a renewal while something runs: well below the lease. */
+constexpr milliseconds kBusyWait{ 250 };
 /** Longest wait that the server's interface allows. */
 constexpr milliseconds kIdleWait{ 2000 };
 /** A lease that was not extended for this long is renewed beside the wait. */
-constexpr milliseconds kRenewAfter{ 500 };
+constexpr milliseconds kRenewAfter{ 300 };
 /** Pause after a renewal that failed. */
 constexpr milliseconds kRenewRetry{ 100 };
 /** A stop order without an effect is repeated after this. */
@@ -38,6 +38,10 @@
 constexpr std::uint64_t kTokenStep = 60'000;
 /** Progress of a younger run says too little, in whole percent. */
 constexpr milliseconds kMinForecastAge{ 60 };
+/** Below this, whole percent are too coarse to give a job up. */
+constexpr std::uint32_t kMinForecastPercent = 8;
+/** A run with less progress than that has hung after this part of its limit. */
+constexpr int kHangCheckShare = 3;
 /** A run's progress is looked at this many times within its limit. */
 constexpr int kProgressChecksPerLimit = 5;
 constexpr double kLongestForecastMs = 60'000;
@@ -450,6 +454,10 @@
       age < kMinForecastAge.count()) {
     return;
   }
+  if (aPercent < kMinForecastPercent &&
+      age * kHangCheckShare < aRun.limit.count()) {
+    return;
+  }
   // The progress is in whole percent; half a percent more is the kinder guess.
   double total = static_cast<double>(age) * 100 / (aPercent + 0.5);
   if (total <= static_cast<double>(aRun.limit.count())) {
@@ -558,7 +566,7 @@
     return;
   }
   auto now = clock_.MonotonicNow();
-  auto leaseLength = settings_.maxLease + kLeaseMargin;
+  auto leaseLength = settings_.lease + kLeaseMargin;
   if (!runs_.empty() && !reachable_ && now - leaseExtendedAt_ > leaseLength) {
     EndAll(RunEndKind::eLost, "the leases have ended");
   }
@@ -710,7 +718,7 @@
 {
   auto now = std::chrono::duration_cast<milliseconds>(
     clock_.MonotonicNow().time_since_epoch());
-  return now + clockOffset_ + settings_.maxLease;
+  return now + clockOffset_ + settings_.lease;
 }
 
 void
--- a/src/coordination/dispatch/run_keeper.h
+++ b/src/coordination/dispatch/run_keeper.h
@@ -18,14 +18,17 @@
 /** Bounds of a RunKeeper. */
 struct RunKeeperSettings
 {
-  /** Longest lease that the backend server grants. */
-  std::chrono::milliseconds maxLease{ 1000 };
+  /**
+   * Lease that the agent asks for. An agent that dies just before it would stop
+   * the runs of a silent entry leaves them for this long.
+   */
+  std::chrono::milliseconds lease{ 700 };
   /**
    * Runs of an entry that was not heard for this long are stopped. Together
-   * with the time of a stop it stays below the delay after which callers submit
-   * a broken job again (1,300 ms on the users' sites).
+   * with the lease it stays below the delay after which callers submit a broken
+   * job again (1,300 ms on the users' sites).
    */
-  std::chrono::milliseconds entrySilence{ 700 };
+  std::chrono::milliseconds entrySilence{ 500 };
 
   auto operator<=>(const RunKeeperSettings&) const = default;
 };
--- a/src/coordination/membership_tick.cpp
+++ b/src/coordination/membership_tick.cpp
@@ -23,7 +23,8 @@
 /** One change at 1,000 members takes 30 packets. */
 constexpr double kGossipBurst = 40;
 
-constexpr milliseconds kJoinPeriod{ 500 };
+/** A process that knows nobody serves nobody, so it asks often. */
+constexpr milliseconds kJoinPeriod{ 100 };
 constexpr milliseconds kReconnectPeriod{ 2000 };
 constexpr std::size_t kJoinSeeds = 3;
 constexpr std::size_t kContestedPerPeriod = 2;
--- a/src/daemon/dispatch/dispatch_entry_process.cpp
+++ b/src/daemon/dispatch/dispatch_entry_process.cpp
@@ -30,6 +30,9 @@
 constexpr milliseconds kRotationTime{ 2500 };
 /** Latest end after a stop signal; the platform kills after 6 s. */
 constexpr milliseconds kStopLimit{ 5300 };
+/** Later submissions after a stop signal might not be answered before it. */
+constexpr milliseconds kLatestSubmission{ 3000 };
+constexpr milliseconds kRetryElsewhere{ 1000 };
 /** An agent with runs that says nothing for this long gets a new connection. */
 constexpr milliseconds kPeerSilence{ 700 };
 constexpr milliseconds kRetryWithoutConfiguration{ 1000 };
@@ -298,6 +301,14 @@
     case FrontRequest::Kind::eSubmit:
       break;
   }
+  if (stopped_ &&
+      clock_.MonotonicNow() - stopRequestedAt_ > kLatestSubmission) {
+    Refuse(
+      { DispatchResult::eRejected, DispatchReason::eStopping, kRetryElsewhere },
+      aRequest,
+      aRespond);
+    return;
+  }
   if (aRequest.unsupported || queue->needsApproval) {
     Refuse({ DispatchResult::eRejected,
              DispatchReason::eUnsupported,
@@ -462,13 +473,16 @@
 DispatchEntryProcess::FinishStop()
 {
   auto elapsed = clock_.MonotonicNow() - stopRequestedAt_;
+  if (elapsed >= kRotationTime) {
+    callers_.StopAccepting();
+    callers_.CloseIdle();
+  }
   bool idle = callers_.RequestsInProgress() == 0;
   if (elapsed < kRotationTime || (!idle && elapsed < kStopLimit)) {
     return;
   }
   if (!leaving_) {
     leaving_ = true;
-    callers_.StopAccepting();
     peers_.Leave();
     return;
   }
--- a/src/state/dispatch/dispatch_job.cpp
+++ b/src/state/dispatch/dispatch_job.cpp
@@ -24,6 +24,8 @@
       return "unsupported";
     case DispatchReason::ePaused:
       return "paused";
+    case DispatchReason::eStopping:
+      return "stopping";
     case DispatchReason::eAbandoned:
       return "abandoned";
     case DispatchReason::eCancelled:
--- a/src/state/dispatch/dispatch_job.h
+++ b/src/state/dispatch/dispatch_job.h
@@ -95,6 +95,8 @@
   eUnsupported,
   /** It waited in a socket while this process was paused. */
   ePaused,
+  /** This process is about to end. */
+  eStopping,
   /** The caller has gone. */
   eAbandoned,
   /** The caller cancelled it. */
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -50,6 +50,23 @@
   return {};
 }
 
+void
+HttpServer::CloseIdle()
+{
+  std::vector<std::shared_ptr<HttpSession>> sessions;
+  {
+    std::lock_guard lock(state_->sessionsMutex);
+    for (const auto& [pointer, session] : state_->sessions) {
+      sessions.push_back(session.lock());
+    }
+  }
+  for (const auto& session : sessions) {
+    if (session) {
+      session->CloseIfIdle();
+    }
+  }
+}
+
 void
 HttpServer::CloseAfterResponses()
 {
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -103,6 +103,9 @@
    */
   void StopAccepting();
 
+  /** Closes the connections that wait for a request. */
+  void CloseIdle();
+
   /** Responses from now on ask the caller to close the connection. */
   void CloseAfterResponses();
 
--- a/src/transport/http_session.cpp
+++ b/src/transport/http_session.cpp
@@ -41,11 +41,27 @@
     --state_->requests;
   }
   --counter_;
+  std::lock_guard lock(state_->sessionsMutex);
+  state_->sessions.erase(this);
+}
+
+void
+HttpSession::CloseIfIdle()
+{
+  asio::post(stream_.get_executor(), [self = shared_from_this()] {
+    if (self->idle_) {
+      self->Close();
+    }
+  });
 }
 
 void
 HttpSession::Start()
 {
+  {
+    std::lock_guard lock(state_->sessionsMutex);
+    state_->sessions.emplace(this, weak_from_this());
+  }
   asio::post(stream_.get_executor(), [self = shared_from_this()] {
     error_code ignored;
     self->stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -69,8 +85,10 @@
     return;
   }
   StartTimer(aTimeout);
+  idle_ = true;
   stream_.socket().async_wait(asio::ip::tcp::socket::wait_read,
                               [self = shared_from_this()](error_code aError) {
+                                self->idle_ = false;
                                 self->StopTimer();
                                 if (aError) {
                                   self->Close();
--- a/src/transport/http_session.h
+++ b/src/transport/http_session.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <atomic>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <optional>
 
 #include <boost/asio/steady_timer.hpp>
@@ -14,6 +16,8 @@
 
 namespace greengage::transport {
 
+class HttpSession;
+
 /** What the sessions of one server share. */
 struct HttpServerState
 {
@@ -28,6 +32,9 @@
   /** Requests whose response is not written yet. */
   std::atomic<std::size_t> requests{ 0 };
   std::atomic<bool> stopping{ false };
+  std::mutex sessionsMutex;
+  /** Open connections, so that idle ones can be closed. */
+  std::map<HttpSession*, std::weak_ptr<HttpSession>> sessions;
 };
 
 /**
@@ -45,6 +52,9 @@
   /** Serves requests until the peer closes or a limit is reached. */
   void Start();
 
+  /** Closes the connection if no request is on its way; from any thread. */
+  void CloseIfIdle();
+
   /** Answers 503 without reading a request, then closes. */
   void StartRefusal();
 
@@ -81,6 +91,8 @@
   std::uint64_t timerNumber_ = 0;
   bool timedOut_ = false;
   bool handling_ = false;
+  /** Waits for the first byte of a request. */
+  bool idle_ = false;
   std::uint64_t exchange_ = 0;
   bool keepAlive_ = true;
   bool headRequest_ = false;
--- a/tests/dispatch/dispatch_patterns_test.cpp
+++ b/tests/dispatch/dispatch_patterns_test.cpp
@@ -309,11 +309,29 @@
   EXPECT_TRUE(world.Violations().empty());
 }
 
+// Guards against rejections in the moment after a start of everything, when
+// the agents are not met yet.
+TEST(DispatchPatternsTest, JobWaitsForTheFirstAgentsAfterAStart)
+{
+  DispatchWorldSettings settings = OneEntry(2);
+  DispatchWorld world(settings);
+  world.KillEntry(0, 50);
+  world.KillAgent(0, 150);
+  world.KillAgent(1, 150);
+  world.Run(60);
+  std::size_t number = world.Submit(0, 1, 2, 300);
+  world.Run(1200);
+  ASSERT_TRUE(world.Submissions()[number].outcome);
+  EXPECT_EQ(world.Submissions()[number].outcome->result,
+            DispatchResult::eCompleted);
+}
+
 // Guards against a wait for a task that no server could ever hold.
 TEST(DispatchPatternsTest, ImpossibleJobIsRejectedAtOnce)
 {
   DispatchWorld world(OneEntry(1));
   world.KillAgent(0, 60'000);
+  world.Run(1000);
   std::size_t number = world.Submit(0, 1, 1, kShortWork);
   world.Run(10);
   ASSERT_TRUE(world.Submissions()[number].outcome);
