Give each subsystem of coordination its own folder

Cause: 87 files lay in one folder, so a newcomer could not find the room of a decision. Change: ownership, scheduling, membership, configuration and execution beside dispatch; only paths of files and includes change.

--- a/benchmarks/capacity/owner_cost.cpp
+++ b/benchmarks/capacity/owner_cost.cpp
@@ -4,7 +4,7 @@
 #include <memory>
 
 #include "benchmarks/capacity/measure.h"
-#include "coordination/job_owner.h"
+#include "coordination/execution/job_owner.h"
 
 namespace greengage::benchmarks {
 
--- a/benchmarks/policy/fleet_simulation.h
+++ b/benchmarks/policy/fleet_simulation.h
@@ -7,7 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "coordination/task_scheduler.h"
+#include "coordination/scheduling/task_scheduler.h"
 #include "policy/job_result.h"
 #include "policy/reference_queues.h"
 #include "policy/workload.h"
--- a/benchmarks/scheduler_bench.cpp
+++ b/benchmarks/scheduler_bench.cpp
@@ -5,7 +5,7 @@
 
 #include <benchmark/benchmark.h>
 
-#include "coordination/task_scheduler.h"
+#include "coordination/scheduling/task_scheduler.h"
 #include "policy/figure.h"
 #include "policy/fleet_simulation.h"
 #include "policy/workload.h"
--- a/src/coordination/configuration/configuration_fold.cpp
+++ b/src/coordination/configuration/configuration_fold.cpp
@@ -1,4 +1,4 @@
-#include "coordination/configuration_fold.h"
+#include "coordination/configuration/configuration_fold.h"
 
 #include <algorithm>
 
--- a/src/coordination/configuration/configuration_fold.h
+++ b/src/coordination/configuration/configuration_fold.h
@@ -2,8 +2,8 @@
 
 #include <optional>
 
-#include "coordination/configuration_ownership.h"
-#include "coordination/configuration_record.h"
+#include "coordination/configuration/configuration_record.h"
+#include "coordination/ownership/configuration_ownership.h"
 
 namespace greengage::coordination {
 
--- a/src/coordination/configuration/configuration_follower.cpp
+++ b/src/coordination/configuration/configuration_follower.cpp
@@ -1,4 +1,4 @@
-#include "coordination/configuration_follower.h"
+#include "coordination/configuration/configuration_follower.h"
 
 #include <algorithm>
 
--- a/src/coordination/configuration/configuration_follower.h
+++ b/src/coordination/configuration/configuration_follower.h
@@ -6,8 +6,8 @@
 
 #include <tl/expected.hpp>
 
-#include "coordination/configuration_fold.h"
-#include "coordination/configuration_publisher.h"
+#include "coordination/configuration/configuration_fold.h"
+#include "coordination/configuration/configuration_publisher.h"
 #include "coordination/coordination_error.h"
 #include "coordination/messages.h"
 
--- a/src/coordination/configuration/configuration_publisher.cpp
+++ b/src/coordination/configuration/configuration_publisher.cpp
@@ -1,4 +1,4 @@
-#include "coordination/configuration_publisher.h"
+#include "coordination/configuration/configuration_publisher.h"
 
 #include <algorithm>
 
--- a/src/coordination/configuration/configuration_publisher.h
+++ b/src/coordination/configuration/configuration_publisher.h
@@ -4,7 +4,7 @@
 #include <functional>
 #include <optional>
 
-#include "coordination/configuration_fold.h"
+#include "coordination/configuration/configuration_fold.h"
 #include "state/clock.h"
 #include "state/job_outcome.h"
 
--- a/src/coordination/configuration/configuration_record.h
+++ b/src/coordination/configuration/configuration_record.h
@@ -6,7 +6,7 @@
 #include <variant>
 #include <vector>
 
-#include "coordination/ownership_record.h"
+#include "coordination/ownership/ownership_record.h"
 #include "state/configuration_change.h"
 #include "state/configuration_store.h"
 
--- a/src/coordination/execution/agent_table.cpp
+++ b/src/coordination/execution/agent_table.cpp
@@ -1,4 +1,4 @@
-#include "coordination/agent_table.h"
+#include "coordination/execution/agent_table.h"
 
 #include "state/job_id.h"
 
--- a/src/coordination/execution/history_recovery.cpp
+++ b/src/coordination/execution/history_recovery.cpp
@@ -1,4 +1,4 @@
-#include "coordination/history_recovery.h"
+#include "coordination/execution/history_recovery.h"
 
 #include <algorithm>
 
--- a/src/coordination/execution/history_recovery.h
+++ b/src/coordination/execution/history_recovery.h
@@ -7,7 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "coordination/agent_table.h"
+#include "coordination/execution/agent_table.h"
 #include "coordination/messages.h"
 #include "state/clock.h"
 
--- a/src/coordination/execution/job_execution.h
+++ b/src/coordination/execution/job_execution.h
@@ -4,13 +4,13 @@
 #include <map>
 #include <vector>
 
-#include "coordination/attempt_timer.h"
-#include "coordination/job_table.h"
+#include "coordination/execution/job_table.h"
+#include "coordination/execution/owner_counters.h"
+#include "coordination/execution/resume_plan.h"
+#include "coordination/execution/retry_budget.h"
 #include "coordination/messages.h"
-#include "coordination/owner_counters.h"
-#include "coordination/resume_plan.h"
-#include "coordination/retry_budget.h"
-#include "coordination/task_scheduler.h"
+#include "coordination/ownership/attempt_timer.h"
+#include "coordination/scheduling/task_scheduler.h"
 #include "state/clock.h"
 
 namespace greengage::coordination {
--- a/src/coordination/execution/job_execution_records.cpp
+++ b/src/coordination/execution/job_execution_records.cpp
@@ -1,4 +1,4 @@
-#include "coordination/job_execution.h"
+#include "coordination/execution/job_execution.h"
 
 #include <algorithm>
 
--- a/src/coordination/execution/job_history.cpp
+++ b/src/coordination/execution/job_history.cpp
@@ -1,4 +1,4 @@
-#include "coordination/job_history.h"
+#include "coordination/execution/job_history.h"
 
 #include <algorithm>
 
--- a/src/coordination/execution/job_history.h
+++ b/src/coordination/execution/job_history.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "coordination/history_recovery.h"
+#include "coordination/execution/history_recovery.h"
 #include "state/job_spec.h"
 
 namespace greengage::coordination {
--- a/src/coordination/execution/job_owner.cpp
+++ b/src/coordination/execution/job_owner.cpp
@@ -1,4 +1,4 @@
-#include "coordination/job_owner.h"
+#include "coordination/execution/job_owner.h"
 
 #include <algorithm>
 #include <set>
--- a/src/coordination/execution/job_owner.h
+++ b/src/coordination/execution/job_owner.h
@@ -6,14 +6,14 @@
 #include <unordered_map>
 #include <vector>
 
-#include "coordination/agent_table.h"
-#include "coordination/history_recovery.h"
-#include "coordination/job_execution.h"
-#include "coordination/job_table.h"
+#include "coordination/execution/agent_table.h"
+#include "coordination/execution/history_recovery.h"
+#include "coordination/execution/job_execution.h"
+#include "coordination/execution/job_table.h"
+#include "coordination/execution/owner_counters.h"
+#include "coordination/execution/refused_submissions.h"
 #include "coordination/messages.h"
-#include "coordination/owner_counters.h"
-#include "coordination/refused_submissions.h"
-#include "coordination/task_scheduler.h"
+#include "coordination/scheduling/task_scheduler.h"
 #include "state/clock.h"
 
 namespace greengage::coordination {
--- a/src/coordination/execution/job_owner_recovery.cpp
+++ b/src/coordination/execution/job_owner_recovery.cpp
@@ -1,4 +1,4 @@
-#include "coordination/job_owner.h"
+#include "coordination/execution/job_owner.h"
 
 /** Requests for jobs of earlier owners, once their history is known. */
 namespace greengage::coordination {
--- a/src/coordination/execution/job_table.cpp
+++ b/src/coordination/execution/job_table.cpp
@@ -1,4 +1,4 @@
-#include "coordination/job_table.h"
+#include "coordination/execution/job_table.h"
 
 namespace greengage::coordination {
 
--- a/src/coordination/execution/job_table.h
+++ b/src/coordination/execution/job_table.h
@@ -6,8 +6,8 @@
 #include <unordered_map>
 #include <vector>
 
-#include "coordination/spec_fingerprint.h"
-#include "coordination/task_scheduler.h"
+#include "coordination/execution/spec_fingerprint.h"
+#include "coordination/scheduling/task_scheduler.h"
 #include "state/job_outcome.h"
 
 namespace greengage::coordination {
--- a/src/coordination/execution/refused_submissions.cpp
+++ b/src/coordination/execution/refused_submissions.cpp
@@ -1,4 +1,4 @@
-#include "coordination/refused_submissions.h"
+#include "coordination/execution/refused_submissions.h"
 
 namespace greengage::coordination {
 
--- a/src/coordination/execution/refused_submissions.h
+++ b/src/coordination/execution/refused_submissions.h
@@ -4,7 +4,7 @@
 #include <map>
 #include <optional>
 
-#include "coordination/job_table.h"
+#include "coordination/execution/job_table.h"
 #include "state/job_outcome.h"
 
 namespace greengage::coordination {
--- a/src/coordination/execution/request_router.cpp
+++ b/src/coordination/execution/request_router.cpp
@@ -1,4 +1,4 @@
-#include "coordination/request_router.h"
+#include "coordination/execution/request_router.h"
 
 #include <algorithm>
 
--- a/src/coordination/execution/resume_plan.cpp
+++ b/src/coordination/execution/resume_plan.cpp
@@ -1,4 +1,4 @@
-#include "coordination/resume_plan.h"
+#include "coordination/execution/resume_plan.h"
 
 #include <fmt/format.h>
 
--- a/src/coordination/execution/resume_plan.h
+++ b/src/coordination/execution/resume_plan.h
@@ -4,7 +4,7 @@
 #include <optional>
 #include <vector>
 
-#include "coordination/job_history.h"
+#include "coordination/execution/job_history.h"
 #include "state/job_outcome.h"
 
 namespace greengage::coordination {
--- a/src/coordination/execution/retry_budget.cpp
+++ b/src/coordination/execution/retry_budget.cpp
@@ -1,4 +1,4 @@
-#include "coordination/retry_budget.h"
+#include "coordination/execution/retry_budget.h"
 
 #include <algorithm>
 
--- a/src/coordination/execution/shard_controller.cpp
+++ b/src/coordination/execution/shard_controller.cpp
@@ -1,4 +1,4 @@
-#include "coordination/shard_controller.h"
+#include "coordination/execution/shard_controller.h"
 
 #include <utility>
 
--- a/src/coordination/execution/shard_controller.h
+++ b/src/coordination/execution/shard_controller.h
@@ -4,10 +4,10 @@
 #include <set>
 #include <vector>
 
-#include "coordination/job_owner.h"
+#include "coordination/execution/job_owner.h"
 #include "coordination/messages.h"
-#include "coordination/ownership_lease.h"
-#include "coordination/task_scheduler.h"
+#include "coordination/ownership/ownership_lease.h"
+#include "coordination/scheduling/task_scheduler.h"
 #include "state/clock.h"
 
 namespace greengage::coordination {
--- a/src/coordination/execution/spec_fingerprint.cpp
+++ b/src/coordination/execution/spec_fingerprint.cpp
@@ -1,4 +1,4 @@
-#include "coordination/spec_fingerprint.h"
+#include "coordination/execution/spec_fingerprint.h"
 
 #include <memory>
 
--- a/src/coordination/execution/task_runner.cpp
+++ b/src/coordination/execution/task_runner.cpp
@@ -1,4 +1,4 @@
-#include "coordination/task_runner.h"
+#include "coordination/execution/task_runner.h"
 
 namespace greengage::coordination {
 
--- a/src/coordination/membership/member_table.cpp
+++ b/src/coordination/membership/member_table.cpp
@@ -1,4 +1,4 @@
-#include "coordination/member_table.h"
+#include "coordination/membership/member_table.h"
 
 #include <algorithm>
 #include <tuple>
--- a/src/coordination/membership/member_table.h
+++ b/src/coordination/membership/member_table.h
@@ -8,7 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "coordination/membership_messages.h"
+#include "coordination/membership/membership_messages.h"
 #include "state/clock.h"
 
 namespace greengage::coordination {
--- a/src/coordination/membership/membership.h
+++ b/src/coordination/membership/membership.h
@@ -5,10 +5,10 @@
 #include <string>
 #include <vector>
 
-#include "coordination/member_table.h"
-#include "coordination/membership_messages.h"
-#include "coordination/probe_tracker.h"
-#include "coordination/update_queue.h"
+#include "coordination/membership/member_table.h"
+#include "coordination/membership/membership_messages.h"
+#include "coordination/membership/probe_tracker.h"
+#include "coordination/membership/update_queue.h"
 #include "state/clock.h"
 
 namespace greengage::coordination {
--- a/src/coordination/membership/membership_tick.cpp
+++ b/src/coordination/membership/membership_tick.cpp
@@ -1,4 +1,4 @@
-#include "coordination/membership.h"
+#include "coordination/membership/membership.h"
 
 #include <algorithm>
 
--- a/src/coordination/membership/probe_tracker.cpp
+++ b/src/coordination/membership/probe_tracker.cpp
@@ -1,4 +1,4 @@
-#include "coordination/probe_tracker.h"
+#include "coordination/membership/probe_tracker.h"
 
 namespace greengage::coordination {
 
--- a/src/coordination/membership/probe_tracker.h
+++ b/src/coordination/membership/probe_tracker.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "coordination/membership_messages.h"
+#include "coordination/membership/membership_messages.h"
 #include "state/clock.h"
 
 namespace greengage::coordination {
--- a/src/coordination/membership/update_queue.cpp
+++ b/src/coordination/membership/update_queue.cpp
@@ -1,4 +1,4 @@
-#include "coordination/update_queue.h"
+#include "coordination/membership/update_queue.h"
 
 #include <bit>
 
--- a/src/coordination/membership/update_queue.h
+++ b/src/coordination/membership/update_queue.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "coordination/membership_messages.h"
+#include "coordination/membership/membership_messages.h"
 
 namespace greengage::coordination {
 
--- a/src/coordination/ownership/agent_roster.cpp
+++ b/src/coordination/ownership/agent_roster.cpp
@@ -1,4 +1,4 @@
-#include "coordination/agent_roster.h"
+#include "coordination/ownership/agent_roster.h"
 
 #include <algorithm>
 
--- a/src/coordination/ownership/attempt_timer.cpp
+++ b/src/coordination/ownership/attempt_timer.cpp
@@ -1,4 +1,4 @@
-#include "coordination/attempt_timer.h"
+#include "coordination/ownership/attempt_timer.h"
 
 #include <algorithm>
 
--- a/src/coordination/ownership/attempt_timer.h
+++ b/src/coordination/ownership/attempt_timer.h
@@ -5,8 +5,8 @@
 #include <unordered_map>
 #include <vector>
 
-#include "coordination/run_time_window.h"
-#include "coordination/task_scheduler.h"
+#include "coordination/scheduling/run_time_window.h"
+#include "coordination/scheduling/task_scheduler.h"
 #include "state/clock.h"
 
 namespace greengage::coordination {
--- a/src/coordination/ownership/configuration_ownership.cpp
+++ b/src/coordination/ownership/configuration_ownership.cpp
@@ -1,4 +1,4 @@
-#include "coordination/configuration_ownership.h"
+#include "coordination/ownership/configuration_ownership.h"
 
 namespace greengage::coordination {
 
--- a/src/coordination/ownership/configuration_ownership.h
+++ b/src/coordination/ownership/configuration_ownership.h
@@ -2,7 +2,7 @@
 
 #include <map>
 
-#include "coordination/configuration_record.h"
+#include "coordination/configuration/configuration_record.h"
 
 namespace greengage::coordination {
 
--- a/src/coordination/ownership/group_keeper.cpp
+++ b/src/coordination/ownership/group_keeper.cpp
@@ -1,8 +1,8 @@
-#include "coordination/group_keeper.h"
+#include "coordination/ownership/group_keeper.h"
 
 #include <algorithm>
 
-#include "coordination/group_selection.h"
+#include "coordination/ownership/group_selection.h"
 
 namespace greengage::coordination {
 
--- a/src/coordination/ownership/group_keeper.h
+++ b/src/coordination/ownership/group_keeper.h
@@ -3,8 +3,8 @@
 #include <set>
 #include <vector>
 
-#include "coordination/lease_hooks.h"
-#include "coordination/ownership_groups.h"
+#include "coordination/ownership/lease_hooks.h"
+#include "coordination/ownership/ownership_groups.h"
 #include "state/clock.h"
 
 namespace greengage::coordination {
--- a/src/coordination/ownership/group_selection.cpp
+++ b/src/coordination/ownership/group_selection.cpp
@@ -1,9 +1,9 @@
-#include "coordination/group_selection.h"
+#include "coordination/ownership/group_selection.h"
 
 #include <algorithm>
 #include <tuple>
 
-#include "coordination/ownership_groups.h"
+#include "coordination/ownership/ownership_groups.h"
 
 namespace greengage::coordination {
 
--- a/src/coordination/ownership/group_selection.h
+++ b/src/coordination/ownership/group_selection.h
@@ -2,7 +2,7 @@
 
 #include <vector>
 
-#include "coordination/ownership_record.h"
+#include "coordination/ownership/ownership_record.h"
 
 namespace greengage::coordination {
 
--- a/src/coordination/ownership/lease_claim.cpp
+++ b/src/coordination/ownership/lease_claim.cpp
@@ -1,8 +1,8 @@
-#include "coordination/lease_claim.h"
+#include "coordination/ownership/lease_claim.h"
 
 #include <algorithm>
 
-#include "coordination/lease_member.h"
+#include "coordination/ownership/lease_member.h"
 
 namespace greengage::coordination {
 
--- a/src/coordination/ownership/lease_claim.h
+++ b/src/coordination/ownership/lease_claim.h
@@ -5,7 +5,7 @@
 #include <optional>
 #include <vector>
 
-#include "coordination/ownership_record.h"
+#include "coordination/ownership/ownership_record.h"
 #include "state/clock.h"
 
 namespace greengage::coordination {
--- a/src/coordination/ownership/lease_hooks.h
+++ b/src/coordination/ownership/lease_hooks.h
@@ -3,7 +3,7 @@
 #include <functional>
 #include <vector>
 
-#include "coordination/ownership_record.h"
+#include "coordination/ownership/ownership_record.h"
 
 namespace greengage::coordination {
 
--- a/src/coordination/ownership/lease_member.cpp
+++ b/src/coordination/ownership/lease_member.cpp
@@ -1,4 +1,4 @@
-#include "coordination/lease_member.h"
+#include "coordination/ownership/lease_member.h"
 
 #include <algorithm>
 
--- a/src/coordination/ownership/ownership_groups.cpp
+++ b/src/coordination/ownership/ownership_groups.cpp
@@ -1,4 +1,4 @@
-#include "coordination/ownership_groups.h"
+#include "coordination/ownership/ownership_groups.h"
 
 #include <algorithm>
 
--- a/src/coordination/ownership/ownership_lease.h
+++ b/src/coordination/ownership/ownership_lease.h
@@ -3,12 +3,12 @@
 #include <optional>
 #include <vector>
 
-#include "coordination/agent_roster.h"
-#include "coordination/group_keeper.h"
-#include "coordination/lease_claim.h"
-#include "coordination/lease_hooks.h"
-#include "coordination/lease_member.h"
-#include "coordination/ownership_groups.h"
+#include "coordination/ownership/agent_roster.h"
+#include "coordination/ownership/group_keeper.h"
+#include "coordination/ownership/lease_claim.h"
+#include "coordination/ownership/lease_hooks.h"
+#include "coordination/ownership/lease_member.h"
+#include "coordination/ownership/ownership_groups.h"
 
 namespace greengage::coordination {
 
--- a/src/coordination/ownership/ownership_lease_claim.cpp
+++ b/src/coordination/ownership/ownership_lease_claim.cpp
@@ -1,4 +1,4 @@
-#include "coordination/ownership_lease.h"
+#include "coordination/ownership/ownership_lease.h"
 
 #include <algorithm>
 
--- a/src/coordination/scheduling/admission.cpp
+++ b/src/coordination/scheduling/admission.cpp
@@ -1,4 +1,4 @@
-#include "coordination/admission.h"
+#include "coordination/scheduling/admission.h"
 
 #include <algorithm>
 #include <limits>
--- a/src/coordination/scheduling/fair_queue.cpp
+++ b/src/coordination/scheduling/fair_queue.cpp
@@ -1,4 +1,4 @@
-#include "coordination/fair_queue.h"
+#include "coordination/scheduling/fair_queue.h"
 
 #include <algorithm>
 #include <numeric>
--- a/src/coordination/scheduling/fair_queue.h
+++ b/src/coordination/scheduling/fair_queue.h
@@ -11,8 +11,8 @@
 #include <unordered_map>
 #include <vector>
 
-#include "coordination/rate_estimator.h"
-#include "coordination/scheduler_types.h"
+#include "coordination/scheduling/rate_estimator.h"
+#include "coordination/scheduling/scheduler_types.h"
 #include "state/clock.h"
 #include "state/job_spec.h"
 #include "state/organisation_parameters.h"
--- a/src/coordination/scheduling/fair_queue_search.cpp
+++ b/src/coordination/scheduling/fair_queue_search.cpp
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <limits>
 
-#include "coordination/fair_queue.h"
+#include "coordination/scheduling/fair_queue.h"
 
 // The search for the next task to start.
 namespace greengage::coordination {
--- a/src/coordination/scheduling/rate_estimator.cpp
+++ b/src/coordination/scheduling/rate_estimator.cpp
@@ -1,4 +1,4 @@
-#include "coordination/rate_estimator.h"
+#include "coordination/scheduling/rate_estimator.h"
 
 #include <algorithm>
 #include <bit>
--- a/src/coordination/scheduling/rate_estimator.h
+++ b/src/coordination/scheduling/rate_estimator.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <vector>
 
-#include "coordination/scheduler_types.h"
+#include "coordination/scheduling/scheduler_types.h"
 
 namespace greengage::coordination {
 
--- a/src/coordination/scheduling/run_time_window.cpp
+++ b/src/coordination/scheduling/run_time_window.cpp
@@ -1,4 +1,4 @@
-#include "coordination/run_time_window.h"
+#include "coordination/scheduling/run_time_window.h"
 
 #include <algorithm>
 
--- a/src/coordination/scheduling/server_table.cpp
+++ b/src/coordination/scheduling/server_table.cpp
@@ -1,4 +1,4 @@
-#include "coordination/server_table.h"
+#include "coordination/scheduling/server_table.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/coordination/scheduling/server_table.h
+++ b/src/coordination/scheduling/server_table.h
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "coordination/messages.h"
-#include "coordination/rate_estimator.h"
-#include "coordination/scheduler_types.h"
+#include "coordination/scheduling/rate_estimator.h"
+#include "coordination/scheduling/scheduler_types.h"
 #include "state/clock.h"
 
 namespace greengage::coordination {
--- a/src/coordination/scheduling/slot_choice.cpp
+++ b/src/coordination/scheduling/slot_choice.cpp
@@ -1,4 +1,4 @@
-#include "coordination/slot_choice.h"
+#include "coordination/scheduling/slot_choice.h"
 
 #include <algorithm>
 #include <bit>
--- a/src/coordination/scheduling/slot_choice.h
+++ b/src/coordination/scheduling/slot_choice.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "coordination/fair_queue.h"
-#include "coordination/server_table.h"
+#include "coordination/scheduling/fair_queue.h"
+#include "coordination/scheduling/server_table.h"
 
 namespace greengage::coordination {
 
--- a/src/coordination/scheduling/task_scheduler.cpp
+++ b/src/coordination/scheduling/task_scheduler.cpp
@@ -1,4 +1,4 @@
-#include "coordination/task_scheduler.h"
+#include "coordination/scheduling/task_scheduler.h"
 
 #include <algorithm>
 
--- a/src/coordination/scheduling/task_scheduler_admission.cpp
+++ b/src/coordination/scheduling/task_scheduler_admission.cpp
@@ -2,7 +2,7 @@
 
 #include <fmt/format.h>
 
-#include "coordination/task_scheduler.h"
+#include "coordination/scheduling/task_scheduler.h"
 
 // What the scheduler knows for the decision on a new job.
 namespace greengage::coordination {
--- a/src/coordination/scheduling/worker_health.cpp
+++ b/src/coordination/scheduling/worker_health.cpp
@@ -1,4 +1,4 @@
-#include "coordination/worker_health.h"
+#include "coordination/scheduling/worker_health.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/coordination/scheduling/worker_health.h
+++ b/src/coordination/scheduling/worker_health.h
@@ -7,8 +7,8 @@
 #include <unordered_map>
 #include <vector>
 
-#include "coordination/scheduler_settings.h"
-#include "coordination/scheduler_types.h"
+#include "coordination/scheduling/scheduler_settings.h"
+#include "coordination/scheduling/scheduler_types.h"
 #include "state/clock.h"
 
 namespace greengage::coordination {
--- a/src/daemon/agent_process.h
+++ b/src/daemon/agent_process.h
@@ -5,8 +5,8 @@
 #include <memory>
 #include <set>
 
-#include "coordination/lease_member.h"
-#include "coordination/task_runner.h"
+#include "coordination/execution/task_runner.h"
+#include "coordination/ownership/lease_member.h"
 #include "daemon/agent_metrics.h"
 #include "daemon/backend_client.h"
 #include "daemon/configuration_service.h"
--- a/src/daemon/backend_client.h
+++ b/src/daemon/backend_client.h
@@ -6,8 +6,8 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include "coordination/execution/task_runner.h"
 #include "coordination/messages.h"
-#include "coordination/task_runner.h"
 #include "transport/control_thread.h"
 #include "transport/http_client.h"
 #include "transport/traffic_pool.h"
--- a/src/daemon/configuration_service.h
+++ b/src/daemon/configuration_service.h
@@ -4,7 +4,7 @@
 #include <memory>
 #include <string>
 
-#include "coordination/configuration_follower.h"
+#include "coordination/configuration/configuration_follower.h"
 #include "daemon/log_client.h"
 #include "daemon/process_identity.h"
 #include "protocol/configuration_json.h"
--- a/src/daemon/entry_process.h
+++ b/src/daemon/entry_process.h
@@ -6,8 +6,8 @@
 #include <memory>
 #include <set>
 
-#include "coordination/request_router.h"
-#include "coordination/shard_controller.h"
+#include "coordination/execution/request_router.h"
+#include "coordination/execution/shard_controller.h"
 #include "daemon/caller_metrics.h"
 #include "daemon/configuration_service.h"
 #include "daemon/daemon_error.h"
--- a/src/daemon/log_client.h
+++ b/src/daemon/log_client.h
@@ -4,7 +4,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
-#include "coordination/configuration_record.h"
+#include "coordination/configuration/configuration_record.h"
 #include "transport/control_thread.h"
 #include "transport/http_client.h"
 #include "transport/traffic_pool.h"
--- a/src/daemon/membership_service.h
+++ b/src/daemon/membership_service.h
@@ -4,7 +4,7 @@
 #include <memory>
 #include <vector>
 
-#include "coordination/membership.h"
+#include "coordination/membership/membership.h"
 #include "daemon/daemon_error.h"
 #include "transport/control_thread.h"
 #include "transport/datagram_socket.h"
--- a/src/daemon/owner_metrics.h
+++ b/src/daemon/owner_metrics.h
@@ -2,9 +2,9 @@
 
 #include <array>
 
+#include "coordination/execution/owner_counters.h"
 #include "coordination/messages.h"
-#include "coordination/owner_counters.h"
-#include "coordination/worker_health.h"
+#include "coordination/scheduling/worker_health.h"
 #include "transport/metrics.h"
 
 namespace greengage::daemon {
--- a/src/daemon/worker_table.h
+++ b/src/daemon/worker_table.h
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "coordination/messages.h"
-#include "coordination/task_scheduler.h"
+#include "coordination/scheduling/task_scheduler.h"
 #include "protocol/operator_json.h"
 
 namespace greengage::daemon {
--- a/src/protocol/configuration_json.h
+++ b/src/protocol/configuration_json.h
@@ -7,8 +7,8 @@
 #include <boost/json/value.hpp>
 #include <tl/expected.hpp>
 
-#include "coordination/configuration_fold.h"
-#include "coordination/configuration_publisher.h"
+#include "coordination/configuration/configuration_fold.h"
+#include "coordination/configuration/configuration_publisher.h"
 #include "protocol/protocol_error.h"
 #include "state/configuration_change.h"
 
--- a/src/protocol/log_json.h
+++ b/src/protocol/log_json.h
@@ -5,7 +5,7 @@
 
 #include <tl/expected.hpp>
 
-#include "coordination/configuration_record.h"
+#include "coordination/configuration/configuration_record.h"
 #include "protocol/protocol_error.h"
 
 namespace greengage::protocol {
--- a/src/protocol/membership.capnp
+++ b/src/protocol/membership.capnp
@@ -1,7 +1,7 @@
 @0xd0a61c4be87f2953;
 
 # Packets of the membership protocol. Field meanings are documented in
-# src/coordination/membership_messages.h. Fields are only ever added, never
+# src/coordination/membership/membership_messages.h. Fields are only ever added, never
 # renumbered. The size of an update is computed in EncodedBytes() there.
 
 using Cxx = import "/capnp/c++.capnp";
--- a/src/protocol/membership_codec.h
+++ b/src/protocol/membership_codec.h
@@ -6,7 +6,7 @@
 
 #include <tl/expected.hpp>
 
-#include "coordination/membership_messages.h"
+#include "coordination/membership/membership_messages.h"
 #include "protocol/protocol_error.h"
 
 namespace greengage::protocol {
--- a/src/tools/fake_log.h
+++ b/src/tools/fake_log.h
@@ -7,7 +7,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
-#include "coordination/configuration_record.h"
+#include "coordination/configuration/configuration_record.h"
 #include "transport/http_server.h"
 #include "transport/traffic_pool.h"
 
--- a/src/transport/datagram_socket.h
+++ b/src/transport/datagram_socket.h
@@ -6,7 +6,7 @@
 
 #include <boost/asio/ip/udp.hpp>
 
-#include "coordination/membership_messages.h"
+#include "coordination/membership/membership_messages.h"
 #include "protocol/protocol_error.h"
 #include "transport/traffic_pool.h"
 #include "transport/transport_error.h"
--- a/tests/coordination/admission_test.cpp
+++ b/tests/coordination/admission_test.cpp
@@ -1,7 +1,7 @@
 #include <gtest/gtest.h>
 
-#include "coordination/admission.h"
 #include "coordination/scheduler_fixture.h"
+#include "coordination/scheduling/admission.h"
 
 namespace greengage::coordination {
 namespace {
--- a/tests/coordination/configuration_world.h
+++ b/tests/coordination/configuration_world.h
@@ -6,7 +6,7 @@
 
 #include <gtest/gtest.h>
 
-#include "coordination/configuration_follower.h"
+#include "coordination/configuration/configuration_follower.h"
 #include "protocol/log_record_json.h"
 
 namespace greengage::coordination {
--- a/tests/coordination/lease_world.h
+++ b/tests/coordination/lease_world.h
@@ -7,7 +7,7 @@
 #include <variant>
 #include <vector>
 
-#include "coordination/ownership_lease.h"
+#include "coordination/ownership/ownership_lease.h"
 
 namespace greengage::coordination {
 
--- a/tests/coordination/membership_world.h
+++ b/tests/coordination/membership_world.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "coordination/membership.h"
+#include "coordination/membership/membership.h"
 
 namespace greengage::coordination {
 
--- a/tests/coordination/ownership_lease_test.cpp
+++ b/tests/coordination/ownership_lease_test.cpp
@@ -1,6 +1,6 @@
 #include <gtest/gtest.h>
 
-#include "coordination/group_selection.h"
+#include "coordination/ownership/group_selection.h"
 #include "lease_world.h"
 #include "state/job_id.h"
 
--- a/tests/coordination/rate_estimator_test.cpp
+++ b/tests/coordination/rate_estimator_test.cpp
@@ -2,7 +2,7 @@
 
 #include <gtest/gtest.h>
 
-#include "coordination/rate_estimator.h"
+#include "coordination/scheduling/rate_estimator.h"
 
 namespace greengage::coordination {
 namespace {
--- a/tests/coordination/scheduler_fixture.h
+++ b/tests/coordination/scheduler_fixture.h
@@ -2,7 +2,7 @@
 
 #include <string>
 
-#include "coordination/task_scheduler.h"
+#include "coordination/scheduling/task_scheduler.h"
 
 namespace greengage::coordination::testing {
 
--- a/tests/coordination/simulation/at_most_once_simulation.h
+++ b/tests/coordination/simulation/at_most_once_simulation.h
@@ -5,13 +5,13 @@
 #include <string>
 #include <vector>
 
-#include "coordination/job_owner.h"
-#include "coordination/request_router.h"
+#include "coordination/execution/job_owner.h"
+#include "coordination/execution/request_router.h"
+#include "coordination/execution/task_runner.h"
 #include "coordination/simulation/event_queue.h"
 #include "coordination/simulation/invariant_checker.h"
 #include "coordination/simulation/lease_authority.h"
 #include "coordination/simulation/virtual_clock.h"
-#include "coordination/task_runner.h"
 
 namespace greengage::coordination::simulation {
 
--- a/tests/coordination/worker_health_test.cpp
+++ b/tests/coordination/worker_health_test.cpp
@@ -3,7 +3,7 @@
 
 #include <gtest/gtest.h>
 
-#include "coordination/worker_health.h"
+#include "coordination/scheduling/worker_health.h"
 
 namespace greengage::coordination {
 namespace {
