Leave a task where it is once two servers find it long

Change: a second forecast is taken as the work; work counts up to four times the estimate; at most two moves; overdue counts from the forecast.

--- a/src/coordination/dispatch/job_dispatcher.cpp
+++ b/src/coordination/dispatch/job_dispatcher.cpp
@@ -36,7 +36,9 @@
 /** A run is reported once it will last this multiple of what is expected. */
 constexpr double kForecastFactor = 2;
 /** Work that is further off than this speaks of the server, not the task. */
-constexpr double kLargestWorkFactor = 2;
+constexpr double kLargestWorkFactor = 4;
+/** Each move starts a task again from nothing. */
+constexpr std::uint32_t kMaxMoves = 2;
 /** What the work does not explain lowers a speed from this factor on. */
 constexpr double kSlowServerFactor = 1.3;
 /** Time after the start in which the first agents are still to be met. */
@@ -413,7 +415,9 @@
     return;
   }
   double total = aForecast.runTimeMs;
-  task.workMs = WorkFromForecast(job, stepNumber, aAgent, total);
+  task.workMs = WorkFromForecast(job, stepNumber, task, total);
+  // The run makes progress: it is overdue only beyond its forecast.
+  task.expectedMs = std::max(task.expectedMs, total);
   auto now = clock_.MonotonicNow();
   double left = total - MillisecondsBetween(task.sentAt, now);
   PlacementRequest request = RequestFor(job, stepNumber, &task);
@@ -426,7 +430,10 @@
   }
   auto other = servers_.Choose(
     request, step.runsByServer, job.spec.steps[stepNumber].maxPerServer);
-  if (other && other->server != aAgent && other->runTimeMs + kMoveMs < left) {
+  bool better = other && other->server != aAgent &&
+                other->runTimeMs + kMoveMs < left;
+  if (better && task.moves < kMaxMoves) {
+    ++task.moves;
     task.taskState = TaskState::eStopping;
     StopTask(job, stepNumber, aForecast.run.task.index);
   }
@@ -435,22 +442,27 @@
 double
 JobDispatcher::WorkFromForecast(const Job& aJob,
                                 std::size_t aStep,
-                                const ProcessId& aAgent,
+                                const Task& aTask,
                                 double aRunTimeMs)
 {
   RunTimeModel& model = servers_.Model();
+  double speed = model.Speed(aTask.server);
+  if (aTask.workMs > 0) {
+    // A second server agrees that the task is long.
+    return std::max(aTask.workMs, aRunTimeMs * speed);
+  }
   double expected = aJob.steps[aStep].workMs;
-  double excess = aRunTimeMs * model.Speed(aAgent) / expected;
+  double excess = aRunTimeMs * speed / expected;
   // The excess is shared by how uncertain the work and the speed are.
   double workVariance = kWorkDeviation * kWorkDeviation;
-  double speedDeviation = model.SpeedDeviation(aAgent);
+  double speedDeviation = model.SpeedDeviation(aTask.server);
   double share =
     workVariance / (workVariance + speedDeviation * speedDeviation);
   double workFactor = std::min(std::pow(excess, share), kLargestWorkFactor);
   if (excess > kSlowServerFactor * workFactor) {
     model.AddOverdue(aJob.queue.name,
                      aJob.spec.steps[aStep].estimate,
-                     aAgent,
+                     aTask.server,
                      ToMilliseconds(aRunTimeMs / workFactor));
   }
   return expected * workFactor;
--- a/src/coordination/dispatch/job_dispatcher.h
+++ b/src/coordination/dispatch/job_dispatcher.h
@@ -143,6 +143,8 @@
     double expectedMs = 0;
     /** Known from the progress of a run; zero before. */
     double workMs = 0;
+    /** Times that a forecast made it change its server. */
+    std::uint32_t moves = 0;
     bool overdue = false;
   };
 
@@ -230,7 +232,7 @@
   /** Work of a task that will last this long on the agent's server. */
   double WorkFromForecast(const Job& aJob,
                           std::size_t aStep,
-                          const state::ProcessId& aAgent,
+                          const Task& aTask,
                           double aRunTimeMs);
   void StopTask(const Job& aJob, std::size_t aStep, std::uint32_t aIndex);
   void StopRuns(Job& aJob);
--- a/tests/dispatch/dispatch_patterns_test.cpp
+++ b/tests/dispatch/dispatch_patterns_test.cpp
@@ -134,6 +134,23 @@
             DispatchResult::eCompleted);
 }
 
+// Guards against a task that is longer than estimated and is moved again and
+// again, each time from the beginning.
+TEST(DispatchPatternsTest, LongerTaskIsNotMovedForNothing)
+{
+  DispatchWorld world(OneEntry(4));
+  Load(world, 60, 30, 2, kShortWork);
+  world.Run(3000);
+  std::size_t number = world.Submit(0, 1000, 1, kShortWork, 0);
+  world.SetWork(1000, 600);
+  world.Run(1500);
+  const SubmissionRecord& record = world.Submissions()[number];
+  ASSERT_TRUE(record.outcome);
+  EXPECT_EQ(record.outcome->result, DispatchResult::eCompleted);
+  // The objective of its real work: 1.6 times 600 ms and 60 ms.
+  EXPECT_LE(ResponseTime(record), 1020);
+}
+
 // Guards against a caller that waits until its deadline for a job that cannot
 // be done by then anywhere.
 TEST(DispatchPatternsTest, HopelessJobIsGivenUpEarly)
--- a/tests/dispatch/dispatch_world.h
+++ b/tests/dispatch/dispatch_world.h
@@ -62,6 +62,8 @@
                      unsigned aTasks,
                      double aWorkMs,
                      std::uint32_t aPriority = 0);
+  /** Changes the work of a job's tasks; its estimate stays. */
+  void SetWork(std::uint64_t aJob, double aWorkMs) { workOf_[aJob] = aWorkMs; }
   void Abandon(std::size_t aSubmission);
   void Run(Milliseconds aTime);
   void At(Milliseconds aTime, std::function<void()> aFunction);
