--- a/src/coordination/dispatch/job_dispatcher.cpp
+++ b/src/coordination/dispatch/job_dispatcher.cpp
@@ -31,6 +31,12 @@
  * this multiple of the expected work nineteen times in twenty.
  */
 constexpr double kWorkUncertainty = 1.6;
+/**
+ * Work that is expected to miss the deadline by no more than this factor is
+ * tried: with 1.6 the load of hopeless work cost 0.02 of the worth of busy
+ * days, with 1 quiet days rejected jobs that servers had room for.
+ */
+constexpr double kHopelessMargin = 1.2;
 /** Standard deviation of the logarithm of the work, from the same spread. */
 constexpr double kWorkDeviation = 0.3;
 /** A run is reported once it will last this multiple of what is expected. */
@@ -229,7 +235,7 @@
                        ? untilDeadline
                        : MillisecondsBetween(now, aJob.uselessAt) - overhead;
   // The work may be less than expected; a forecast tells soon.
-  request.latestMs *= known ? 1 : kWorkUncertainty;
+  request.latestMs *= known ? 1 : kHopelessMargin;
   return request;
 }
 
@@ -430,8 +436,8 @@
   }
   auto other = servers_.Choose(
     request, step.runsByServer, job.spec.steps[stepNumber].maxPerServer);
-  bool better = other && other->server != aAgent &&
-                other->runTimeMs + kMoveMs < left;
+  bool better =
+    other && other->server != aAgent && other->runTimeMs + kMoveMs < left;
   if (better && task.moves < kMaxMoves) {
     ++task.moves;
     task.taskState = TaskState::eStopping;
