Test the platform's programs as processes with stand-ins of store and server

Cause: no test ran the adapter without the kit; DatagramSocket called an empty hook when a send failed, which would have ended the process.

--- a/src/transport/datagram_socket.cpp
+++ b/src/transport/datagram_socket.cpp
@@ -73,7 +73,7 @@
   {
     auto endpoint = ParseEndpoint(aAddress);
     if (!endpoint) {
-      hooks.sendFailed(endpoint.error());
+      ReportFailure(endpoint.error());
       return;
     }
     std::string bytes = protocol::EncodeMembershipPacket(aPacket);
@@ -83,9 +83,16 @@
                    0,
                    error);
     if (error) {
-      hooks.sendFailed(
-        { TransportErrorKind::eNotConnected,
-          "cannot send to " + aAddress + ": " + error.message() });
+      ReportFailure({ TransportErrorKind::eNotConnected,
+                      "cannot send to " + aAddress + ": " + error.message() });
+    }
+  }
+
+  /** A lost datagram is normal, so the hook may be empty. */
+  void ReportFailure(const TransportError& aError)
+  {
+    if (hooks.sendFailed) {
+      hooks.sendFailed(aError);
     }
   }
 
--- /dev/null
+++ b/tests/platform/platform_fleet.cpp
@@ -0,0 +1,329 @@
+#include "platform/platform_fleet.h"
+
+#include <charconv>
+#include <thread>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+#include "platform/task_name.h"
+#include "transport/endpoint.h"
+
+namespace greengage::testing_support {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using namespace coordination;
+using transport::HttpRequest;
+using transport::HttpResponder;
+using transport::HttpResponse;
+
+namespace {
+
+constexpr std::chrono::milliseconds kPoll{ 5 };
+
+std::uint64_t
+QueryNumber(const std::string& aTarget, const std::string& aName)
+{
+  auto at = aTarget.find(aName + "=");
+  std::uint64_t value = 0;
+  if (at != std::string::npos) {
+    const char* begin = aTarget.data() + at + aName.size() + 1;
+    std::from_chars(begin, aTarget.data() + aTarget.size(), value);
+  }
+  return value;
+}
+
+void
+AppendNumber(std::string& aBytes, std::uint64_t aValue, int aSize)
+{
+  for (int i = aSize - 1; i >= 0; --i) {
+    aBytes.push_back(static_cast<char>((aValue >> (8 * i)) & 0xff));
+  }
+}
+
+HttpResponse
+Respond(unsigned aStatus, std::string aBody)
+{
+  HttpResponse response;
+  response.status = aStatus;
+  response.body = std::move(aBody);
+  return response;
+}
+
+std::string
+Base64(const std::string& aText)
+{
+  static const char* digits =
+    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+  std::string encoded;
+  for (std::size_t i = 0; i < aText.size(); i += 3) {
+    std::uint32_t bits = 0;
+    for (std::size_t j = 0; j < 3; ++j) {
+      bits =
+        (bits << 8) |
+        (i + j < aText.size() ? static_cast<unsigned char>(aText[i + j]) : 0);
+    }
+    for (std::size_t j = 0; j < 4; ++j) {
+      bool padding = i + j > aText.size();
+      encoded.push_back(padding ? '=' : digits[(bits >> (18 - 6 * j)) & 63]);
+    }
+  }
+  return encoded;
+}
+
+std::string
+StartOn(transport::HttpServer& aServer)
+{
+  auto endpoint = aServer.Start(*transport::ParseEndpoint("127.0.0.1:0"));
+  return endpoint ? transport::ToString(*endpoint) : std::string();
+}
+
+}
+
+unsigned
+FreePort()
+{
+  asio::io_context context;
+  asio::ip::tcp::acceptor acceptor(context,
+                                   { asio::ip::make_address("127.0.0.1"), 0 });
+  return acceptor.local_endpoint().port();
+}
+
+FakeStore::FakeStore(transport::TrafficPool& aTraffic)
+  : traffic_(aTraffic)
+  , http_(aTraffic,
+          [this](const HttpRequest& aRequest, HttpResponder aRespond) {
+            Handle(aRequest, std::move(aRespond));
+          })
+{
+}
+
+std::string
+FakeStore::Start()
+{
+  return StartOn(http_);
+}
+
+void
+FakeStore::Publish(const std::string& aDocument)
+{
+  std::lock_guard lock(mutex_);
+  documents_.push_back(aDocument);
+}
+
+void
+FakeStore::Handle(const HttpRequest& aRequest, HttpResponder aRespond)
+{
+  if (!available_) {
+    aRespond(Respond(503, "{}"));
+    return;
+  }
+  if (aRequest.target.starts_with("/-/log-newest")) {
+    std::lock_guard lock(mutex_);
+    json::array items;
+    if (!documents_.empty()) {
+      items.push_back(json::object{ { "key", "config" },
+                                    { "value", Base64(documents_.back()) },
+                                    { "offset", documents_.size() - 1 } });
+    }
+    aRespond(
+      Respond(200,
+              json::serialize(json::object{ { "items", items },
+                                            { "hasMore", false },
+                                            { "end", documents_.size() } })));
+    return;
+  }
+  auto wait = std::chrono::milliseconds(QueryNumber(aRequest.target, "waitMs"));
+  Answer(QueryNumber(aRequest.target, "from"),
+         std::move(aRespond),
+         std::chrono::steady_clock::now() + wait);
+}
+
+void
+FakeStore::Answer(std::uint64_t aFrom,
+                  HttpResponder aRespond,
+                  std::chrono::steady_clock::time_point aUntil)
+{
+  std::string bytes;
+  {
+    std::lock_guard lock(mutex_);
+    AppendNumber(bytes, documents_.size(), 8);
+    AppendNumber(bytes, 0, 8);
+    for (std::size_t i = aFrom; i < documents_.size(); ++i) {
+      std::string record = std::string(1, '\6') + "config" + documents_[i];
+      AppendNumber(bytes, record.size(), 4);
+      bytes += record;
+    }
+    bool news = aFrom < documents_.size();
+    if (news || std::chrono::steady_clock::now() >= aUntil) {
+      aRespond(Respond(200, bytes));
+      return;
+    }
+  }
+  auto timer = std::make_shared<asio::steady_timer>(traffic_.Context(), kPoll);
+  timer->async_wait([this, timer, aFrom, aRespond, aUntil](auto aError) {
+    if (!aError) {
+      Answer(aFrom, aRespond, aUntil);
+    }
+  });
+}
+
+FakeServerProcess::FakeServerProcess(transport::TrafficPool& aTraffic,
+                                     double aWorkMs)
+  : traffic_(aTraffic)
+  , http_(aTraffic,
+          [this](const HttpRequest& aRequest, HttpResponder aRespond) {
+            Handle(aRequest, std::move(aRespond));
+          })
+  , start_(std::chrono::steady_clock::now())
+  , server_(0,
+            1,
+            { [this](const state::RunKey&) { ++begun_; },
+              [](const state::RunKey&, RunEndKind) {},
+              [aWorkMs](const state::TaskKey&) { return aWorkMs; },
+              [](const state::TaskKey&) { return false; } })
+{
+}
+
+std::string
+FakeServerProcess::Start()
+{
+  address_ = StartOn(http_);
+  return address_;
+}
+
+testing::Milliseconds
+FakeServerProcess::Now() const
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::steady_clock::now() - start_)
+    .count();
+}
+
+unsigned
+FakeServerProcess::Begun()
+{
+  std::lock_guard lock(mutex_);
+  return begun_;
+}
+
+bool
+FakeServerProcess::Announce(const std::string& aAgent, bool aDraining)
+{
+  ServerAnnouncement announcement;
+  {
+    std::lock_guard lock(mutex_);
+    announcement = server_.Announce(++sequence_, Now());
+  }
+  const auto& capacity = announcement.description.capacity;
+  json::object body{ { "service", announcement.description.service },
+                     { "state", aDraining ? "draining" : "ready" },
+                     { "seq", announcement.sequence },
+                     { "born", announcement.born },
+                     { "clockMs", announcement.serverClock.count() },
+                     { "labels", { "a", "r1" } },
+                     { "capacity",
+                       { { "cpu", capacity.cpuMillicores },
+                         { "memMb", capacity.memoryMb },
+                         { "gpu", capacity.gpus } } } };
+  auto reply =
+    CallHttp(aAgent,
+             "POST",
+             "/-/instances/" + announcement.description.id + "/heartbeat",
+             json::serialize(body),
+             std::chrono::seconds(1));
+  return reply.status == 200;
+}
+
+void
+FakeServerProcess::Handle(const HttpRequest& aRequest, HttpResponder aRespond)
+{
+  json::object body = json::parse(aRequest.body).as_object();
+  std::uint64_t token = body["fencingToken"].to_number<std::uint64_t>();
+  auto number = [&](const char* aName) {
+    return body.contains(aName) ? body[aName].to_number<std::int64_t>() : 0;
+  };
+  if (aRequest.target == "/-/hold") {
+    RenewCall call;
+    call.fencingToken = token;
+    call.lastSeen = body["lastSeen"].to_number<std::uint64_t>();
+    call.leaseEnd = std::chrono::milliseconds(number("deadlineMs"));
+    call.wait = std::chrono::milliseconds(number("waitMs"));
+    std::unique_lock lock(mutex_);
+    bool accepted = server_.Renew(call, Now());
+    lock.unlock();
+    if (!accepted) {
+      aRespond(Respond(409, R"({"reason":"fence"})"));
+      return;
+    }
+    AnswerList(
+      call, std::move(aRespond), std::chrono::steady_clock::now() + call.wait);
+    return;
+  }
+  state::RunKey run{ *platform::DecodeTaskName(
+                       std::string(body["task"].as_string())),
+                     body["run"].to_number<std::uint32_t>() };
+  std::string id(transport::FindHeader(aRequest.headers, "X-Expect-Instance"));
+  std::lock_guard lock(mutex_);
+  if (aRequest.target == "/-/run-stop") {
+    bool done = server_.Stop({ id, run, token }, Now());
+    aRespond(Respond(done ? 200 : 409, R"({"clockMs":1})"));
+    return;
+  }
+  StartAnswer answer = server_.Start(
+    { id, run, "", token, std::chrono::milliseconds(number("deadlineMs")) },
+    Now());
+  bool started = answer == StartAnswer::eStarted;
+  aRespond(Respond(started ? 200 : 409,
+                   started ? R"({"clockMs":1})" : R"({"reason":"room"})"));
+}
+
+void
+FakeServerProcess::AnswerList(const RenewCall& aCall,
+                              HttpResponder aRespond,
+                              std::chrono::steady_clock::time_point aUntil)
+{
+  std::unique_lock lock(mutex_);
+  server_.Advance(Now());
+  bool due = server_.HasEndsAfter(aCall.lastSeen) ||
+             std::chrono::steady_clock::now() >= aUntil;
+  if (!due) {
+    lock.unlock();
+    auto timer =
+      std::make_shared<asio::steady_timer>(traffic_.Context(), kPoll);
+    timer->async_wait([this, timer, aCall, aRespond, aUntil](auto aError) {
+      if (!aError) {
+        AnswerList(aCall, aRespond, aUntil);
+      }
+    });
+    return;
+  }
+  RenewAnswer lists = server_.List(Now());
+  json::array running;
+  for (const ListedRun& run : lists.running) {
+    running.push_back(json::array{ platform::EncodeTaskName(run.run.task),
+                                   run.run.run,
+                                   "",
+                                   run.percent,
+                                   0 });
+  }
+  json::array finished;
+  for (const ListedEnd& end : lists.ended) {
+    const char* how = end.kind == RunEndKind::eDone ? "done" : "stopped";
+    finished.push_back(json::array{ end.number,
+                                    platform::EncodeTaskName(end.run.task),
+                                    end.run.run,
+                                    how,
+                                    "" });
+  }
+  aRespond(Respond(
+    200,
+    json::serialize(json::object{ { "clockMs", lists.serverClock.count() },
+                                  { "born", lists.born },
+                                  { "running", running },
+                                  { "finished", finished } })));
+}
+
+}
--- /dev/null
+++ b/tests/platform/platform_process_test.cpp
@@ -0,0 +1,205 @@
+#include <csignal>
+#include <fstream>
+#include <future>
+#include <thread>
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include "platform/platform_fleet.h"
+
+namespace greengage::testing_support {
+namespace {
+
+using namespace std::chrono_literals;
+
+/** The test's requests have no Host header, which is the host "". */
+std::string
+Configuration(unsigned aVersion, const std::string& aHost)
+{
+  return fmt::format(
+    R"({{"version":{},"routes":[{{"name":"q","host":"{}","pathPrefix":"/p/",
+        "timeoutMs":5000,"targetRuntimeMs":2000,"priority":0,"service":"portal",
+        "maxAttempts":2,"stretch":1.6}}]}})",
+    aVersion,
+    aHost);
+}
+
+/** One entry and one agent as processes, with stand-ins for the platform. */
+class PlatformProcessTest : public ::testing::Test
+{
+protected:
+  PlatformProcessTest() { traffic_.Start(); }
+
+  ~PlatformProcessTest() override
+  {
+    entry_.reset();
+    agent_.reset();
+    traffic_.Stop();
+    for (const std::string& path : files_) {
+      std::remove(path.c_str());
+    }
+  }
+
+  std::string Address(unsigned aPort)
+  {
+    return fmt::format("127.0.0.1:{}", aPort);
+  }
+
+  std::string WriteSettings(const std::string& aListen,
+                            const std::string& aServer)
+  {
+    std::string path = fmt::format(
+      "/tmp/greengage_settings_{}_{}.json", ::getpid(), files_.size());
+    std::ofstream(path) << fmt::format(
+      R"({{"zone":"bole","ip":"127.0.0.1","listen":{{{}}},
+          "internalPortRange":[{},{}],"seeds":["{}"],
+          "bounds":{{"maxHoldMs":1000,"farFactor":1.5}},"app":"{}",
+          "platform":{{"address":"{}"}}}})",
+      aListen,
+      internalPort_,
+      internalPort_,
+      Address(controlPort_),
+      aServer,
+      storeAddress_);
+    files_.push_back(path);
+    return path;
+  }
+
+  void StartEntry()
+  {
+    entry_ = std::make_unique<ChildProcess>(
+      "greengage-platform-entry",
+      std::vector<std::string>{
+        "--settings",
+        WriteSettings(
+          fmt::format(R"("front":"{}","readyAddr":"{}","control":"{}")",
+                      Address(frontPort_),
+                      Address(readyPort_),
+                      Address(controlPort_)),
+          "") });
+  }
+
+  void StartAgent()
+  {
+    agent_ = std::make_unique<ChildProcess>(
+      "greengage-platform-agent",
+      std::vector<std::string>{
+        "--settings",
+        WriteSettings(fmt::format(R"("control":"{}")", Address(announcePort_)),
+                      serverAddress_) });
+  }
+
+  bool AwaitReady()
+  {
+    for (int i = 0; i < 300; ++i) {
+      server_.Announce(Address(announcePort_), false);
+      if (CallHttp(Address(readyPort_), "GET", "/-/ready", "", 1s).status ==
+          200) {
+        return true;
+      }
+      std::this_thread::sleep_for(50ms);
+    }
+    return false;
+  }
+
+  HttpReply Submit(std::uint64_t aJob)
+  {
+    return CallHttp(
+      Address(frontPort_),
+      "POST",
+      fmt::format("/p/{:016x}", aJob),
+      R"({"spec":"x","bestEffort":true,"steps":[{"count":4,"cpu":1000,
+          "memMb":64,"estimateMs":60}]})",
+      10s);
+  }
+
+  transport::TrafficPool traffic_{ 1 };
+  FakeStore store_{ traffic_ };
+  FakeServerProcess server_{ traffic_, 60 };
+  std::string storeAddress_ = store_.Start();
+  std::string serverAddress_ = server_.Start();
+  unsigned frontPort_ = FreePort();
+  unsigned readyPort_ = FreePort();
+  unsigned controlPort_ = FreePort();
+  unsigned announcePort_ = FreePort();
+  unsigned internalPort_ = FreePort();
+  std::vector<std::string> files_;
+  std::unique_ptr<ChildProcess> entry_;
+  std::unique_ptr<ChildProcess> agent_;
+};
+
+// Guards against programs that pass their modules' tests and do not work
+// together: settings, configuration, announcement, job, signals.
+TEST_F(PlatformProcessTest, ServesJobsAndStopsCleanly)
+{
+  store_.Publish(Configuration(3, ""));
+  StartEntry();
+  StartAgent();
+  ASSERT_TRUE(AwaitReady()) << entry_->Output() << agent_->Output();
+  for (std::uint64_t job = 1; job <= 5; ++job) {
+    HttpReply reply = Submit(job);
+    EXPECT_EQ(reply.status, 200) << reply.body;
+    EXPECT_EQ(reply.body, R"({"state":"completed"})");
+  }
+  EXPECT_EQ(server_.Begun(), 20u);
+  HttpReply pending = CallHttp(Address(frontPort_), "GET", "/p/", "", 1s);
+  EXPECT_EQ(pending.body, R"({"pending":0})");
+  EXPECT_EQ(CallHttp(Address(frontPort_), "GET", "/q/", "", 1s).status, 404);
+  entry_->Signal(SIGHUP);
+  EXPECT_NE(entry_->AwaitWord("name=settings_reloaded"), "none");
+  auto last = std::async(std::launch::async, [this] { return Submit(6); });
+  std::this_thread::sleep_for(20ms);
+  entry_->Signal(SIGTERM);
+  EXPECT_EQ(last.get().status, 200);
+  EXPECT_TRUE(entry_->EndsCleanly(6s)) << entry_->Output();
+  agent_->Signal(SIGTERM);
+  EXPECT_TRUE(agent_->EndsCleanly(6s)) << agent_->Output();
+}
+
+// Guards against a change that is not in force within 2 s.
+TEST_F(PlatformProcessTest, ConfigurationFollows)
+{
+  store_.Publish(Configuration(3, "elsewhere"));
+  StartEntry();
+  StartAgent();
+  ASSERT_TRUE(AwaitReady()) << entry_->Output();
+  EXPECT_EQ(Submit(1).status, 404);
+  store_.Publish(Configuration(9, ""));
+  int status = 404;
+  for (int i = 0; i < 40 && status == 404; ++i) {
+    std::this_thread::sleep_for(50ms);
+    status = Submit(10 + static_cast<std::uint64_t>(i)).status;
+  }
+  EXPECT_EQ(status, 200);
+}
+
+// Guards against an entry that cannot start because the store is away while a
+// peer knows the configuration.
+TEST_F(PlatformProcessTest, ConfigurationOutlivesTheStore)
+{
+  store_.Publish(Configuration(3, ""));
+  StartEntry();
+  StartAgent();
+  ASSERT_TRUE(AwaitReady()) << entry_->Output();
+  store_.SetAvailable(false);
+  entry_.reset();
+  StartEntry();
+  ASSERT_TRUE(AwaitReady()) << entry_->Output() << agent_->Output();
+  EXPECT_EQ(Submit(100).status, 200);
+}
+
+// Guards against settings errors that a process starts with, or that do not
+// say what is wrong.
+TEST_F(PlatformProcessTest, RefusesBrokenSettings)
+{
+  std::string path = WriteSettings(R"("control":7)", "");
+  ChildProcess entry("greengage-platform-entry",
+                     { "--settings", path, "--check" });
+  EXPECT_FALSE(entry.EndsCleanly(5s));
+  EXPECT_NE(entry.Output().find("control"), std::string::npos)
+    << entry.Output();
+}
+
+}
+}
