Tell of the process that replaces another one on its address

Cause: PlatformProcessTest.ConfigurationOutlivesTheStore: when a restarted process took over its address, MembershipService reported the death of the old one and not the life of the new one, so an agent never connected to an entry that was restarted as the only seed; with more entries a connection from elsewhere hid it. Change: the replacing process is reported alive.

--- a/src/daemon/membership_service.cpp
+++ b/src/daemon/membership_service.cpp
@@ -82,8 +82,10 @@
     socket_.Send(aAddress, aPacket);
   };
   hooks.changed = [this](const MemberUpdate& aUpdate) { OnChanged(aUpdate); };
-  hooks.replaced = [this](const state::ProcessId& aDead, const MemberUpdate&) {
+  hooks.replaced = [this](const state::ProcessId& aDead,
+                          const MemberUpdate& aUpdate) {
     hooks_.replaced(aDead);
+    OnChanged(aUpdate);
   };
   hooks.clockDiffers = [this](const ProcessInfo& aProcess,
                               std::chrono::milliseconds aDifference) {
