Describe a server again to entries that took its agent for gone

Cause: found in reading: an agent describes its server once to each entry; an entry that takes the agent for gone, while the agent does not notice, drops the description and never uses the server again. Change: the description is sent again every 3 s, with or without another change. Result: DispatchPatternsTest.AgentThatWasTakenForGoneIsUsedAgain failed and passes.

--- a/src/coordination/dispatch/run_keeper.cpp
+++ b/src/coordination/dispatch/run_keeper.cpp
@@ -32,6 +32,11 @@
 constexpr milliseconds kNearReportPeriod{ 25 };
 /** ... and to the others this often, because their bytes are paid for. */
 constexpr milliseconds kFarReportPeriod{ 100 };
+/**
+ * An entry that took this agent for gone, while the agent did not notice, gets
+ * the description again.
+ */
+constexpr milliseconds kDescriptionPeriod{ 3000 };
 /** An entry that keeps its runs alive gets an answer at least this often. */
 constexpr milliseconds kAnswerPeriod{ 150 };
 /** Step by which a refused fencing token is raised; about one minute of ms. */
@@ -682,7 +687,9 @@
   auto now = clock_.MonotonicNow();
   for (auto& [id, entry] : entries_) {
     auto period = entry.sameDataCentre ? kNearReportPeriod : kFarReportPeriod;
-    bool due = !aOnlyEnds && entry.changed && now - entry.reportedAt >= period;
+    bool refresh = now - entry.describedAt >= kDescriptionPeriod;
+    bool due = !aOnlyEnds && (entry.changed || refresh) &&
+               now - entry.reportedAt >= period;
     if (due || !entry.ends.empty() || !entry.forecasts.empty()) {
       SendReport(id, entry);
     }
@@ -693,9 +700,12 @@
 RunKeeper::SendReport(const ProcessId& aId, Entry& aEntry)
 {
   ServerReport report;
-  if (aEntry.needsDescription && server_) {
+  auto now = clock_.MonotonicNow();
+  bool refresh = now - aEntry.describedAt >= kDescriptionPeriod;
+  if ((aEntry.needsDescription || refresh) && server_) {
     report.description = *server_;
     aEntry.needsDescription = false;
+    aEntry.describedAt = now;
   }
   report.condition = Condition();
   report.usedByOthers = used_;
@@ -709,7 +719,7 @@
   report.forecasts = std::move(aEntry.forecasts);
   aEntry.forecasts.clear();
   aEntry.changed = false;
-  aEntry.reportedAt = clock_.MonotonicNow();
+  aEntry.reportedAt = now;
   hooks_.report(aId, report);
 }
 
--- a/src/coordination/dispatch/run_keeper.h
+++ b/src/coordination/dispatch/run_keeper.h
@@ -242,6 +242,7 @@
     state::MonotonicTime reportedAt;
     bool changed = true;
     bool needsDescription = true;
+    state::MonotonicTime describedAt;
     std::vector<RunEnd> ends;
     std::vector<RunForecast> forecasts;
   };
--- a/tests/dispatch/dispatch_patterns_test.cpp
+++ b/tests/dispatch/dispatch_patterns_test.cpp
@@ -343,6 +343,20 @@
             DispatchResult::eCompleted);
 }
 
+// Guards against a server that an entry never uses again after it took the
+// agent for gone and the agent did not notice.
+TEST(DispatchPatternsTest, AgentThatWasTakenForGoneIsUsedAgain)
+{
+  DispatchWorld world(OneEntry(1));
+  world.ForgetAgent(0, 0);
+  world.Run(4000);
+  std::size_t number = world.Submit(0, 1, 2, kShortWork);
+  world.Run(500);
+  ASSERT_TRUE(world.Submissions()[number].outcome);
+  EXPECT_EQ(world.Submissions()[number].outcome->result,
+            DispatchResult::eCompleted);
+}
+
 // Guards against a wait for a task that no server could ever hold.
 TEST(DispatchPatternsTest, ImpossibleJobIsRejectedAtOnce)
 {
--- a/tests/dispatch/dispatch_world.cpp
+++ b/tests/dispatch/dispatch_world.cpp
@@ -666,6 +666,18 @@
   });
 }
 
+void
+DispatchWorld::ForgetAgent(unsigned aEntry, unsigned aServer)
+{
+  JobDispatcher& dispatcher = *entries_[aEntry].dispatcher;
+  ProcessInfo agent;
+  agent.id = servers_[aServer].agent;
+  agent.role = ProcessRole::eAgent;
+  agent.peerAddress = fmt::format("10.0.0.{}:1", aServer);
+  dispatcher.OnAgentGone(agent.id);
+  dispatcher.OnAgent(agent);
+}
+
 void
 DispatchWorld::DrainServer(unsigned aServer)
 {
--- a/tests/dispatch/dispatch_world.h
+++ b/tests/dispatch/dispatch_world.h
@@ -78,6 +78,8 @@
   void Cut(unsigned aEntry, unsigned aServer, Milliseconds aTime);
   /** What is on the way between the pair is lost; new messages arrive. */
   void ResetConnection(unsigned aEntry, unsigned aServer);
+  /** The entry takes the agent for gone and meets it again at once. */
+  void ForgetAgent(unsigned aEntry, unsigned aServer);
   void DrainServer(unsigned aServer);
   FakeServer& Server(unsigned aServer) { return *servers_[aServer].server; }
   void SetFails(
