Send no reports while there is no server to describe

Cause: read in the change: the refresh of the description stood twice, and without a server it was due in every period, so an agent reported to each entry every 25 or 100 ms for nothing. Change: one NeedsDescription serves both places; the flag beside the time is gone, and an unused accessor.

--- a/src/coordination/dispatch/run_keeper.cpp
+++ b/src/coordination/dispatch/run_keeper.cpp
@@ -99,7 +99,7 @@
   if (server_ != aAnnouncement.description) {
     server_ = aAnnouncement.description;
     for (auto& [id, entry] : entries_) {
-      entry.needsDescription = true;
+      entry.describedAt.reset();
     }
   }
   born_ = aAnnouncement.born;
@@ -687,8 +687,7 @@
   auto now = clock_.MonotonicNow();
   for (auto& [id, entry] : entries_) {
     auto period = entry.sameDataCentre ? kNearReportPeriod : kFarReportPeriod;
-    bool refresh = now - entry.describedAt >= kDescriptionPeriod;
-    bool due = !aOnlyEnds && (entry.changed || refresh) &&
+    bool due = !aOnlyEnds && (entry.changed || NeedsDescription(entry)) &&
                now - entry.reportedAt >= period;
     if (due || !entry.ends.empty() || !entry.forecasts.empty()) {
       SendReport(id, entry);
@@ -696,15 +695,21 @@
   }
 }
 
+bool
+RunKeeper::NeedsDescription(const Entry& aEntry) const
+{
+  auto now = clock_.MonotonicNow();
+  return server_ && (!aEntry.describedAt ||
+                     now - *aEntry.describedAt >= kDescriptionPeriod);
+}
+
 void
 RunKeeper::SendReport(const ProcessId& aId, Entry& aEntry)
 {
   ServerReport report;
   auto now = clock_.MonotonicNow();
-  bool refresh = now - aEntry.describedAt >= kDescriptionPeriod;
-  if ((aEntry.needsDescription || refresh) && server_) {
+  if (NeedsDescription(aEntry)) {
     report.description = *server_;
-    aEntry.needsDescription = false;
     aEntry.describedAt = now;
   }
   report.condition = Condition();
--- a/src/coordination/dispatch/run_keeper.h
+++ b/src/coordination/dispatch/run_keeper.h
@@ -241,8 +241,8 @@
     state::MonotonicTime heardAt;
     state::MonotonicTime reportedAt;
     bool changed = true;
-    bool needsDescription = true;
-    state::MonotonicTime describedAt;
+    /** Empty if the present description has not been sent. */
+    std::optional<state::MonotonicTime> describedAt;
     std::vector<RunEnd> ends;
     std::vector<RunForecast> forecasts;
   };
@@ -281,8 +281,8 @@
   void StopSilentEntries();
   void MarkChanged();
   void Flush(bool aOnlyEnds);
+  bool NeedsDescription(const Entry& aEntry) const;
   void SendReport(const state::ProcessId& aId, Entry& aEntry);
-  state::ResourceAmount Used() const { return used_; }
   std::chrono::milliseconds LeaseEnd() const;
   void SetServerClock(std::chrono::milliseconds aServerClock);
   void Note(const char* aDecision,
