Place the other tasks of a step when one of them is known to be long

Cause: FindPlaces kept the request of a task with known work for the tasks after it, and gave the whole step up when the long task found no server. Its siblings then waited for a fast server although slower ones had room. Change: each task of known work asks for itself; the others share one request, and only a miss of that request ends the search for them.

--- a/src/coordination/dispatch/job_dispatcher.cpp
+++ b/src/coordination/dispatch/job_dispatcher.cpp
@@ -603,27 +603,23 @@
 JobDispatcher::FindPlaces(Job& aJob, std::size_t aStep)
 {
   Step& step = aJob.steps[aStep];
-  PlacementRequest request = RequestFor(aJob, aStep);
+  const PlacementRequest unknownWork = RequestFor(aJob, aStep);
+  // Tasks of which no progress is known ask for the same.
+  bool unknownHasPlace = true;
   std::vector<std::pair<std::uint32_t, Placement>> places;
   for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
-    Task& task = step.tasks[index];
-    if (task.taskState != TaskState::eWaiting) {
+    const Task& task = step.tasks[index];
+    bool known = task.workMs > 0;
+    if (task.taskState != TaskState::eWaiting || (!known && !unknownHasPlace)) {
       continue;
     }
-    if (task.workMs > 0) {
-      request = RequestFor(aJob, aStep, &task);
-    }
-    auto placement = servers_.Choose(
-      request, step.runsByServer, aJob.spec.steps[aStep].maxPerServer);
+    auto placement = FindPlace(
+      step,
+      known ? RequestFor(aJob, aStep, &task) : unknownWork,
+      aJob.spec.steps[aStep].maxPerServer);
     if (!placement) {
-      break;
-    }
-    if (!placement->meetsObjective && request.objectiveMs > 0) {
-      auto shortest = servers_.ShortestRunTime(request);
-      if (shortest && *shortest <= request.objectiveMs) {
-        // A server that meets the objective may have room in time.
-        break;
-      }
+      unknownHasPlace = unknownHasPlace && known;
+      continue;
     }
     Reserve(aJob, aStep, index, *placement);
     places.emplace_back(index, *placement);
@@ -631,6 +627,24 @@
   return places;
 }
 
+std::optional<Placement>
+JobDispatcher::FindPlace(const Step& aStep,
+                         const PlacementRequest& aRequest,
+                         std::uint32_t aMaxPerServer) const
+{
+  auto placement =
+    servers_.Choose(aRequest, aStep.runsByServer, aMaxPerServer);
+  if (!placement || placement->meetsObjective || aRequest.objectiveMs <= 0) {
+    return placement;
+  }
+  auto shortest = servers_.ShortestRunTime(aRequest);
+  if (shortest && *shortest <= aRequest.objectiveMs) {
+    // A server that meets the objective may have room in time.
+    return std::nullopt;
+  }
+  return placement;
+}
+
 void
 JobDispatcher::Reserve(Job& aJob,
                        std::size_t aStep,
--- a/src/coordination/dispatch/job_dispatcher.h
+++ b/src/coordination/dispatch/job_dispatcher.h
@@ -204,6 +204,10 @@
   std::vector<std::pair<std::uint32_t, Placement>> FindPlaces(
     Job& aJob,
     std::size_t aStep);
+  /** Place of one task; none if it should wait for a better one. */
+  std::optional<Placement> FindPlace(const Step& aStep,
+                                     const PlacementRequest& aRequest,
+                                     std::uint32_t aMaxPerServer) const;
   /** Takes room for one run of a task before its order is sent. */
   void Reserve(Job& aJob,
                std::size_t aStep,
--- /dev/null
+++ b/tests/dispatch/job_dispatcher_test.cpp
@@ -0,0 +1,126 @@
+#include <gtest/gtest.h>
+
+#include "coordination/dispatch/job_dispatcher.h"
+#include "coordination/simulation/virtual_clock.h"
+
+// Single decisions of a JobDispatcher whose agents are played by the test.
+namespace greengage::testing {
+namespace {
+
+using namespace coordination;
+using state::ProcessId;
+using state::RunKey;
+using std::chrono::milliseconds;
+
+constexpr state::ResourceAmount kTaskNeed{ 1000, 64, 0 };
+constexpr std::uint32_t kPatienceMs = 1500;
+constexpr std::uint32_t kWorkMs = 300;
+
+class JobDispatcherTest : public ::testing::Test
+{
+protected:
+  ProcessId AddServer(std::uint64_t aNumber)
+  {
+    ProcessInfo agent;
+    agent.id = ProcessId{ aNumber, aNumber };
+    agent.role = ProcessRole::eAgent;
+    agent.peerAddress = "10.0.0." + std::to_string(aNumber) + ":7720";
+    dispatcher_.OnAgent(agent);
+    ServerReport report;
+    report.description = ServerDescription{
+      "server-" + std::to_string(aNumber), "pool", {}, { 16'000, 32'768, 0 }
+    };
+    report.condition = ServerCondition::eReady;
+    dispatcher_.OnReport(agent.id, report);
+    return agent.id;
+  }
+
+  void Submit(std::uint64_t aJob, std::uint32_t aTasks)
+  {
+    state::WorkQueue queue;
+    queue.name = "queue";
+    queue.service = "pool";
+    queue.maxAttempts = 3;
+    queue.objectiveStretch = 1.6;
+    queue.objectiveMargin = milliseconds(60);
+    state::DispatchJob job;
+    job.id = aJob;
+    job.steps.push_back({ aTasks, kTaskNeed, milliseconds(kWorkMs) });
+    dispatcher_.Submit(aJob, queue, job, milliseconds(kPatienceMs));
+  }
+
+  void Report(const ProcessId& aAgent,
+              std::vector<RunEnd> aEnds,
+              std::vector<RunForecast> aForecasts = {},
+              state::ResourceAmount aUsedByOthers = {})
+  {
+    ServerReport report;
+    report.condition = ServerCondition::eReady;
+    report.ends = std::move(aEnds);
+    report.forecasts = std::move(aForecasts);
+    report.usedByOthers = aUsedByOthers;
+    dispatcher_.OnReport(aAgent, report);
+  }
+
+  /** Runs that the agent has been ordered to start so far. */
+  std::vector<RunKey> Started(const ProcessId& aAgent) const
+  {
+    auto found = started_.find(aAgent);
+    return found == started_.end() ? std::vector<RunKey>() : found->second;
+  }
+
+  JobDispatcherHooks MakeHooks()
+  {
+    JobDispatcherHooks hooks;
+    hooks.answer = [](SubmissionId, const state::DispatchOutcome&) {};
+    hooks.send = [this](const ProcessId& aAgent, const DispatchOrders& aOrders) {
+      for (const RunBatch& batch : aOrders.starts) {
+        for (const RunOrder& order : batch.runs) {
+          started_[aAgent].push_back(
+            { { batch.job, batch.step, order.index }, order.run });
+        }
+      }
+    };
+    return hooks;
+  }
+
+  milliseconds time_{ 1000 };
+  simulation::VirtualClock clock_{ time_, {} };
+  std::map<ProcessId, std::vector<RunKey>> started_;
+  JobDispatcher dispatcher_{ "here", 1, clock_, MakeHooks() };
+};
+
+// Guards against a task that waits because another task of its step, which
+// turned out to be long, needs a server that is faster than those with room.
+TEST_F(JobDispatcherTest, LongTaskDoesNotHoldBackTheOthersOfItsStep)
+{
+  ProcessId slow = AddServer(1);
+  Submit(1, 2);
+  ASSERT_EQ(Started(slow).size(), 2u);
+  ProcessId fast = AddServer(2);
+  // Of the first task half a second of work is left; the second failed.
+  RunKey longRun = Started(slow)[0];
+  RunKey shortRun = Started(slow)[1];
+  // Teaches that the second server is twice as fast.
+  for (std::uint64_t job = 100; job < 130; ++job) {
+    Submit(job, 1);
+    for (const ProcessId& agent : { slow, fast }) {
+      auto runs = Started(agent);
+      if (!runs.empty() && runs.back().task.job == job) {
+        std::uint32_t took = agent == fast ? kWorkMs / 2 : kWorkMs;
+        Report(agent, { { runs.back(), RunEndKind::eDone, took } });
+      }
+    }
+  }
+  time_ += milliseconds(300);
+  Report(slow, {}, { { longRun, 1600 } });
+  Report(fast, {}, {}, { 16'000, 32'768, 0 });
+  Report(slow,
+         { { longRun, RunEndKind::eStopped, 300 },
+           { shortRun, RunEndKind::eFailed, 300 } });
+  EXPECT_EQ(Started(slow).back().task.index, shortRun.task.index);
+  EXPECT_EQ(Started(slow).back().run, shortRun.run + 1);
+}
+
+}
+}
