--- a/src/coordination/dispatch/server_pool.cpp
+++ b/src/coordination/dispatch/server_pool.cpp
@@ -285,16 +285,6 @@
   return agents;
 }
 
-std::vector<ProcessId>
-ServerPool::Agents() const
-{
-  std::vector<ProcessId> agents;
-  for (const auto& [id, server] : servers_) {
-    agents.push_back(id);
-  }
-  return agents;
-}
-
 std::size_t
 ServerPool::ReadyServers() const
 {
--- a/src/coordination/dispatch/server_pool.h
+++ b/src/coordination/dispatch/server_pool.h
@@ -81,7 +81,6 @@
   std::vector<state::RunKey> RunsOn(const state::ProcessId& aServer) const;
   /** Agents that have runs of this entry. */
   std::vector<state::ProcessId> AgentsInUse() const;
-  std::vector<state::ProcessId> Agents() const;
   std::size_t ReadyServers() const;
   state::MonotonicTime HeardAt(const state::ProcessId& aAgent) const;
   /** Identity of an older process on the agent's address, if there is one. */
--- /dev/null
+++ b/src/coordination/dispatch/task_placer.cpp
@@ -0,0 +1,177 @@
+#include "coordination/dispatch/task_placer.h"
+
+#include <algorithm>
+
+namespace greengage::coordination {
+
+namespace {
+
+/** A run is reported once it will last this multiple of what is expected. */
+constexpr double kForecastFactor = 2;
+/** A job is begun only as a whole in this part of the time it can wait. */
+constexpr int kWholeStartShare = 3;
+
+}
+
+TaskPlacer::TaskPlacer(ServerPool& aServers,
+                       OrderOutbox& aOrders,
+                       double aFarFactor,
+                       const state::Clock& aClock)
+  : servers_(aServers)
+  , orders_(aOrders)
+  , farFactor_(aFarFactor)
+  , clock_(aClock)
+{
+}
+
+PlacementRequest
+TaskPlacer::RequestFor(const DispatchedJob& aJob,
+                       std::size_t aStep,
+                       const DispatchedTask* aTask) const
+{
+  return MakePlacementRequest(
+    aJob, aStep, aTask, farFactor_, clock_.MonotonicNow());
+}
+
+bool
+TaskPlacer::PlaceJob(DispatchedJob& aJob)
+{
+  bool placed = true;
+  for (std::size_t i = 0; i < aJob.steps.size(); ++i) {
+    if (aJob.steps[i].waiting > 0 && IsReady(aJob, aJob.spec.steps[i])) {
+      placed = PlaceStep(aJob, i) && placed;
+    }
+  }
+  return placed;
+}
+
+bool
+TaskPlacer::PlaceStep(DispatchedJob& aJob, std::size_t aStep)
+{
+  DispatchedStep& step = aJob.steps[aStep];
+  std::uint32_t waiting = step.waiting;
+  auto places = FindPlaces(aJob, aStep);
+  bool all = places.size() == waiting;
+  auto patience = (aJob.latestStart - aJob.submittedAt) / kWholeStartShare;
+  bool early = clock_.MonotonicNow() < aJob.submittedAt + patience;
+  if (!all && !aJob.started && early) {
+    // A job that is begun in part holds room while it waits for the rest.
+    for (const auto& [index, placement] : places) {
+      Withdraw(aJob, aStep, index);
+    }
+    return false;
+  }
+  for (const auto& [index, placement] : places) {
+    Start(aJob, aStep, index, placement);
+  }
+  return all;
+}
+
+TaskPlacer::Places
+TaskPlacer::FindPlaces(DispatchedJob& aJob, std::size_t aStep)
+{
+  DispatchedStep& step = aJob.steps[aStep];
+  const PlacementRequest unknownWork = RequestFor(aJob, aStep);
+  // Tasks of which no progress is known ask for the same.
+  bool unknownHasPlace = true;
+  Places places;
+  for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+    const DispatchedTask& task = step.tasks[index];
+    bool known = task.workMs > 0;
+    if (task.phase != TaskPhase::eWaiting || (!known && !unknownHasPlace)) {
+      continue;
+    }
+    auto placement =
+      FindPlace(step,
+                known ? RequestFor(aJob, aStep, &task) : unknownWork,
+                aJob.spec.steps[aStep].maxPerServer);
+    if (!placement) {
+      unknownHasPlace = unknownHasPlace && known;
+      continue;
+    }
+    Reserve(aJob, aStep, index, *placement);
+    places.emplace_back(index, *placement);
+  }
+  return places;
+}
+
+std::optional<Placement>
+TaskPlacer::FindPlace(const DispatchedStep& aStep,
+                      const PlacementRequest& aRequest,
+                      std::uint32_t aMaxPerServer) const
+{
+  auto placement = servers_.Choose(aRequest, aStep.runsByServer, aMaxPerServer);
+  if (!placement || placement->meetsObjective || aRequest.objectiveMs <= 0) {
+    return placement;
+  }
+  auto shortest = servers_.ShortestRunTime(aRequest);
+  if (shortest && *shortest <= aRequest.objectiveMs) {
+    // A server that meets the objective may have room in time.
+    return std::nullopt;
+  }
+  return placement;
+}
+
+void
+TaskPlacer::Reserve(DispatchedJob& aJob,
+                    std::size_t aStep,
+                    std::uint32_t aIndex,
+                    const Placement& aPlacement)
+{
+  DispatchedStep& step = aJob.steps[aStep];
+  DispatchedTask& task = step.tasks[aIndex];
+  ++task.run;
+  task.server = aPlacement.server;
+  --step.waiting;
+  ++step.runsByServer[aPlacement.server];
+  servers_.OnRunSent(
+    aPlacement.server, KeyOf(aJob, aStep, aIndex), aJob.spec.steps[aStep].need);
+}
+
+void
+TaskPlacer::Withdraw(DispatchedJob& aJob,
+                     std::size_t aStep,
+                     std::uint32_t aIndex)
+{
+  DispatchedStep& step = aJob.steps[aStep];
+  DispatchedTask& task = step.tasks[aIndex];
+  servers_.OnRunEnded(task.server, KeyOf(aJob, aStep, aIndex));
+  --step.runsByServer[task.server];
+  ++step.waiting;
+  --task.run;
+}
+
+void
+TaskPlacer::Start(DispatchedJob& aJob,
+                  std::size_t aStep,
+                  std::uint32_t aIndex,
+                  const Placement& aPlacement)
+{
+  DispatchedTask& task = aJob.steps[aStep].tasks[aIndex];
+  auto now = clock_.MonotonicNow();
+  task.phase = TaskPhase::eRunning;
+  task.sentAt = now;
+  task.expectedMs = aPlacement.runTimeMs;
+  task.overdue = false;
+  if (!aJob.started) {
+    aJob.started = true;
+    aJob.firstRunAt = now;
+  }
+  ++aJob.runs;
+  // A forecast that tells nothing new costs one message, so the shortest limit
+  // of the tasks in a batch serves all.
+  double limit = std::min(UsableTimeMs(aJob, now),
+                          kForecastFactor * aPlacement.runTimeMs + kMoveMs);
+  auto limitMs = static_cast<std::uint32_t>(std::max(1.0, limit));
+  RunBatch& batch = orders_.BatchFor(
+    aPlacement.server, aJob.spec.id, static_cast<std::uint32_t>(aStep));
+  if (batch.runs.empty()) {
+    batch.need = aJob.spec.steps[aStep].need;
+    batch.payload = aJob.spec.payload;
+    batch.limitMs = limitMs;
+  }
+  batch.limitMs = std::min(batch.limitMs, limitMs);
+  batch.runs.push_back({ aIndex, task.run });
+}
+
+}
--- a/tests/dispatch/job_dispatcher_test.cpp
+++ b/tests/dispatch/job_dispatcher_test.cpp
@@ -73,7 +73,8 @@
   {
     JobDispatcherHooks hooks;
     hooks.answer = [](SubmissionId, const state::DispatchOutcome&) {};
-    hooks.send = [this](const ProcessId& aAgent, const DispatchOrders& aOrders) {
+    hooks.send = [this](const ProcessId& aAgent,
+                        const DispatchOrders& aOrders) {
       for (const RunBatch& batch : aOrders.starts) {
         for (const RunOrder& order : batch.runs) {
           started_[aAgent].push_back(
