Split the run keeper: reports, renewals, orders

Change: EntryReports owes entries their reports, LeaseRenewals keeps the calls that extend leases, server_messages.h holds what agent and server tell each other. Orders and their answers have a file of their own, as has the dispatcher's handling of runs. Refused starts end in one place. Run::stopWanted is the phase eStopping; the minimum of two times of which one is now is gone.

--- a/src/coordination/dispatch/job_dispatcher.cpp
+++ b/src/coordination/dispatch/job_dispatcher.cpp
@@ -17,21 +17,10 @@
 
 /** Time after the start in which the first agents are still to be met. */
 constexpr milliseconds kMeetingTime{ 1000 };
-/**
- * The server refuses a run number that is not above an earlier one of the
- * task; another entry may have started the same task before.
- */
-constexpr std::uint32_t kRunStep = 16;
 /** Bounds of the pause that a rejected caller is asked to make. */
 constexpr milliseconds kMinRetryAfter{ 200 };
 constexpr milliseconds kMaxRetryAfter{ 3000 };
 
-DispatchOutcome
-Failed(DispatchReason aReason)
-{
-  return { DispatchResult::eFailed, aReason, milliseconds(0) };
-}
-
 }
 
 JobDispatcher::JobDispatcher(std::string aDataCentre,
@@ -145,7 +134,7 @@
   }
   std::erase(job->second->submissions, aSubmission);
   if (job->second->submissions.empty()) {
-    End(id, Failed(DispatchReason::eAbandoned));
+    End(id, FailedOutcome(DispatchReason::eAbandoned));
     Place();
     orders_.Send();
   }
@@ -157,7 +146,7 @@
   if (!jobs_.contains(aJob)) {
     return false;
   }
-  End(aJob, Failed(DispatchReason::eCancelled));
+  End(aJob, FailedOutcome(DispatchReason::eCancelled));
   Place();
   orders_.Send();
   return true;
@@ -197,7 +186,7 @@
   for (std::uint64_t id : lost) {
     // The server may go on until its leases end, so the tasks cannot be
     // started elsewhere in time.
-    End(id, Failed(DispatchReason::eServerLost));
+    End(id, FailedOutcome(DispatchReason::eServerLost));
   }
   orders_.Forget(aAgent);
   Place();
@@ -215,152 +204,6 @@
   orders_.Send();
 }
 
-void
-JobDispatcher::OnReport(const ProcessId& aAgent, const ServerReport& aReport)
-{
-  servers_.OnReport(aAgent, aReport);
-  for (const RunEnd& end : aReport.ends) {
-    OnRunEnd(aAgent, end);
-  }
-  for (const RunForecast& forecast : aReport.forecasts) {
-    OnForecast(aAgent, forecast);
-  }
-  Place();
-  orders_.Send();
-}
-
-void
-JobDispatcher::OnRunEnd(const ProcessId& aAgent, const RunEnd& aEnd)
-{
-  if (aEnd.kind != RunEndKind::eDone && hooks_.runEnded) {
-    hooks_.runEnded(aAgent, aEnd);
-  }
-  if (!servers_.OnRunEnded(aAgent, aEnd.run)) {
-    return;
-  }
-  auto found = jobs_.find(aEnd.run.task.job);
-  if (found == jobs_.end()) {
-    return;
-  }
-  DispatchedJob& job = *found->second;
-  DispatchedStep& step = job.steps[aEnd.run.task.step];
-  DispatchedTask& task = step.tasks[aEnd.run.task.index];
-  if (task.run != aEnd.run.run || task.server != aAgent) {
-    return;
-  }
-  switch (aEnd.kind) {
-    case RunEndKind::eDone:
-      OnTaskDone(job, step, task, aEnd);
-      return;
-    case RunEndKind::eFailed:
-      OnTaskFailed(job, task, aAgent);
-      break;
-    case RunEndKind::eRefused:
-      servers_.OnRefused(aAgent);
-      break;
-    case RunEndKind::eNoRoom:
-      // The report that brings this tells the room there is.
-      break;
-    case RunEndKind::eOutdated:
-      task.run += kRunStep;
-      break;
-    case RunEndKind::eStopped:
-    case RunEndKind::eLost:
-    case RunEndKind::eUnanswered:
-      break;
-  }
-  WaitAgain(job, step, task);
-  if (task.failures >= job.queue.maxAttempts) {
-    End(job.spec.id, Failed(DispatchReason::eAttemptsUsed));
-  }
-}
-
-void
-JobDispatcher::OnForecast(const ProcessId& aAgent, const RunForecast& aForecast)
-{
-  auto found = jobs_.find(aForecast.run.task.job);
-  if (found == jobs_.end()) {
-    return;
-  }
-  DispatchedJob& job = *found->second;
-  std::uint32_t stepNumber = aForecast.run.task.step;
-  DispatchedTask& task = job.steps[stepNumber].tasks[aForecast.run.task.index];
-  if (task.phase != TaskPhase::eRunning || task.server != aAgent ||
-      task.run != aForecast.run.run) {
-    return;
-  }
-  switch (monitor_.OnForecast(job, stepNumber, task, aForecast.runTimeMs)) {
-    case RunVerdict::eKeep:
-      return;
-    case RunVerdict::eMove:
-      task.phase = TaskPhase::eStopping;
-      StopTask(job, stepNumber, aForecast.run.task.index);
-      return;
-    case RunVerdict::eHopeless:
-      End(job.spec.id, Failed(DispatchReason::eTooLate));
-      return;
-  }
-}
-
-void
-JobDispatcher::StopTask(const DispatchedJob& aJob,
-                        std::size_t aStep,
-                        std::uint32_t aIndex)
-{
-  const DispatchedTask& task = aJob.steps[aStep].tasks[aIndex];
-  orders_.AddStop(task.server, KeyOf(aJob, aStep, aIndex));
-}
-
-void
-JobDispatcher::OnTaskDone(DispatchedJob& aJob,
-                          DispatchedStep& aStep,
-                          DispatchedTask& aTask,
-                          const RunEnd& aEnd)
-{
-  servers_.OnRunDone(aTask.server);
-  const DispatchStep& spec = aJob.spec.steps[aEnd.run.task.step];
-  servers_.Model().AddSample(
-    aJob.queue.name, spec.estimate, aTask.server, milliseconds(aEnd.runTimeMs));
-  aTask.phase = TaskPhase::eDone;
-  ++aStep.done;
-  if (IsComplete(aJob)) {
-    End(aJob.spec.id,
-        { DispatchResult::eCompleted, DispatchReason::eNone, milliseconds(0) });
-    return;
-  }
-  if (aStep.done == aStep.tasks.size()) {
-    // A later step may be ready now.
-    Enqueue(aJob);
-  }
-}
-
-void
-JobDispatcher::OnTaskFailed(DispatchedJob& aJob,
-                            DispatchedTask& aTask,
-                            const ProcessId& aAgent)
-{
-  ++aTask.failures;
-  // A job that fails everywhere must not take servers out of use.
-  if (aJob.failedOn.empty()) {
-    servers_.OnRunFailed(aAgent);
-  }
-  aJob.failedOn.insert(aAgent);
-}
-
-void
-JobDispatcher::WaitAgain(DispatchedJob& aJob,
-                         DispatchedStep& aStep,
-                         DispatchedTask& aTask)
-{
-  auto runs = aStep.runsByServer.find(aTask.server);
-  if (runs != aStep.runsByServer.end() && runs->second > 0) {
-    --runs->second;
-  }
-  aTask.phase = TaskPhase::eWaiting;
-  ++aStep.waiting;
-  Enqueue(aJob);
-}
-
 void
 JobDispatcher::Enqueue(DispatchedJob& aJob)
 {
@@ -444,41 +287,6 @@
   orders_.Send();
 }
 
-void
-JobDispatcher::CheckRunning(DispatchedJob& aJob)
-{
-  for (std::size_t i = 0; i < aJob.steps.size(); ++i) {
-    DispatchedStep& step = aJob.steps[i];
-    for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
-      DispatchedTask& task = step.tasks[index];
-      if (!monitor_.BecameOverdue(aJob, i, task)) {
-        continue;
-      }
-      PlacementRequest request = placer_.RequestFor(aJob, i);
-      auto shortest = servers_.ShortestRunTime(request);
-      if (shortest && *shortest <= request.latestMs) {
-        task.phase = TaskPhase::eStopping;
-        StopTask(aJob, i, index);
-      }
-    }
-  }
-}
-
-void
-JobDispatcher::StopRuns(DispatchedJob& aJob)
-{
-  for (std::size_t i = 0; i < aJob.steps.size(); ++i) {
-    DispatchedStep& step = aJob.steps[i];
-    for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
-      const DispatchedTask& task = step.tasks[index];
-      bool runs = task.phase == TaskPhase::eRunning;
-      if (runs && servers_.Knows(task.server)) {
-        StopTask(aJob, i, index);
-      }
-    }
-  }
-}
-
 void
 JobDispatcher::End(std::uint64_t aJob, const DispatchOutcome& aOutcome)
 {
--- /dev/null
+++ b/src/coordination/dispatch/job_dispatcher_runs.cpp
@@ -0,0 +1,204 @@
+#include "coordination/dispatch/job_dispatcher.h"
+
+#include <algorithm>
+
+namespace greengage::coordination {
+
+using state::DispatchReason;
+using state::DispatchResult;
+using state::DispatchStep;
+using state::ProcessId;
+using std::chrono::milliseconds;
+
+namespace {
+
+/**
+ * The server refuses a run number that is not above an earlier one of the
+ * task; another entry may have started the same task before.
+ */
+constexpr std::uint32_t kRunStep = 16;
+
+}
+
+void
+JobDispatcher::OnReport(const ProcessId& aAgent, const ServerReport& aReport)
+{
+  servers_.OnReport(aAgent, aReport);
+  for (const RunEnd& end : aReport.ends) {
+    OnRunEnd(aAgent, end);
+  }
+  for (const RunForecast& forecast : aReport.forecasts) {
+    OnForecast(aAgent, forecast);
+  }
+  Place();
+  orders_.Send();
+}
+
+void
+JobDispatcher::OnRunEnd(const ProcessId& aAgent, const RunEnd& aEnd)
+{
+  if (aEnd.kind != RunEndKind::eDone && hooks_.runEnded) {
+    hooks_.runEnded(aAgent, aEnd);
+  }
+  if (!servers_.OnRunEnded(aAgent, aEnd.run)) {
+    return;
+  }
+  auto found = jobs_.find(aEnd.run.task.job);
+  if (found == jobs_.end()) {
+    return;
+  }
+  DispatchedJob& job = *found->second;
+  DispatchedStep& step = job.steps[aEnd.run.task.step];
+  DispatchedTask& task = step.tasks[aEnd.run.task.index];
+  if (task.run != aEnd.run.run || task.server != aAgent) {
+    return;
+  }
+  switch (aEnd.kind) {
+    case RunEndKind::eDone:
+      OnTaskDone(job, step, task, aEnd);
+      return;
+    case RunEndKind::eFailed:
+      OnTaskFailed(job, task, aAgent);
+      break;
+    case RunEndKind::eRefused:
+      servers_.OnRefused(aAgent);
+      break;
+    case RunEndKind::eNoRoom:
+      // The report that brings this tells the room there is.
+      break;
+    case RunEndKind::eOutdated:
+      task.run += kRunStep;
+      break;
+    case RunEndKind::eStopped:
+    case RunEndKind::eLost:
+    case RunEndKind::eUnanswered:
+      break;
+  }
+  WaitAgain(job, step, task);
+  if (task.failures >= job.queue.maxAttempts) {
+    End(job.spec.id, FailedOutcome(DispatchReason::eAttemptsUsed));
+  }
+}
+
+void
+JobDispatcher::OnForecast(const ProcessId& aAgent, const RunForecast& aForecast)
+{
+  auto found = jobs_.find(aForecast.run.task.job);
+  if (found == jobs_.end()) {
+    return;
+  }
+  DispatchedJob& job = *found->second;
+  std::uint32_t stepNumber = aForecast.run.task.step;
+  DispatchedTask& task = job.steps[stepNumber].tasks[aForecast.run.task.index];
+  if (task.phase != TaskPhase::eRunning || task.server != aAgent ||
+      task.run != aForecast.run.run) {
+    return;
+  }
+  switch (monitor_.OnForecast(job, stepNumber, task, aForecast.runTimeMs)) {
+    case RunVerdict::eKeep:
+      return;
+    case RunVerdict::eMove:
+      task.phase = TaskPhase::eStopping;
+      StopTask(job, stepNumber, aForecast.run.task.index);
+      return;
+    case RunVerdict::eHopeless:
+      End(job.spec.id, FailedOutcome(DispatchReason::eTooLate));
+      return;
+  }
+}
+
+void
+JobDispatcher::StopTask(const DispatchedJob& aJob,
+                        std::size_t aStep,
+                        std::uint32_t aIndex)
+{
+  const DispatchedTask& task = aJob.steps[aStep].tasks[aIndex];
+  orders_.AddStop(task.server, KeyOf(aJob, aStep, aIndex));
+}
+
+void
+JobDispatcher::OnTaskDone(DispatchedJob& aJob,
+                          DispatchedStep& aStep,
+                          DispatchedTask& aTask,
+                          const RunEnd& aEnd)
+{
+  servers_.OnRunDone(aTask.server);
+  const DispatchStep& spec = aJob.spec.steps[aEnd.run.task.step];
+  servers_.Model().AddSample(
+    aJob.queue.name, spec.estimate, aTask.server, milliseconds(aEnd.runTimeMs));
+  aTask.phase = TaskPhase::eDone;
+  ++aStep.done;
+  if (IsComplete(aJob)) {
+    End(aJob.spec.id,
+        { DispatchResult::eCompleted, DispatchReason::eNone, milliseconds(0) });
+    return;
+  }
+  if (aStep.done == aStep.tasks.size()) {
+    // A later step may be ready now.
+    Enqueue(aJob);
+  }
+}
+
+void
+JobDispatcher::OnTaskFailed(DispatchedJob& aJob,
+                            DispatchedTask& aTask,
+                            const ProcessId& aAgent)
+{
+  ++aTask.failures;
+  // A job that fails everywhere must not take servers out of use.
+  if (aJob.failedOn.empty()) {
+    servers_.OnRunFailed(aAgent);
+  }
+  aJob.failedOn.insert(aAgent);
+}
+
+void
+JobDispatcher::WaitAgain(DispatchedJob& aJob,
+                         DispatchedStep& aStep,
+                         DispatchedTask& aTask)
+{
+  auto runs = aStep.runsByServer.find(aTask.server);
+  if (runs != aStep.runsByServer.end() && runs->second > 0) {
+    --runs->second;
+  }
+  aTask.phase = TaskPhase::eWaiting;
+  ++aStep.waiting;
+  Enqueue(aJob);
+}
+
+void
+JobDispatcher::CheckRunning(DispatchedJob& aJob)
+{
+  for (std::size_t i = 0; i < aJob.steps.size(); ++i) {
+    DispatchedStep& step = aJob.steps[i];
+    for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+      DispatchedTask& task = step.tasks[index];
+      if (!monitor_.BecameOverdue(aJob, i, task)) {
+        continue;
+      }
+      PlacementRequest request = placer_.RequestFor(aJob, i);
+      auto shortest = servers_.ShortestRunTime(request);
+      if (shortest && *shortest <= request.latestMs) {
+        task.phase = TaskPhase::eStopping;
+        StopTask(aJob, i, index);
+      }
+    }
+  }
+}
+
+void
+JobDispatcher::StopRuns(DispatchedJob& aJob)
+{
+  for (std::size_t i = 0; i < aJob.steps.size(); ++i) {
+    DispatchedStep& step = aJob.steps[i];
+    for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+      const DispatchedTask& task = step.tasks[index];
+      bool runs = task.phase == TaskPhase::eRunning;
+      if (runs && servers_.Knows(task.server)) {
+        StopTask(aJob, i, index);
+      }
+    }
+  }
+}
+
+}
--- a/src/coordination/dispatch/run_keeper.h
+++ b/src/coordination/dispatch/run_keeper.h
@@ -9,7 +9,10 @@
 #include <vector>
 
 #include "coordination/dispatch/dispatch_messages.h"
+#include "coordination/dispatch/entry_reports.h"
+#include "coordination/dispatch/lease_renewals.h"
 #include "coordination/dispatch/pause_detector.h"
+#include "coordination/dispatch/server_messages.h"
 #include "state/clock.h"
 #include "state/process_id.h"
 
@@ -33,112 +36,6 @@
   auto operator<=>(const RunKeeperSettings&) const = default;
 };
 
-/** What a backend server says of itself. */
-struct ServerAnnouncement
-{
-  ServerDescription description;
-  bool draining = false;
-  /** Start of this life of the server; a change means that all runs ended. */
-  std::uint64_t born = 0;
-  /** Rises with each announcement of one life. */
-  std::uint64_t sequence = 0;
-  /** The server's own clock, for leases. */
-  std::chrono::milliseconds serverClock{ 0 };
-
-  auto operator<=>(const ServerAnnouncement&) const = default;
-};
-
-struct StartRunCall
-{
-  /** The life of the server that is meant; another one refuses the call. */
-  std::string serverId;
-  state::RunKey run;
-  std::string payload;
-  std::uint64_t fencingToken = 0;
-  /** End of the lease, on the server's clock. */
-  std::chrono::milliseconds leaseEnd{ 0 };
-
-  auto operator<=>(const StartRunCall&) const = default;
-};
-
-enum class StartAnswer
-{
-  eStarted,
-  eNoRoom,
-  /** The fencing token is lower than one that the server has seen. */
-  eFenced,
-  /** This or a higher run of the task was there before. */
-  eOutdated,
-  /** The lease had ended when the order arrived. */
-  eLate,
-  /** Unhealthy, draining or another life of the server; nothing was done. */
-  eRefused,
-  /** The connection was refused; nothing was done. */
-  eUnreachable,
-  /** It is not known whether the run was started, or will be. */
-  eNoAnswer,
-};
-
-struct StopRunCall
-{
-  std::string serverId;
-  state::RunKey run;
-  std::uint64_t fencingToken = 0;
-
-  auto operator<=>(const StopRunCall&) const = default;
-};
-
-/** Extends the leases of all runs and asks for the ends since lastSeen. */
-struct RenewCall
-{
-  std::uint64_t number = 0;
-  std::uint64_t fencingToken = 0;
-  /** Ends up to this number are acknowledged. */
-  std::uint64_t lastSeen = 0;
-  std::chrono::milliseconds leaseEnd{ 0 };
-  /** The server may wait this long for an end before it answers. */
-  std::chrono::milliseconds wait{ 0 };
-
-  auto operator<=>(const RenewCall&) const = default;
-};
-
-struct ListedEnd
-{
-  std::uint64_t number = 0;
-  state::RunKey run;
-  RunEndKind kind = RunEndKind::eDone;
-
-  auto operator<=>(const ListedEnd&) const = default;
-};
-
-/** A run as the server lists it. */
-struct ListedRun
-{
-  state::RunKey run;
-  /** Share of its work that is done, 0 to 100. */
-  std::uint32_t percent = 0;
-
-  auto operator<=>(const ListedRun&) const = default;
-};
-
-struct RenewAnswer
-{
-  std::uint64_t born = 0;
-  std::chrono::milliseconds serverClock{ 0 };
-  std::vector<ListedRun> running;
-  std::vector<ListedEnd> ended;
-
-  auto operator<=>(const RenewAnswer&) const = default;
-};
-
-enum class RenewFailure
-{
-  /** Nothing listens: the server has ended. */
-  eUnreachable,
-  eFenced,
-  eNoAnswer,
-};
-
 /** A decision about one run, for the log. */
 struct RunNote
 {
@@ -199,7 +96,10 @@
 
   std::size_t RunCount() const { return runs_.size(); }
   /** Ends that the server has listed and that are not acknowledged yet. */
-  bool HasUnacknowledgedEnds() const { return lastSeen_ != acknowledged_; }
+  bool HasUnacknowledgedEnds() const
+  {
+    return renewals_.HasUnacknowledgedEnds();
+  }
   ServerCondition Condition() const;
   const std::optional<ServerDescription>& Server() const { return server_; }
 
@@ -223,7 +123,6 @@
     state::MonotonicTime listedAt;
     /** The server has answered the start or listed the run. */
     bool seen = false;
-    bool stopWanted = false;
     /** When the start was given up as unanswered. */
     std::optional<state::MonotonicTime> unansweredAt;
     state::MonotonicTime orderedAt;
@@ -235,25 +134,6 @@
   };
   using Runs = std::map<state::RunKey, Run>;
 
-  struct Entry
-  {
-    bool sameDataCentre = false;
-    state::MonotonicTime heardAt;
-    state::MonotonicTime reportedAt;
-    bool changed = true;
-    /** Empty if the present description has not been sent. */
-    std::optional<state::MonotonicTime> describedAt;
-    std::vector<RunEnd> ends;
-    std::vector<RunForecast> forecasts;
-  };
-
-  struct PendingRenewal
-  {
-    state::MonotonicTime sentAt;
-    std::uint64_t lastSeen = 0;
-    bool waits = false;
-  };
-
   void TakeStart(const state::ProcessId& aEntry,
                  const RunBatch& aBatch,
                  const RunOrder& aOrder);
@@ -272,18 +152,18 @@
   void Forecast(const state::RunKey& aKey, Run& aRun, std::uint32_t aPercent);
   /** True if the progress of a run should be looked at now. */
   bool NeedsProgress() const;
+  /** The server has answered the start, or lists the run. */
+  void MarkSeen(Run& aRun);
+  void EndRefused(Runs::iterator aRun, RunEndKind aKind, const char* aReason);
+  ServerReport StatusFor(const state::ProcessId& aEntry) const;
   void SendStop(const state::RunKey& aRun);
   void StopUnknown(const state::RunKey& aRun);
   void Renew(std::chrono::milliseconds aWait);
-  /** True while a renewal waits at the server for an end. */
-  bool IsRenewalWaiting() const;
   void KeepLeases();
   void StopSilentEntries();
-  void MarkChanged();
-  void Flush(bool aOnlyEnds);
-  bool NeedsDescription(const Entry& aEntry) const;
-  void SendReport(const state::ProcessId& aId, Entry& aEntry);
   std::chrono::milliseconds LeaseEnd() const;
+  /** The server has seen a higher token. */
+  void RaiseFencingToken();
   void SetServerClock(std::chrono::milliseconds aServerClock);
   void Note(const char* aDecision,
             const state::RunKey& aRun,
@@ -295,6 +175,8 @@
   const state::Clock& clock_;
   RunKeeperHooks hooks_;
   PauseDetector pauses_;
+  EntryReports reports_;
+  LeaseRenewals renewals_;
 
   std::optional<ServerDescription> server_;
   std::uint64_t born_ = 0;
@@ -307,19 +189,10 @@
 
   Runs runs_;
   state::ResourceAmount used_;
-  std::map<state::ProcessId, Entry> entries_;
   /** Runs that must not be started any more, with the time they are kept. */
   std::map<state::RunKey, state::MonotonicTime> withdrawn_;
   /** Unknown runs that were ordered to stop, with the time of the order. */
   std::map<state::RunKey, state::MonotonicTime> unknownStops_;
-
-  std::map<std::uint64_t, PendingRenewal> renewals_;
-  std::uint64_t nextRenewal_ = 1;
-  std::uint64_t lastSeen_ = 0;
-  std::uint64_t acknowledged_ = 0;
-  unsigned failedRenewals_ = 0;
-  state::MonotonicTime leaseExtendedAt_;
-  state::MonotonicTime nextRenewAt_;
 };
 
 }
--- a/src/daemon/dispatch/dispatch_entry_process.cpp
+++ b/src/daemon/dispatch/dispatch_entry_process.cpp
@@ -362,8 +362,8 @@
   auto waiting = waiting_.extract(id);
   dispatcher_.Abandon(id);
   // The session ends once its response has been written to nobody.
-  waiting.mapped().respond(front_.encodeOutcome(
-    { DispatchResult::eFailed, DispatchReason::eAbandoned, {} }));
+  waiting.mapped().respond(
+    front_.encodeOutcome(state::FailedOutcome(DispatchReason::eAbandoned)));
 }
 
 void
--- a/src/state/dispatch/dispatch_job.h
+++ b/src/state/dispatch/dispatch_job.h
@@ -120,4 +120,11 @@
   auto operator<=>(const DispatchOutcome&) const = default;
 };
 
+/** Outcome of a job of which tasks may have run. */
+inline DispatchOutcome
+FailedOutcome(DispatchReason aReason)
+{
+  return { DispatchResult::eFailed, aReason, std::chrono::milliseconds(0) };
+}
+
 }
