Follow the settings file, with a signal or without one

Cause: the programs read their settings on SIGHUP only, and only logged whether they could be used; seeds or addresses that changed waited for a restart, so a process whose seeds had all gone stayed alone. Change: SettingsWatch reads the file each second and on SIGHUP; the processes take over seeds, far factor and lease, the clients the addresses of store and server. What waits for the next start is logged. Both programs start and wait through RunProcess, as the product's own daemons do, and listen through StartListening.

--- a/src/coordination/dispatch/job_dispatcher.h
+++ b/src/coordination/dispatch/job_dispatcher.h
@@ -47,6 +47,7 @@
 
   /** Jobs keep the queue under which they were submitted. */
   void SetConfiguration(state::DispatchConfiguration aConfiguration);
+  void SetFarFactor(double aFarFactor) { placer_.SetFarFactor(aFarFactor); }
   const state::DispatchConfiguration& Configuration() const
   {
     return configuration_;
--- a/src/coordination/dispatch/run_keeper.h
+++ b/src/coordination/dispatch/run_keeper.h
@@ -73,6 +73,11 @@
             const state::Clock& aClock,
             RunKeeperHooks aHooks);
 
+  void SetSettings(const RunKeeperSettings& aSettings)
+  {
+    settings_ = aSettings;
+  }
+
   /** False if it is older than an announcement before. */
   bool OnAnnouncement(const ServerAnnouncement& aAnnouncement);
   /** The server says that it ends now. */
--- a/src/coordination/dispatch/task_placer.h
+++ b/src/coordination/dispatch/task_placer.h
@@ -24,6 +24,8 @@
              double aFarFactor,
              const state::Clock& aClock);
 
+  void SetFarFactor(double aFarFactor) { farFactor_ = aFarFactor; }
+
   /** False if a task of a step that is ready still waits. */
   bool PlaceJob(DispatchedJob& aJob);
   /** @param aTask null for a task of which no progress is known */
--- a/src/coordination/membership/membership.cpp
+++ b/src/coordination/membership/membership.cpp
@@ -22,8 +22,7 @@
                        std::vector<std::string> aSeeds,
                        const state::Clock& aClock,
                        MembershipHooks aHooks)
-  : seeds_(std::move(aSeeds))
-  , clock_(aClock)
+  : clock_(aClock)
   , hooks_(std::move(aHooks))
   , table_(aSelf.id)
   , lastTick_(aClock.MonotonicNow())
@@ -38,7 +37,14 @@
     static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(
                                  clock_.WallNow().time_since_epoch())
                                  .count());
-  std::erase(seeds_, aSelf.peerAddress);
+  SetSeeds(std::move(aSeeds));
+}
+
+void
+Membership::SetSeeds(std::vector<std::string> aSeeds)
+{
+  seeds_ = std::move(aSeeds);
+  std::erase(seeds_, self_.process.peerAddress);
 }
 
 void
--- a/src/coordination/membership/membership.h
+++ b/src/coordination/membership/membership.h
@@ -61,6 +61,7 @@
 
   /** Announces changed attributes, for example draining. */
   void SetSelf(const ProcessInfo& aSelf);
+  void SetSeeds(std::vector<std::string> aSeeds);
   void SetConfigurationVersion(std::uint64_t aVersion);
   /** Announces the end of this process; call Tick() some more times. */
   void Leave();
--- a/src/daemon/dispatch/dispatch_agent_process.cpp
+++ b/src/daemon/dispatch/dispatch_agent_process.cpp
@@ -1,7 +1,7 @@
 #include "daemon/dispatch/dispatch_agent_process.h"
 
+#include "daemon/start_listening.h"
 #include "daemon/status_server.h"
-#include "transport/endpoint.h"
 #include "transport/event_log.h"
 
 namespace greengage::daemon {
@@ -173,9 +173,12 @@
   if (!joined) {
     return joined;
   }
-  auto servers = StartServers();
-  if (!servers) {
-    return servers;
+  auto listening =
+    StartListening(announcements_, settings_.announceAddress).and_then([&] {
+      return StartListening(metricsServer_, settings_.metricsAddress);
+    });
+  if (!listening) {
+    return listening;
   }
   control_.Every(kTickPeriod, [this] { OnTick(); });
   control_.Start();
@@ -189,25 +192,21 @@
   return {};
 }
 
-tl::expected<void, DaemonError>
-DispatchAgentProcess::StartServers()
+void
+DispatchAgentProcess::Reload(const DispatchAgentSettings& aSettings)
 {
-  for (auto [server, address] :
-       { std::pair(&announcements_, &settings_.announceAddress),
-         std::pair(&metricsServer_, &settings_.metricsAddress) }) {
-    if (address->empty()) {
-      continue;
-    }
-    auto endpoint = transport::ParseEndpoint(*address);
-    if (!endpoint) {
-      return tl::unexpected(DaemonError{ endpoint.error().message });
-    }
-    auto bound = server->Start(*endpoint);
-    if (!bound) {
-      return tl::unexpected(DaemonError{ bound.error().message });
-    }
+  peers_.SetSeeds(aSettings.peer.seeds);
+  keeper_.SetSettings(aSettings.runs);
+  auto running = settings_;
+  running.peer.seeds = aSettings.peer.seeds;
+  running.runs = aSettings.runs;
+  settings_ = running;
+  if (running != aSettings) {
+    LogEvent(events::kSettingsWaitForStart,
+             "peer={} data_centre={}",
+             aSettings.peer.address,
+             aSettings.peer.dataCentre);
   }
-  return {};
 }
 
 void
--- a/src/daemon/dispatch/dispatch_agent_process.h
+++ b/src/daemon/dispatch/dispatch_agent_process.h
@@ -77,13 +77,18 @@
   /** Takes no new run, waits for those that run, then calls aDone once. */
   void Stop(std::function<void()> aDone);
 
+  /**
+   * Takes over what can change while the process runs; other addresses take
+   * effect at its next start. Control thread only.
+   */
+  void Reload(const DispatchAgentSettings& aSettings);
+
   transport::TrafficPool& Traffic() { return traffic_; }
   transport::ControlThread& Control() { return control_; }
 
 private:
   coordination::RunKeeperHooks MakeKeeperHooks();
   PeerNodeHooks MakePeerHooks();
-  tl::expected<void, DaemonError> StartServers();
   void OnNotice(const ServerNotice& aNotice,
                 const transport::HttpResponder& aRespond);
   void OnPeerMessage(const coordination::ProcessInfo& aFrom,
--- a/src/daemon/dispatch/dispatch_entry_process.cpp
+++ b/src/daemon/dispatch/dispatch_entry_process.cpp
@@ -1,7 +1,7 @@
 #include "daemon/dispatch/dispatch_entry_process.h"
 
+#include "daemon/start_listening.h"
 #include "daemon/status_server.h"
-#include "transport/endpoint.h"
 #include "transport/event_log.h"
 
 namespace greengage::daemon {
@@ -181,9 +181,15 @@
   if (!joined) {
     return joined;
   }
-  auto servers = StartServers();
-  if (!servers) {
-    return servers;
+  auto listening =
+    StartListening(callers_, settings_.frontAddress)
+      .and_then(
+        [&] { return StartListening(readiness_, settings_.readyAddress); })
+      .and_then([&] {
+        return StartListening(metricsServer_, settings_.metricsAddress);
+      });
+  if (!listening) {
+    return listening;
   }
   control_.Every(kTickPeriod, [this] { OnTick(); });
   control_.Start();
@@ -198,28 +204,21 @@
   return {};
 }
 
-tl::expected<void, DaemonError>
-DispatchEntryProcess::StartServers()
+void
+DispatchEntryProcess::Reload(const DispatchEntrySettings& aSettings)
 {
-  auto start =
-    [](transport::HttpServer& aServer,
-       const std::string& aAddress) -> tl::expected<void, DaemonError> {
-    if (aAddress.empty()) {
-      return {};
-    }
-    auto endpoint = transport::ParseEndpoint(aAddress);
-    if (!endpoint) {
-      return tl::unexpected(DaemonError{ endpoint.error().message });
-    }
-    auto bound = aServer.Start(*endpoint);
-    if (!bound) {
-      return tl::unexpected(DaemonError{ bound.error().message });
-    }
-    return {};
-  };
-  return start(callers_, settings_.frontAddress)
-    .and_then([&] { return start(readiness_, settings_.readyAddress); })
-    .and_then([&] { return start(metricsServer_, settings_.metricsAddress); });
+  peers_.SetSeeds(aSettings.peer.seeds);
+  dispatcher_.SetFarFactor(aSettings.farFactor);
+  auto running = settings_;
+  running.peer.seeds = aSettings.peer.seeds;
+  running.farFactor = aSettings.farFactor;
+  settings_ = running;
+  if (running != aSettings) {
+    LogEvent(events::kSettingsWaitForStart,
+             "peer={} data_centre={}",
+             aSettings.peer.address,
+             aSettings.peer.dataCentre);
+  }
 }
 
 void
--- a/src/daemon/dispatch/dispatch_entry_process.h
+++ b/src/daemon/dispatch/dispatch_entry_process.h
@@ -91,6 +91,12 @@
   /** Answers what is in progress, then calls aDone once. */
   void Stop(std::function<void()> aDone);
 
+  /**
+   * Takes over what can change while the process runs; other addresses take
+   * effect at its next start. Control thread only.
+   */
+  void Reload(const DispatchEntrySettings& aSettings);
+
   /** A document of the operator; control thread only. */
   void OnConfigurationDocument(const std::string& aDocument,
                                const std::string& aOrigin);
@@ -107,7 +113,6 @@
 
   coordination::JobDispatcherHooks MakeDispatcherHooks();
   PeerNodeHooks MakePeerHooks();
-  tl::expected<void, DaemonError> StartServers();
 
   void OnHttp(transport::HttpRequest aRequest,
               transport::HttpResponder aRespond);
--- a/src/daemon/dispatch/peer_node.cpp
+++ b/src/daemon/dispatch/peer_node.cpp
@@ -65,6 +65,15 @@
   return membership_.Start(self_, aSettings.seeds);
 }
 
+void
+PeerNode::SetSeeds(const std::vector<std::string>& aSeeds)
+{
+  settings_.seeds = aSeeds;
+  if (membership_.Members()) {
+    membership_.Members()->SetSeeds(aSeeds);
+  }
+}
+
 void
 PeerNode::Send(const ProcessId& aPeer, PeerMessage aMessage)
 {
--- a/src/daemon/dispatch/peer_node.h
+++ b/src/daemon/dispatch/peer_node.h
@@ -56,6 +56,7 @@
 
   tl::expected<void, DaemonError> Start(const PeerNodeSettings& aSettings);
 
+  void SetSeeds(const std::vector<std::string>& aSeeds);
   void Send(const state::ProcessId& aPeer, coordination::PeerMessage aMessage);
   void Disconnect(const state::ProcessId& aPeer);
 
--- a/src/daemon/run_daemon.h
+++ b/src/daemon/run_daemon.h
@@ -6,18 +6,15 @@
 
 namespace greengage::daemon {
 
-/** Runs a process until it is told to stop; returns the exit code. */
-template<class Process, class Settings>
+/**
+ * Starts a process and waits until it is told to stop; returns the exit code.
+ * @param aReload called on each SIGHUP
+ */
+template<class Process>
 int
-RunDaemon(const ParsedSettings<Settings>& aParsed)
+RunProcess(Process& aProcess, const std::function<void()>& aReload = nullptr)
 {
-  if (aParsed.exitCode) {
-    return *aParsed.exitCode;
-  }
-  transport::SetLogNonBlocking();
-  transport::SetLogLevel(aParsed.settings.common.logLevel);
-  Process process(aParsed.settings);
-  auto started = process.Start();
+  auto started = aProcess.Start();
   if (!started) {
     transport::LogEvent(transport::events::kStartFailed,
                         "reason={}",
@@ -25,8 +22,23 @@
     return 1;
   }
   WaitForStopSignal(
-    [&](std::function<void()> aStopped) { process.Stop(std::move(aStopped)); });
+    [&](std::function<void()> aStopped) { aProcess.Stop(std::move(aStopped)); },
+    aReload);
   return 0;
 }
 
+/** Runs a daemon of the product's own interface; returns the exit code. */
+template<class Process, class Settings>
+int
+RunDaemon(const ParsedSettings<Settings>& aParsed)
+{
+  if (aParsed.exitCode) {
+    return *aParsed.exitCode;
+  }
+  transport::SetLogNonBlocking();
+  transport::SetLogLevel(aParsed.settings.common.logLevel);
+  Process process(aParsed.settings);
+  return RunProcess(process);
+}
+
 }
--- a/src/transport/events.h
+++ b/src/transport/events.h
@@ -148,6 +148,9 @@
 inline constexpr EventKind kSettingsRefused{ 1702,
                                              "settings_refused",
                                              LogLevel::eError };
+inline constexpr EventKind kSettingsWaitForStart{ 1704,
+                                                  "settings_wait_for_start",
+                                                  LogLevel::eWarning };
 inline constexpr EventKind kLinesDropped{ 1703,
                                           "lines_dropped",
                                           LogLevel::eWarning };
@@ -165,7 +168,7 @@
   kRunEnded,         kRunDecision,          kServerCondition,
   kReadyChanged,     kRequestRefused,       kAnnouncementRefused,
   kPeerSilent,       kTasksPlaced,          kSettingsReloaded,
-  kSettingsRefused,  kLinesDropped,
+  kSettingsRefused,  kLinesDropped,         kSettingsWaitForStart,
 };
 
 }
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -217,6 +217,14 @@
 
 HttpClient::~HttpClient() = default;
 
+void
+HttpClient::SetServer(const asio::ip::tcp::endpoint& aServer)
+{
+  // Requests in progress keep the connections of the earlier address.
+  pool_ = std::make_shared<Pool>();
+  pool_->server = aServer;
+}
+
 HttpClient::Abort
 HttpClient::Send(HttpRequest aRequest,
                  std::chrono::milliseconds aTimeout,
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -32,6 +32,9 @@
              const boost::asio::ip::tcp::endpoint& aServer);
   ~HttpClient();
 
+  /** Later requests go to this address; not concurrently with Send(). */
+  void SetServer(const boost::asio::ip::tcp::endpoint& aServer);
+
   /** The error kind tells whether the server can have seen the request. */
   Abort Send(HttpRequest aRequest,
              std::chrono::milliseconds aTimeout,
--- a/tests/platform/platform_process_test.cpp
+++ b/tests/platform/platform_process_test.cpp
@@ -51,7 +51,18 @@
   {
     std::string path = fmt::format(
       "/tmp/greengage_settings_{}_{}.json", ::getpid(), files_.size());
-    std::ofstream(path) << fmt::format(
+    files_.push_back(path);
+    WriteSettingsTo(path, aListen, aServer);
+    return path;
+  }
+
+  void WriteSettingsTo(const std::string& aPath,
+                       const std::string& aListen,
+                       const std::string& aServer)
+  {
+    // Renamed into place, so that nobody reads half of it.
+    std::string unfinished = aPath + ".new";
+    std::ofstream(unfinished) << fmt::format(
       R"({{"zone":"bole","ip":"127.0.0.1","listen":{{{}}},
           "internalPortRange":[{},{}],"seeds":["{}"],
           "bounds":{{"maxHoldMs":1000,"farFactor":1.5}},"app":"{}",
@@ -59,35 +70,39 @@
       aListen,
       internalPort_,
       internalPort_,
-      Address(controlPort_),
+      Address(seedPort_),
       aServer,
       storeAddress_);
-    files_.push_back(path);
-    return path;
+    std::rename(unfinished.c_str(), aPath.c_str());
+  }
+
+  std::string EntryListen()
+  {
+    return fmt::format(R"("front":"{}","readyAddr":"{}","control":"{}")",
+                       Address(frontPort_),
+                       Address(readyPort_),
+                       Address(controlPort_));
+  }
+
+  std::string AgentListen()
+  {
+    return fmt::format(R"("control":"{}")", Address(announcePort_));
   }
 
   void StartEntry()
   {
     entry_ = std::make_unique<ChildProcess>(
       "greengage-platform-entry",
-      std::vector<std::string>{
-        "--settings",
-        WriteSettings(
-          fmt::format(R"("front":"{}","readyAddr":"{}","control":"{}")",
-                      Address(frontPort_),
-                      Address(readyPort_),
-                      Address(controlPort_)),
-          "") });
+      std::vector<std::string>{ "--settings",
+                                WriteSettings(EntryListen(), "") });
   }
 
   void StartAgent()
   {
     agent_ = std::make_unique<ChildProcess>(
       "greengage-platform-agent",
-      std::vector<std::string>{
-        "--settings",
-        WriteSettings(fmt::format(R"("control":"{}")", Address(announcePort_)),
-                      serverAddress_) });
+      std::vector<std::string>{ "--settings",
+                                WriteSettings(AgentListen(), serverAddress_) });
   }
 
   bool AwaitReady()
@@ -122,6 +137,7 @@
   unsigned frontPort_ = FreePort();
   unsigned readyPort_ = FreePort();
   unsigned controlPort_ = FreePort();
+  unsigned seedPort_ = controlPort_;
   unsigned announcePort_ = FreePort();
   unsigned internalPort_ = FreePort();
   std::vector<std::string> files_;
@@ -189,6 +205,31 @@
   EXPECT_EQ(Submit(100).status, 200);
 }
 
+// Guards against processes that stay alone because their seeds, or the address
+// of the store, changed without a signal.
+TEST_F(PlatformProcessTest, ChangedSettingsApplyWithoutASignal)
+{
+  store_.Publish(Configuration(3, ""));
+  std::string store = std::exchange(storeAddress_, Address(FreePort()));
+  StartEntry();
+  seedPort_ = FreePort();
+  StartAgent();
+  ASSERT_EQ(entry_->AwaitWord("name=process_started"), "");
+  std::this_thread::sleep_for(500ms);
+  EXPECT_EQ(CallHttp(Address(readyPort_), "GET", "/-/ready", "", 1s).status,
+            503);
+  storeAddress_ = store;
+  seedPort_ = controlPort_;
+  WriteSettingsTo(files_[0], EntryListen(), "");
+  WriteSettingsTo(files_[1], AgentListen(), serverAddress_);
+  ASSERT_TRUE(AwaitReady()) << entry_->Output() << agent_->Output();
+  EXPECT_EQ(Submit(1).status, 200);
+  // A file that cannot be used changes nothing.
+  WriteSettingsTo(files_[0], R"("control":7)", "");
+  EXPECT_NE(entry_->AwaitWord("name=settings_refused"), "none");
+  EXPECT_EQ(Submit(2).status, 200);
+}
+
 // Guards against settings errors that a process starts with, or that do not
 // say what is wrong.
 TEST_F(PlatformProcessTest, RefusesBrokenSettings)
