Move hung runs at once, and ask often for the first configuration

Change: a run whose progress says 20 times the expected time hangs. It counts as a failure of its server and is moved while any server can still end it in time. Tests: HungRunsOfLongTasksAreMoved and AsksOftenUntilThereIsADocument failed before. PausesDuringAnOutage now begins after the first document, as its pauses concern that case, and also checks that a pause of 500 ms is not enough.

--- a/src/coordination/dispatch/document_follower.cpp
+++ b/src/coordination/dispatch/document_follower.cpp
@@ -16,6 +16,8 @@
 constexpr milliseconds kReadWait{ 3000 };
 constexpr milliseconds kFirstRetry{ 150 };
 constexpr milliseconds kLongestRetry{ 600 };
+/** Without any document nothing can be served, so each read is worth it. */
+constexpr milliseconds kRetryWithoutDocument{ 150 };
 
 }
 
@@ -71,6 +73,7 @@
   SetAvailable(true);
   nextOffset_ = aNewest->nextOffset;
   if (aNewest->document) {
+    hasDocument_ = true;
     hooks_.document(*aNewest->document);
   }
   ReadSince();
@@ -86,6 +89,7 @@
   SetAvailable(true);
   nextOffset_ = aPage->nextOffset;
   for (const std::string& document : aPage->documents) {
+    hasDocument_ = true;
     hooks_.document(document);
   }
   ReadSince();
@@ -100,7 +104,8 @@
     return;
   }
   SetAvailable(false);
-  retryAt_ = clock_.MonotonicNow() + retryDelay_;
+  retryAt_ = clock_.MonotonicNow() +
+             (hasDocument_ ? retryDelay_ : kRetryWithoutDocument);
   retryDelay_ = std::min(2 * retryDelay_, kLongestRetry);
 }
 
--- a/src/coordination/dispatch/document_follower.h
+++ b/src/coordination/dispatch/document_follower.h
@@ -80,6 +80,7 @@
   DocumentFollowerHooks hooks_;
   bool reading_ = false;
   bool available_ = true;
+  bool hasDocument_ = false;
   std::optional<std::uint64_t> nextOffset_;
   state::MonotonicTime retryAt_;
   std::chrono::milliseconds retryDelay_;
--- a/src/coordination/dispatch/run_monitor.cpp
+++ b/src/coordination/dispatch/run_monitor.cpp
@@ -9,6 +9,11 @@
 
 /** Work that is further off than this speaks of the server, not the task. */
 constexpr double kLargestWorkFactor = 4;
+/**
+ * A run that would last this multiple of what is expected hangs: no task is
+ * that long, and no server that still works is that slow.
+ */
+constexpr double kHangFactor = 20;
 /** Each move starts a task again from nothing. */
 constexpr std::uint32_t kMaxMoves = 2;
 /** What the work does not explain lowers a speed from this factor on. */
@@ -35,6 +40,9 @@
                        DispatchedTask& aTask,
                        double aRunTimeMs)
 {
+  if (aRunTimeMs > kHangFactor * aTask.expectedMs && aTask.workMs == 0) {
+    return OnHang(aJob, aStep, aTask);
+  }
   aTask.workMs = WorkFromForecast(aJob, aStep, aTask, aRunTimeMs);
   // The run makes progress: it is overdue only beyond its forecast.
   aTask.expectedMs = std::max(aTask.expectedMs, aRunTimeMs);
@@ -58,6 +66,24 @@
   return RunVerdict::eMove;
 }
 
+RunVerdict
+RunMonitor::OnHang(const DispatchedJob& aJob,
+                   std::size_t aStep,
+                   const DispatchedTask& aTask)
+{
+  double elapsed = MillisecondsBetween(aTask.sentAt, clock_.MonotonicNow());
+  servers_.Model().AddOverdue(aJob.queue.name,
+                              aJob.spec.steps[aStep].estimate,
+                              aTask.server,
+                              ToMilliseconds(elapsed));
+  servers_.OnRunFailed(aTask.server);
+  PlacementRequest request = placer_.RequestFor(aJob, aStep);
+  auto shortest = servers_.ShortestRunTime(request);
+  bool possible = shortest && *shortest + kMoveMs <= request.latestMs;
+  // Nothing is lost by the stop, even if no other server has room yet.
+  return possible ? RunVerdict::eMove : RunVerdict::eHopeless;
+}
+
 double
 RunMonitor::WorkFromForecast(const DispatchedJob& aJob,
                              std::size_t aStep,
--- a/src/coordination/dispatch/run_monitor.h
+++ b/src/coordination/dispatch/run_monitor.h
@@ -41,6 +41,10 @@
                      DispatchedTask& aTask);
 
 private:
+  /** Judges a run whose server makes next to no progress with it. */
+  RunVerdict OnHang(const DispatchedJob& aJob,
+                    std::size_t aStep,
+                    const DispatchedTask& aTask);
   /** Work of a task that will last this long on its server. */
   double WorkFromForecast(const DispatchedJob& aJob,
                           std::size_t aStep,
--- a/tests/dispatch/dispatch_patterns_test.cpp
+++ b/tests/dispatch/dispatch_patterns_test.cpp
@@ -177,6 +177,19 @@
   EXPECT_LE(world.Starts(1), 20u);
 }
 
+// Guards against long tasks that stay on a hanging server until their deadline
+// because their lack of progress is taken for a great amount of work.
+TEST(DispatchPatternsTest, HungRunsOfLongTasksAreMoved)
+{
+  DispatchWorld world(OneEntry(3));
+  Load(world, 60, 30, 2, kShortWork);
+  world.Run(3000);
+  world.Server(1).SetHanging(true);
+  Load(world, 6, 20, 2, 500, 1000);
+  world.Run(3000);
+  EXPECT_EQ(Count(world, DispatchResult::eCompleted), 66u);
+}
+
 // Guards against a server that fails everything at once and so attracts work.
 TEST(DispatchPatternsTest, FailingServerIsLeftAlone)
 {
--- a/tests/dispatch/document_follower_test.cpp
+++ b/tests/dispatch/document_follower_test.cpp
@@ -78,6 +78,29 @@
 // Guards against calls in a tight loop while the log is away, each of which is
 // paid for, and against an outage that nobody is told of.
 TEST_F(DocumentFollowerTest, PausesDuringAnOutage)
+{
+  follower_.Tick();
+  newestDone_(NewestDocument{ "first", 7 });
+  // Beyond this its pauses do not grow.
+  for (unsigned i = 0; i < 20; ++i) {
+    pageDone_(tl::unexpected(DocumentReadError::eUnavailable));
+    pageDone_ = nullptr;
+    Wait(milliseconds(700));
+    ASSERT_TRUE(pageDone_);
+  }
+  pageDone_(tl::unexpected(DocumentReadError::eUnavailable));
+  pageDone_ = nullptr;
+  Wait(milliseconds(500));
+  EXPECT_FALSE(pageDone_);
+  Wait(milliseconds(200));
+  ASSERT_TRUE(pageDone_);
+  pageDone_(DocumentPage{ {}, 7 });
+  EXPECT_EQ(availability_, (std::vector<bool>{ false, true }));
+}
+
+// Guards against entries that refuse everything for longer than the store is
+// away, after all processes were started anew during an outage.
+TEST_F(DocumentFollowerTest, AsksOftenUntilThereIsADocument)
 {
   follower_.Tick();
   newestDone_(tl::unexpected(DocumentReadError::eUnavailable));
@@ -87,7 +110,7 @@
   EXPECT_EQ(newestReads_, 2u);
   for (unsigned i = 0; i < 20; ++i) {
     newestDone_(tl::unexpected(DocumentReadError::eUnavailable));
-    Wait(milliseconds(700));
+    Wait(milliseconds(200));
   }
   EXPECT_EQ(newestReads_, 22u);
   newestDone_(NewestDocument{ std::nullopt, 0 });
