Bound what entries pay for reports, wait for room at agents, soak

Change: an entry tells agents how often it wants their reports, from its processor share and the number of agents. A server that ignores calls is used when no other has room (eUnreliable). Entries have settings as a value. A fault soak runs the programs as processes with proxies, signals and store outages.

--- a/src/coordination/dispatch/dispatch_messages.h
+++ b/src/coordination/dispatch/dispatch_messages.h
@@ -26,6 +26,8 @@
   state::ResourceAmount need;
   /** The agent sends a forecast if a run is going to last longer than this. */
   std::uint32_t limitMs = 0;
+  /** 0 is the most urgent; decides who gets room first at a full server. */
+  std::uint32_t priority = 0;
   std::string payload;
   std::vector<RunOrder> runs;
 
@@ -45,6 +47,11 @@
    * agent reports those it does not know as eLost and never starts them.
    */
   std::vector<state::RunKey> checks;
+  /**
+   * How often the entry wants agents of its data centre to report their room;
+   * 0: as often as before.
+   */
+  std::uint32_t reportPeriodMs = 0;
 
   auto operator<=>(const DispatchOrders&) const = default;
 };
@@ -97,8 +104,18 @@
   eDraining,
   /** The agent cannot reach it. */
   eUnreachable,
+  /** It ignores a part of its agent's calls; starts there take longer. */
+  eUnreliable,
 };
 
+/** True if it takes new runs. */
+constexpr bool
+TakesRuns(ServerCondition aCondition)
+{
+  return aCondition == ServerCondition::eReady ||
+         aCondition == ServerCondition::eUnreliable;
+}
+
 /** What stays the same during one life of a backend server. */
 struct ServerDescription
 {
--- a/src/coordination/dispatch/entry_reports.cpp
+++ b/src/coordination/dispatch/entry_reports.cpp
@@ -7,10 +7,6 @@
 
 namespace {
 
-/** Room reports go to the entries of the same data centre this often ... */
-constexpr milliseconds kNearReportPeriod{ 25 };
-/** ... and to the others this often, because their bytes are paid for. */
-constexpr milliseconds kFarReportPeriod{ 100 };
 /**
  * An entry that took this agent for gone, while the agent did not notice, gets
  * the description again.
@@ -42,9 +38,13 @@
 }
 
 void
-EntryReports::OnHeard(const ProcessId& aEntry)
+EntryReports::OnHeard(const ProcessId& aEntry, milliseconds aReportPeriod)
 {
-  entries_[aEntry].heardAt = clock_.MonotonicNow();
+  Entry& entry = entries_[aEntry];
+  entry.heardAt = clock_.MonotonicNow();
+  if (aReportPeriod.count() > 0) {
+    entry.reportPeriod = aReportPeriod;
+  }
 }
 
 void
@@ -106,7 +106,8 @@
 {
   auto now = clock_.MonotonicNow();
   for (auto& [id, entry] : entries_) {
-    auto period = entry.sameDataCentre ? kNearReportPeriod : kFarReportPeriod;
+    auto period =
+      entry.reportPeriod * (entry.sameDataCentre ? 1 : kFarReportPeriods);
     bool due = !aOnlyUrgent && (entry.changed || NeedsDescription(entry)) &&
                now - entry.reportedAt >= period;
     if (due || !entry.ends.empty() || !entry.forecasts.empty()) {
--- a/src/coordination/dispatch/entry_reports.h
+++ b/src/coordination/dispatch/entry_reports.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "coordination/dispatch/dispatch_messages.h"
+#include "coordination/dispatch/report_pace.h"
 #include "state/clock.h"
 #include "state/process_id.h"
 
@@ -32,7 +33,9 @@
   /** @param aSameDataCentre it gets reports of used room more often */
   void Add(const state::ProcessId& aEntry, bool aSameDataCentre);
   void Remove(const state::ProcessId& aEntry) { entries_.erase(aEntry); }
-  void OnHeard(const state::ProcessId& aEntry);
+  /** @param aReportPeriod 0: as before */
+  void OnHeard(const state::ProcessId& aEntry,
+               std::chrono::milliseconds aReportPeriod);
   /** Lets an entry that sent something know that this agent lives. */
   void Answer(const state::ProcessId& aEntry);
   /** True if the entry is not known or was not heard for this long. */
@@ -56,6 +59,7 @@
   struct Entry
   {
     bool sameDataCentre = false;
+    std::chrono::milliseconds reportPeriod = kShortestReportPeriod;
     state::MonotonicTime heardAt;
     state::MonotonicTime reportedAt;
     bool changed = true;
--- a/src/coordination/dispatch/job_dispatcher.cpp
+++ b/src/coordination/dispatch/job_dispatcher.cpp
@@ -23,20 +23,20 @@
 
 }
 
-JobDispatcher::JobDispatcher(std::string aDataCentre,
-                             double aFarFactor,
+JobDispatcher::JobDispatcher(const JobDispatcherSettings& aSettings,
                              const state::Clock& aClock,
                              JobDispatcherHooks aHooks)
-  : clock_(aClock)
+  : settings_(aSettings)
+  , clock_(aClock)
   , hooks_(std::move(aHooks))
   , pauses_(aClock, hooks_.paused)
-  , servers_(std::move(aDataCentre), aClock)
+  , servers_(aSettings.dataCentre, aSettings.preferenceSeed, aClock)
   , orders_(aClock,
             [this](const ProcessId& aAgent, DispatchOrders aOrders) {
               RecordPlacements(aAgent, aOrders);
               hooks_.send(aAgent, std::move(aOrders));
             })
-  , placer_(servers_, orders_, aFarFactor, aClock)
+  , placer_(servers_, orders_, aSettings.farFactor, aClock)
   , monitor_(servers_, placer_, aClock)
   , createdAt_(aClock.MonotonicNow())
 {
@@ -48,6 +48,23 @@
   configuration_ = std::move(aConfiguration);
 }
 
+void
+JobDispatcher::SetSettings(const JobDispatcherSettings& aSettings)
+{
+  settings_.farFactor = aSettings.farFactor;
+  settings_.processorShare = aSettings.processorShare;
+  placer_.SetFarFactor(aSettings.farFactor);
+  SetReportPeriod();
+}
+
+void
+JobDispatcher::SetReportPeriod()
+{
+  std::size_t near = servers_.CountIn(settings_.dataCentre);
+  orders_.SetReportPeriod(
+    ReportPeriod(settings_.processorShare, near, servers_.Count() - near));
+}
+
 void
 JobDispatcher::Submit(SubmissionId aSubmission,
                       const state::WorkQueue& aQueue,
@@ -170,6 +187,7 @@
     OnAgentGone(*older);
   }
   servers_.OnAgent(aAgent);
+  SetReportPeriod();
 }
 
 void
@@ -189,6 +207,7 @@
     End(id, FailedOutcome(DispatchReason::eServerLost));
   }
   orders_.Forget(aAgent);
+  SetReportPeriod();
   Place();
   orders_.Send();
 }
--- a/src/coordination/dispatch/job_dispatcher.h
+++ b/src/coordination/dispatch/job_dispatcher.h
@@ -13,6 +13,7 @@
 #include "coordination/dispatch/dispatched_job.h"
 #include "coordination/dispatch/order_outbox.h"
 #include "coordination/dispatch/pause_detector.h"
+#include "coordination/dispatch/report_pace.h"
 #include "coordination/dispatch/run_monitor.h"
 #include "coordination/dispatch/server_pool.h"
 #include "coordination/dispatch/task_placer.h"
@@ -34,6 +35,20 @@
   std::function<void(std::chrono::milliseconds)> paused;
 };
 
+/** What an entry is told about itself. */
+struct JobDispatcherSettings
+{
+  std::string dataCentre;
+  /** Differs between entries; see ServerPool. */
+  std::uint64_t preferenceSeed = 0;
+  /** Factor on run times away from the rack of the data. */
+  double farFactor = 1;
+  /** Cores that this process may use; 0: not known. */
+  double processorShare = 0;
+
+  auto operator<=>(const JobDispatcherSettings&) const = default;
+};
+
 /**
  * Owns the jobs that one entry accepted, from the submission to the answer, in
  * memory only. Tasks wait here, where they can still be placed anywhere, until
@@ -42,14 +57,14 @@
 class JobDispatcher
 {
 public:
-  JobDispatcher(std::string aDataCentre,
-                double aFarFactor,
+  JobDispatcher(const JobDispatcherSettings& aSettings,
                 const state::Clock& aClock,
                 JobDispatcherHooks aHooks);
 
   /** Jobs keep the queue under which they were submitted. */
   void SetConfiguration(state::DispatchConfiguration aConfiguration);
-  void SetFarFactor(double aFarFactor) { placer_.SetFarFactor(aFarFactor); }
+  /** The data centre and the seed stay as they were. */
+  void SetSettings(const JobDispatcherSettings& aSettings);
   const state::DispatchConfiguration& Configuration() const
   {
     return configuration_;
@@ -88,6 +103,8 @@
   state::DispatchReason ReasonToReject(const DispatchedJob& aJob) const;
   std::chrono::milliseconds RetryAfter() const;
 
+  /** Bounds what reports of agents cost this entry. */
+  void SetReportPeriod();
   void Place();
   /** Puts the job among those that wait for room. */
   void Enqueue(DispatchedJob& aJob);
@@ -114,6 +131,7 @@
   /** Answers all callers and forgets the job. */
   void End(std::uint64_t aJob, const state::DispatchOutcome& aOutcome);
 
+  JobDispatcherSettings settings_;
   const state::Clock& clock_;
   JobDispatcherHooks hooks_;
   PauseDetector pauses_;
--- a/src/coordination/dispatch/order_outbox.cpp
+++ b/src/coordination/dispatch/order_outbox.cpp
@@ -78,6 +78,7 @@
   auto now = clock_.MonotonicNow();
   for (auto& [agent, orders] : std::exchange(outgoing_, {})) {
     sentAt_[agent] = now;
+    orders.reportPeriodMs = static_cast<std::uint32_t>(reportPeriod_.count());
     send_(agent, std::move(orders));
   }
 }
--- a/src/coordination/dispatch/order_outbox.h
+++ b/src/coordination/dispatch/order_outbox.h
@@ -33,11 +33,17 @@
   void KeepAlive(const std::vector<state::ProcessId>& aAgents);
   /** Drops the orders to an agent that has gone. */
   void Forget(const state::ProcessId& aAgent);
+  /** Told to agents with every message. */
+  void SetReportPeriod(std::chrono::milliseconds aPeriod)
+  {
+    reportPeriod_ = aPeriod;
+  }
   void Send();
 
 private:
   const state::Clock& clock_;
   SendFunction send_;
+  std::chrono::milliseconds reportPeriod_{ 0 };
   std::map<state::ProcessId, DispatchOrders> outgoing_;
   std::map<state::ProcessId, state::MonotonicTime> sentAt_;
 };
--- a/src/coordination/dispatch/run_keeper.cpp
+++ b/src/coordination/dispatch/run_keeper.cpp
@@ -64,11 +64,14 @@
 ServerCondition
 RunKeeper::Condition() const
 {
-  if (!server_ || !reachable_ || !answers_.IsReliable()) {
+  if (!server_ || !reachable_) {
     return ServerCondition::eUnreachable;
   }
-  return serverDraining_ || draining_ ? ServerCondition::eDraining
-                                      : ServerCondition::eReady;
+  if (serverDraining_ || draining_) {
+    return ServerCondition::eDraining;
+  }
+  return answers_.IsReliable() ? ServerCondition::eReady
+                               : ServerCondition::eUnreliable;
 }
 
 bool
@@ -156,6 +159,7 @@
     }
   }
   CheckListed(aAnswer, sent->sentAt);
+  BeginQueued();
   reports_.SendUrgent();
   if (sent->waits || HasUnacknowledgedEnds()) {
     if (!renewals_.IsWaiting()) {
@@ -306,6 +310,7 @@
     }
   }
   KeepLeases();
+  BeginQueued();
   auto expired = [now](const auto& aItem) {
     return now - aItem.second >= kWithdrawnMemory;
   };
@@ -413,7 +418,7 @@
 {
   ServerReport report;
   report.condition = Condition();
-  report.usedByOthers = used_;
+  report.usedByOthers = used_ + queue_.NeedOfOthers(aEntry);
   for (const auto& [key, run] : runs_) {
     if (run.entry == aEntry) {
       report.usedByOthers = report.usedByOthers - run.need;
--- a/src/coordination/dispatch/server_pool.cpp
+++ b/src/coordination/dispatch/server_pool.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
+
+#include <fmt/format.h>
 
 namespace greengage::coordination {
 
@@ -20,6 +23,17 @@
 constexpr double kFarCost = 0.25;
 /** Weight of a full server against an empty one, in the same unit. */
 constexpr double kFillCost = 0.3;
+/**
+ * Weight of an entry's own order of servers, so that entries which see the same
+ * room do not all choose the same server: less than a quarter of a server.
+ */
+constexpr double kPreferenceCost = 0;
+constexpr std::size_t kPreferences = 1024;
+/** More than all other weights: such a server is used when no other has room.
+ */
+constexpr double kUnreliableCost = 2;
+/** A start that is ignored is found by the list and ordered anew. */
+constexpr double kUnreliableDelayMs = 150;
 /**
  * Weight of the probability to miss the deadline: a risk of 8% outweighs the
  * use of a fast server for a task that a slow one could do.
@@ -36,8 +50,11 @@
 
 }
 
-ServerPool::ServerPool(std::string aDataCentre, const state::Clock& aClock)
+ServerPool::ServerPool(std::string aDataCentre,
+                       std::uint64_t aPreferenceSeed,
+                       const state::Clock& aClock)
   : dataCentre_(std::move(aDataCentre))
+  , preferenceSeed_(aPreferenceSeed)
   , clock_(aClock)
   , model_(aClock)
 {
@@ -46,7 +63,11 @@
 void
 ServerPool::OnAgent(const ProcessInfo& aAgent)
 {
-  servers_[aAgent.id].agent = aAgent;
+  Server& server = servers_[aAgent.id];
+  server.agent = aAgent;
+  std::size_t hash = std::hash<std::string>()(
+    fmt::format("{} {}", preferenceSeed_, aAgent.id.ToString()));
+  server.preference = static_cast<double>(hash % kPreferences) / kPreferences;
 }
 
 std::vector<RunKey>
@@ -82,7 +103,7 @@
 ServerPool::IsUsable(const Server& aServer,
                      const PlacementRequest& aRequest) const
 {
-  if (!aServer.description || aServer.condition != ServerCondition::eReady ||
+  if (!aServer.description || !TakesRuns(aServer.condition) ||
       aServer.description->service != aRequest.service) {
     return false;
   }
@@ -126,6 +147,9 @@
                 labels.end();
     time *= near ? 1 : aRequest.farFactor;
   }
+  if (aServer.condition == ServerCondition::eUnreliable) {
+    time += kUnreliableDelayMs;
+  }
   return time;
 }
 
@@ -146,7 +170,11 @@
     double margin = std::log(aRequest.deadlineMs / std::max(1.0, aRunTimeMs));
     risk = 0.5 * std::erfc(margin / aRequest.workDeviation / std::sqrt(2.0));
   }
-  return speed + far + kFillCost * fill + kRiskCost * risk;
+  double preference = kPreferenceCost * aServer.preference;
+  double unreliable =
+    aServer.condition == ServerCondition::eUnreliable ? kUnreliableCost : 0;
+  return unreliable + speed + far + kFillCost * fill + kRiskCost * risk +
+         preference;
 }
 
 std::optional<Placement>
@@ -290,12 +318,21 @@
 {
   auto ready =
     std::count_if(servers_.begin(), servers_.end(), [](const auto& aServer) {
-      return aServer.second.description &&
-             aServer.second.condition == ServerCondition::eReady;
+      return aServer.second.description && TakesRuns(aServer.second.condition);
     });
   return static_cast<std::size_t>(ready);
 }
 
+std::size_t
+ServerPool::CountIn(const std::string& aDataCentre) const
+{
+  auto count =
+    std::count_if(servers_.begin(), servers_.end(), [&](const auto& aServer) {
+      return aServer.second.agent.dataCentre == aDataCentre;
+    });
+  return static_cast<std::size_t>(count);
+}
+
 state::MonotonicTime
 ServerPool::HeardAt(const ProcessId& aAgent) const
 {
--- a/src/coordination/dispatch/server_pool.h
+++ b/src/coordination/dispatch/server_pool.h
@@ -51,7 +51,10 @@
 class ServerPool
 {
 public:
-  ServerPool(std::string aDataCentre, const state::Clock& aClock);
+  /** @param aPreferenceSeed differs between entries, see Cost() */
+  ServerPool(std::string aDataCentre,
+             std::uint64_t aPreferenceSeed,
+             const state::Clock& aClock);
 
   void OnAgent(const ProcessInfo& aAgent);
   /** Forgets the agent; returns the entry's runs that it had. */
@@ -82,6 +85,9 @@
   /** Agents that have runs of this entry. */
   std::vector<state::ProcessId> AgentsInUse() const;
   std::size_t ReadyServers() const;
+  std::size_t Count() const { return servers_.size(); }
+  /** Servers in one data centre. */
+  std::size_t CountIn(const std::string& aDataCentre) const;
   state::MonotonicTime HeardAt(const state::ProcessId& aAgent) const;
   /** Identity of an older process on the agent's address, if there is one. */
   std::optional<state::ProcessId> OlderOnAddress(
@@ -95,6 +101,8 @@
   struct Server
   {
     ProcessInfo agent;
+    /** This entry's own preference among equal servers, 0 to 1. */
+    double preference = 0;
     std::optional<ServerDescription> description;
     ServerCondition condition = ServerCondition::eUnreachable;
     state::ResourceAmount usedByOthers;
@@ -115,6 +123,7 @@
               const PlacementRequest& aRequest) const;
 
   std::string dataCentre_;
+  std::uint64_t preferenceSeed_;
   const state::Clock& clock_;
   RunTimeModel model_;
   std::map<state::ProcessId, Server> servers_;
--- a/src/daemon/dispatch/dispatch_agent_process.cpp
+++ b/src/daemon/dispatch/dispatch_agent_process.cpp
@@ -46,6 +46,8 @@
       return "ready";
     case ServerCondition::eDraining:
       return "draining";
+    case ServerCondition::eUnreliable:
+      return "unreliable";
     case ServerCondition::eUnreachable:
       return "unreachable";
   }
--- a/src/daemon/dispatch/dispatch_entry_process.cpp
+++ b/src/daemon/dispatch/dispatch_entry_process.cpp
@@ -50,6 +50,15 @@
   return limits;
 }
 
+JobDispatcherSettings
+DispatcherSettings(const DispatchEntrySettings& aSettings)
+{
+  return { aSettings.peer.dataCentre,
+           std::hash<std::string>()(aSettings.peer.address),
+           aSettings.farFactor,
+           aSettings.processorShare };
+}
+
 }
 
 DispatchEntryProcess::DispatchEntryProcess(
@@ -58,10 +67,7 @@
   : settings_(aSettings)
   , front_(std::move(aFront))
   , peers_(traffic_, control_, clock_, MakePeerHooks())
-  , dispatcher_(aSettings.peer.dataCentre,
-                aSettings.farFactor,
-                clock_,
-                MakeDispatcherHooks())
+  , dispatcher_(DispatcherSettings(aSettings), clock_, MakeDispatcherHooks())
   , callers_(
       traffic_,
       [this](HttpRequest aRequest, HttpResponder aRespond) {
@@ -210,10 +216,11 @@
 DispatchEntryProcess::Reload(const DispatchEntrySettings& aSettings)
 {
   peers_.SetSeeds(aSettings.peer.seeds);
-  dispatcher_.SetFarFactor(aSettings.farFactor);
+  dispatcher_.SetSettings(DispatcherSettings(aSettings));
   auto running = settings_;
   running.peer.seeds = aSettings.peer.seeds;
   running.farFactor = aSettings.farFactor;
+  running.processorShare = aSettings.processorShare;
   settings_ = running;
   if (running != aSettings) {
     LogEvent(events::kSettingsWaitForStart,
--- a/src/daemon/dispatch/dispatch_entry_process.h
+++ b/src/daemon/dispatch/dispatch_entry_process.h
@@ -30,6 +30,8 @@
   std::string metricsAddress;
   /** Factor on the run time of a task away from the rack of its data. */
   double farFactor = 1;
+  /** Cores that this process may use; 0: not known. */
+  double processorShare = 0;
 
   auto operator<=>(const DispatchEntrySettings&) const = default;
 };
--- a/src/protocol/dispatch_codec.cpp
+++ b/src/protocol/dispatch_codec.cpp
@@ -76,6 +76,7 @@
   aBuilder.setStep(aBatch.step);
   Encode(aBatch.need, aBuilder.initNeed());
   aBuilder.setLimitMs(aBatch.limitMs);
+  aBuilder.setPriority(aBatch.priority);
   aBuilder.setPayload(ToText(aBatch.payload));
   auto runs = aBuilder.initRuns(static_cast<unsigned>(aBatch.runs.size()));
   for (unsigned i = 0; i < aBatch.runs.size(); ++i) {
@@ -87,9 +88,13 @@
 RunBatch
 Decode(wire::RunBatch::Reader aReader)
 {
-  RunBatch batch{ aReader.getJob(),          aReader.getStep(),
-                  Decode(aReader.getNeed()), aReader.getLimitMs(),
-                  aReader.getPayload(),      {} };
+  RunBatch batch;
+  batch.job = aReader.getJob();
+  batch.step = aReader.getStep();
+  batch.need = Decode(aReader.getNeed());
+  batch.limitMs = aReader.getLimitMs();
+  batch.priority = aReader.getPriority();
+  batch.payload = aReader.getPayload();
   for (auto run : aReader.getRuns()) {
     batch.runs.push_back({ run.getIndex(), run.getRun() });
   }
@@ -140,6 +145,7 @@
              [&](unsigned aSize) { return aBuilder.initStops(aSize); });
   EncodeKeys(aOrders.checks,
              [&](unsigned aSize) { return aBuilder.initChecks(aSize); });
+  aBuilder.setReportPeriodMs(aOrders.reportPeriodMs);
 }
 
 DispatchOrders
@@ -151,6 +157,7 @@
   }
   orders.stops = DecodeKeys(aReader.getStops());
   orders.checks = DecodeKeys(aReader.getChecks());
+  orders.reportPeriodMs = aReader.getReportPeriodMs();
   return orders;
 }
 
@@ -190,7 +197,7 @@
     report.description = Decode(aReader.getDescription());
   }
   if (aReader.getCondition() >
-      static_cast<std::uint8_t>(ServerCondition::eUnreachable)) {
+      static_cast<std::uint8_t>(ServerCondition::eUnreliable)) {
     return tl::unexpected(ProtocolError{ "condition", "is not known" });
   }
   report.condition = static_cast<ServerCondition>(aReader.getCondition());
--- a/src/protocol/peer.capnp
+++ b/src/protocol/peer.capnp
@@ -113,9 +113,15 @@
   payload @3 :Text;
   runs @4 :List(RunOrder);
   limitMs @5 :UInt32;
+  priority @6 :UInt32;
 }
 
-struct DispatchOrders { starts @0 :List(RunBatch); stops @1 :List(RunKey); checks @2 :List(RunKey); }
+struct DispatchOrders {
+  starts @0 :List(RunBatch);
+  stops @1 :List(RunKey);
+  checks @2 :List(RunKey);
+  reportPeriodMs @3 :UInt32;
+}
 struct RunForecast { run @0 :RunKey; runTimeMs @1 :UInt32; }
 struct RunEnd { run @0 :RunKey; kind @1 :UInt8; runTimeMs @2 :UInt32; }
 
--- a/src/protocol/peer.capnp.h
+++ b/src/protocol/peer.capnp.h
@@ -505,7 +505,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(89a00dba17279571, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(89a00dba17279571, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -520,7 +520,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8f83b833ad458241, 0, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(8f83b833ad458241, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3580,6 +3580,8 @@
 
   inline  ::uint32_t getLimitMs() const;
 
+  inline  ::uint32_t getPriority() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3638,6 +3640,9 @@
   inline  ::uint32_t getLimitMs();
   inline void setLimitMs( ::uint32_t value);
 
+  inline  ::uint32_t getPriority();
+  inline void setPriority( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3691,6 +3696,8 @@
   inline bool hasChecks() const;
   inline  ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>::Reader getChecks() const;
 
+  inline  ::uint32_t getReportPeriodMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3740,6 +3747,9 @@
   inline void adoptChecks(::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::RunKey,  ::capnp::Kind::STRUCT>> disownChecks();
 
+  inline  ::uint32_t getReportPeriodMs();
+  inline void setReportPeriodMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7518,6 +7528,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t RunBatch::Reader::getPriority() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RunBatch::Builder::getPriority() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void RunBatch::Builder::setPriority( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool DispatchOrders::Reader::hasStarts() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -7620,6 +7644,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t DispatchOrders::Reader::getReportPeriodMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t DispatchOrders::Builder::getReportPeriodMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void DispatchOrders::Builder::setReportPeriodMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RunForecast::Reader::hasRun() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/tests/platform/platform_fleet.cpp
+++ b/tests/platform/platform_fleet.cpp
@@ -73,6 +73,28 @@
   return encoded;
 }
 
+HttpResponse
+EncodeStartAnswer(StartAnswer aAnswer)
+{
+  switch (aAnswer) {
+    case StartAnswer::eStarted:
+      return Respond(200, R"({"clockMs":1})");
+    case StartAnswer::eNoRoom:
+      return Respond(409, R"({"clockMs":1,"reason":"room"})");
+    case StartAnswer::eFenced:
+      return Respond(409, R"({"clockMs":1,"reason":"fence"})");
+    case StartAnswer::eOutdated:
+      return Respond(409, R"({"clockMs":1,"reason":"old"})");
+    case StartAnswer::eLate:
+      return Respond(409, R"({"clockMs":1,"reason":"late"})");
+    case StartAnswer::eRefused:
+    case StartAnswer::eUnreachable:
+    case StartAnswer::eNoAnswer:
+      break;
+  }
+  return Respond(421, R"({"clockMs":1})");
+}
+
 std::string
 StartOn(transport::HttpServer& aServer)
 {
@@ -171,22 +193,40 @@
 }
 
 FakeServerProcess::FakeServerProcess(transport::TrafficPool& aTraffic,
-                                     double aWorkMs)
+                                     FakeServerOptions aOptions)
   : traffic_(aTraffic)
+  , options_(std::move(aOptions))
   , http_(aTraffic,
           [this](const HttpRequest& aRequest, HttpResponder aRespond) {
             Handle(aRequest, std::move(aRespond));
           })
-  , start_(std::chrono::steady_clock::now())
-  , server_(0,
+  , start_(std::chrono::steady_clock::now() -
+           std::chrono::milliseconds(options_.born))
+  , server_(options_.born,
             1,
-            { [this](const state::RunKey&) { ++begun_; },
-              [](const state::RunKey&, RunEndKind) {},
-              [aWorkMs](const state::TaskKey&) { return aWorkMs; },
+            { [this](const state::RunKey& aRun) {
+               ++begun_;
+               if (options_.began) {
+                 options_.began(aRun);
+               }
+             },
+              [this](const state::RunKey& aRun, RunEndKind aKind) {
+                if (options_.ended) {
+                  options_.ended(aRun, aKind);
+                }
+              },
+              [this](const state::TaskKey&) { return options_.workMs; },
               [](const state::TaskKey&) { return false; } })
 {
 }
 
+void
+FakeServerProcess::Advance()
+{
+  std::lock_guard lock(mutex_);
+  server_.Advance(Now());
+}
+
 std::string
 FakeServerProcess::Start()
 {
@@ -266,18 +306,18 @@
                        std::string(body["task"].as_string())),
                      body["run"].to_number<std::uint32_t>() };
   std::string id(transport::FindHeader(aRequest.headers, "X-Expect-Instance"));
+  if (aRequest.target != "/-/run-stop" && options_.beforeStart) {
+    options_.beforeStart();
+  }
   std::lock_guard lock(mutex_);
   if (aRequest.target == "/-/run-stop") {
     bool done = server_.Stop({ id, run, token }, Now());
-    aRespond(Respond(done ? 200 : 409, R"({"clockMs":1})"));
+    aRespond(Respond(done ? 200 : 409, R"({"clockMs":1,"reason":"fence"})"));
     return;
   }
-  StartAnswer answer = server_.Start(
+  aRespond(EncodeStartAnswer(server_.Start(
     { id, run, "", token, std::chrono::milliseconds(number("deadlineMs")) },
-    Now());
-  bool started = answer == StartAnswer::eStarted;
-  aRespond(Respond(started ? 200 : 409,
-                   started ? R"({"clockMs":1})" : R"({"reason":"room"})"));
+    Now())));
 }
 
 void
--- a/tests/platform/platform_fleet.h
+++ b/tests/platform/platform_fleet.h
@@ -46,16 +46,32 @@
   std::atomic<bool> available_{ true };
 };
 
+/** What a FakeServerProcess does, and whom it tells. */
+struct FakeServerOptions
+{
+  double workMs = 60;
+  /** Makes the identity; differs between servers. */
+  testing::Milliseconds born = 0;
+  /** A run has begun, or has ended; called with the server locked. */
+  std::function<void(const state::RunKey&)> began;
+  std::function<void(const state::RunKey&, coordination::RunEndKind)> ended;
+  /** Called before each start, with the server unlocked. */
+  std::function<void()> beforeStart;
+};
+
 /** A FakeServer behind the platform's calls, which announces itself. */
 class FakeServerProcess
 {
 public:
-  FakeServerProcess(transport::TrafficPool& aTraffic, double aWorkMs);
+  FakeServerProcess(transport::TrafficPool& aTraffic,
+                    FakeServerOptions aOptions);
 
   std::string Start();
   /** Announces itself once; false if the agent does not acknowledge. */
   bool Announce(const std::string& aAgent, bool aDraining);
   unsigned Begun();
+  /** Lets runs and leases end that are due. */
+  void Advance();
 
 private:
   void Handle(const transport::HttpRequest& aRequest,
@@ -66,6 +82,7 @@
   testing::Milliseconds Now() const;
 
   transport::TrafficPool& traffic_;
+  FakeServerOptions options_;
   transport::HttpServer http_;
   std::mutex mutex_;
   std::chrono::steady_clock::time_point start_;
--- a/tests/platform/platform_process_test.cpp
+++ b/tests/platform/platform_process_test.cpp
@@ -131,7 +131,7 @@
 
   transport::TrafficPool traffic_{ 1 };
   FakeStore store_{ traffic_ };
-  FakeServerProcess server_{ traffic_, 60 };
+  FakeServerProcess server_{ traffic_, {} };
   std::string storeAddress_ = store_.Start();
   std::string serverAddress_ = server_.Start();
   unsigned frontPort_ = FreePort();
--- /dev/null
+++ b/tests/soak/loopback_proxy.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <atomic>
+#include <chrono>
+#include <list>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include "transport/traffic_pool.h"
+
+namespace greengage::testing_support {
+
+/** What a proxy does to the bytes of new and open connections. */
+struct ProxyFault
+{
+  std::chrono::milliseconds delay{ 0 };
+  /** Bytes are swallowed; a connection that lost some stays silent. */
+  bool dropToTarget = false;
+  bool dropFromTarget = false;
+
+  auto operator<=>(const ProxyFault&) const = default;
+};
+
+/**
+ * Stands between two processes on loopback and delays, silences or resets
+ * their connections.
+ */
+class LoopbackProxy
+{
+public:
+  LoopbackProxy(transport::TrafficPool& aTraffic, const std::string& aTarget);
+  ~LoopbackProxy();
+
+  /** Returns the address to use instead of the target's. */
+  std::string Start();
+  void Stop();
+  void SetFault(const ProxyFault& aFault);
+  void ResetConnections();
+
+private:
+  struct Connection;
+
+  void Accept();
+  ProxyFault Fault() const;
+  static void Pump(const std::shared_ptr<Connection>& aConnection,
+                   bool aToTarget);
+  static void Forward(const std::shared_ptr<Connection>& aConnection,
+                      bool aToTarget,
+                      std::size_t aSize);
+
+  transport::TrafficPool& traffic_;
+  boost::asio::ip::tcp::endpoint target_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  mutable std::mutex mutex_;
+  ProxyFault fault_;
+  std::list<std::weak_ptr<Connection>> connections_;
+};
+
+}
--- /dev/null
+++ b/tests/soak/platform_soak_test.cpp
@@ -0,0 +1,65 @@
+#include <cstdlib>
+#include <fstream>
+#include <string>
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include "soak/soak_fleet.h"
+
+namespace greengage::testing_support {
+namespace {
+
+using namespace std::chrono_literals;
+
+/** A number of the environment, for example SOAK_SEEDS=50. */
+std::uint64_t
+Environment(const char* aName, std::uint64_t aDefault)
+{
+  const char* text = std::getenv(aName);
+  return text ? std::strtoull(text, nullptr, 10) : aDefault;
+}
+
+/** True if all promises held; else the logs are kept in /tmp. */
+void
+Soak(std::uint64_t aSeed, std::chrono::milliseconds aTime)
+{
+  SoakFleet fleet(aSeed);
+  ASSERT_TRUE(fleet.AwaitReady(15s)) << "seed " << aSeed << "\n"
+                                     << fleet.Logs();
+  fleet.Run(aTime);
+  EXPECT_TRUE(fleet.ServesAgain(15s)) << "seed " << aSeed;
+  EXPECT_TRUE(fleet.EndsCleanly()) << "seed " << aSeed;
+  EXPECT_GT(fleet.Ledger().Completed(), 0u);
+  for (const std::string& violation : fleet.Ledger().Violations()) {
+    ADD_FAILURE() << "seed " << aSeed << ": " << violation;
+  }
+  if (::testing::Test::HasFailure()) {
+    std::string path = fmt::format("/tmp/greengage_soak_{}.log", aSeed);
+    std::ofstream(path) << fleet.Logs();
+    std::printf("logs of seed %lu are in %s\n",
+                static_cast<unsigned long>(aSeed),
+                path.c_str());
+  }
+}
+
+// Guards against promises that hold in virtual time and not between real
+// processes: no two runs of a task at a time, complete only if every task was
+// done, rejected only if none began, no process that ends by itself, clean ends
+// on SIGTERM, and service once the faults are over.
+// SOAK_SEEDS, SOAK_FIRST_SEED and SOAK_SECONDS choose longer soaks.
+TEST(PlatformSoakTest, PromisesHoldUnderRandomFaults)
+{
+  std::uint64_t first = Environment("SOAK_FIRST_SEED", 1);
+  std::uint64_t seeds = Environment("SOAK_SEEDS", 2);
+  std::chrono::seconds time(Environment("SOAK_SECONDS", 6));
+  for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
+    Soak(seed, time);
+    if (HasFailure()) {
+      return;
+    }
+  }
+}
+
+}
+}
--- /dev/null
+++ b/tests/soak/soak_ledger.cpp
@@ -0,0 +1,86 @@
+#include "soak/soak_ledger.h"
+
+#include <fmt/format.h>
+
+namespace greengage::testing_support {
+
+void
+SoakLedger::OnBegan(unsigned aServer, const state::RunKey& aRun)
+{
+  std::lock_guard lock(mutex_);
+  begun_.insert(aRun.task.job);
+  auto& servers = running_[aRun.task];
+  servers.insert(aServer);
+  if (servers.size() > 1) {
+    violations_.push_back(fmt::format(
+      "job {:016x} task {}: run {} begins on server {} while another one runs "
+      "on server {}",
+      aRun.task.job,
+      aRun.task.index,
+      aRun.run,
+      aServer,
+      *servers.begin()));
+  }
+}
+
+void
+SoakLedger::OnEnded(unsigned aServer,
+                    const state::RunKey& aRun,
+                    coordination::RunEndKind aKind)
+{
+  std::lock_guard lock(mutex_);
+  auto& servers = running_[aRun.task];
+  auto server = servers.find(aServer);
+  if (server != servers.end()) {
+    servers.erase(server);
+  }
+  if (aKind == coordination::RunEndKind::eDone) {
+    done_.insert(aRun.task);
+  }
+}
+
+void
+SoakLedger::OnCompleted(std::uint64_t aJob, unsigned aTasks)
+{
+  std::lock_guard lock(mutex_);
+  ++completed_;
+  for (std::uint32_t task = 0; task < aTasks; ++task) {
+    if (!done_.contains({ aJob, 0, task })) {
+      violations_.push_back(fmt::format(
+        "job {:016x} was completed, but its task {} never was", aJob, task));
+    }
+  }
+}
+
+void
+SoakLedger::OnRejected(std::uint64_t aJob)
+{
+  std::lock_guard lock(mutex_);
+  if (begun_.contains(aJob)) {
+    violations_.push_back(
+      fmt::format("job {:016x} was rejected as not run, but it began", aJob));
+  }
+}
+
+void
+SoakLedger::Fail(const std::string& aMessage)
+{
+  std::lock_guard lock(mutex_);
+  violations_.push_back(aMessage);
+}
+
+std::vector<std::string>
+SoakLedger::Violations() const
+{
+  std::lock_guard lock(mutex_);
+  return violations_;
+}
+
+unsigned
+SoakLedger::Completed() const
+{
+  std::lock_guard lock(mutex_);
+  return completed_;
+}
+
+}
--- /dev/null
+++ b/tests/soak/soak_ledger.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "coordination/dispatch/dispatch_messages.h"
+
+namespace greengage::testing_support {
+
+/** What the backend servers and the callers of a soak have seen. */
+class SoakLedger
+{
+public:
+  void OnBegan(unsigned aServer, const state::RunKey& aRun);
+  void OnEnded(unsigned aServer,
+               const state::RunKey& aRun,
+               coordination::RunEndKind aKind);
+  /** A caller was told that all tasks of the job are done. */
+  void OnCompleted(std::uint64_t aJob, unsigned aTasks);
+  /** Every attempt to submit the job was rejected as not run. */
+  void OnRejected(std::uint64_t aJob);
+  void Fail(const std::string& aMessage);
+
+  std::vector<std::string> Violations() const;
+  unsigned Completed() const;
+
+private:
+  mutable std::mutex mutex_;
+  std::map<state::TaskKey, std::multiset<unsigned>> running_;
+  std::set<std::uint64_t> begun_;
+  std::set<state::TaskKey> done_;
+  std::vector<std::string> violations_;
+  unsigned completed_ = 0;
+};
+
+}
--- a/tests/support/process_fleet.cpp
+++ b/tests/support/process_fleet.cpp
@@ -34,14 +34,15 @@
          const std::string& aMethod,
          const std::string& aTarget,
          const std::string& aBody,
-         milliseconds aTimeout)
+         milliseconds aTimeout,
+         const std::string& aHeaders)
 {
   HttpReply reply;
   std::string text;
   try {
     RawClient client(*transport::ParseEndpoint(aAddress));
-    client.Send(aMethod + " " + aTarget +
-                " HTTP/1.1\r\nConnection: close\r\nContent-Length: " +
+    client.Send(aMethod + " " + aTarget + " HTTP/1.1\r\n" + aHeaders +
+                "Connection: close\r\nContent-Length: " +
                 std::to_string(aBody.size()) + "\r\n\r\n" + aBody);
     text = client.ReadAll(aTimeout);
   } catch (const std::exception&) {
@@ -106,6 +107,13 @@
   return ended_ && WIFEXITED(status) && WEXITSTATUS(status) == 0;
 }
 
+bool
+ChildProcess::HasEnded()
+{
+  ended_ = ended_ || waitpid(pid_, nullptr, WNOHANG) == pid_;
+  return ended_;
+}
+
 std::string
 ChildProcess::Output() const
 {
--- a/tests/support/process_fleet.h
+++ b/tests/support/process_fleet.h
@@ -17,13 +17,17 @@
   std::string body;
 };
 
-/** One blocking HTTP call to `ip:port`. */
+/**
+ * One blocking HTTP call to `ip:port`.
+ * @param aHeaders further header lines, each with its line end
+ */
 HttpReply
 CallHttp(const std::string& aAddress,
          const std::string& aMethod,
          const std::string& aTarget,
          const std::string& aBody,
-         std::chrono::milliseconds aTimeout);
+         std::chrono::milliseconds aTimeout,
+         const std::string& aHeaders = "");
 
 /** One child process whose output goes to a file. */
 class ChildProcess
@@ -41,6 +45,8 @@
   void Signal(int aSignal) const;
   /** True if the child ended with exit code 0 within the timeout. */
   bool EndsCleanly(std::chrono::milliseconds aTimeout);
+  /** True if the child has ended, by itself or by a signal. */
+  bool HasEnded();
   std::string Output() const;
   /** The word after aPrefix in the output; waits until it is there. */
   std::string AwaitWord(const std::string& aPrefix) const;
