--- a/src/coordination/dispatch/dispatch_messages.h
+++ b/src/coordination/dispatch/dispatch_messages.h
@@ -26,8 +26,6 @@
   state::ResourceAmount need;
   /** The agent sends a forecast if a run is going to last longer than this. */
   std::uint32_t limitMs = 0;
-  /** 0 is the most urgent; decides who gets room first at a full server. */
-  std::uint32_t priority = 0;
   std::string payload;
   std::vector<RunOrder> runs;
 
--- a/src/coordination/dispatch/job_dispatcher.cpp
+++ b/src/coordination/dispatch/job_dispatcher.cpp
@@ -30,7 +30,7 @@
   , clock_(aClock)
   , hooks_(std::move(aHooks))
   , pauses_(aClock, hooks_.paused)
-  , servers_(aSettings.dataCentre, aSettings.preferenceSeed, aClock)
+  , servers_(aSettings.dataCentre, aClock)
   , orders_(aClock,
             [this](const ProcessId& aAgent, DispatchOrders aOrders) {
               RecordPlacements(aAgent, aOrders);
--- a/src/coordination/dispatch/job_dispatcher.h
+++ b/src/coordination/dispatch/job_dispatcher.h
@@ -39,8 +39,6 @@
 struct JobDispatcherSettings
 {
   std::string dataCentre;
-  /** Differs between entries; see ServerPool. */
-  std::uint64_t preferenceSeed = 0;
   /** Factor on run times away from the rack of the data. */
   double farFactor = 1;
   /** Cores that this process may use; 0: not known. */
@@ -63,7 +61,7 @@
 
   /** Jobs keep the queue under which they were submitted. */
   void SetConfiguration(state::DispatchConfiguration aConfiguration);
-  /** The data centre and the seed stay as they were. */
+  /** The data centre stays as it was. */
   void SetSettings(const JobDispatcherSettings& aSettings);
   const state::DispatchConfiguration& Configuration() const
   {
--- a/src/coordination/dispatch/run_keeper.cpp
+++ b/src/coordination/dispatch/run_keeper.cpp
@@ -159,7 +159,6 @@
     }
   }
   CheckListed(aAnswer, sent->sentAt);
-  BeginQueued();
   reports_.SendUrgent();
   if (sent->waits || HasUnacknowledgedEnds()) {
     if (!renewals_.IsWaiting()) {
@@ -310,7 +309,6 @@
     }
   }
   KeepLeases();
-  BeginQueued();
   auto expired = [now](const auto& aItem) {
     return now - aItem.second >= kWithdrawnMemory;
   };
@@ -418,7 +416,7 @@
 {
   ServerReport report;
   report.condition = Condition();
-  report.usedByOthers = used_ + queue_.NeedOfOthers(aEntry);
+  report.usedByOthers = used_;
   for (const auto& [key, run] : runs_) {
     if (run.entry == aEntry) {
       report.usedByOthers = report.usedByOthers - run.need;
--- a/src/coordination/dispatch/run_keeper.h
+++ b/src/coordination/dispatch/run_keeper.h
@@ -14,7 +14,6 @@
 #include "coordination/dispatch/lease_renewals.h"
 #include "coordination/dispatch/pause_detector.h"
 #include "coordination/dispatch/server_messages.h"
-#include "coordination/dispatch/start_queue.h"
 #include "state/clock.h"
 #include "state/process_id.h"
 
@@ -34,8 +33,6 @@
    * job again (1,300 ms on the users' sites).
    */
   std::chrono::milliseconds entrySilence{ 500 };
-  /** A start waits this long for room before it is refused; 0: not at all. */
-  std::chrono::milliseconds queueTime{ 40 };
 
   auto operator<=>(const RunKeeperSettings&) const = default;
 };
@@ -148,12 +145,6 @@
   void TakeStart(const state::ProcessId& aEntry,
                  const RunBatch& aBatch,
                  const RunOrder& aOrder);
-  void Begin(const QueuedStart& aStart);
-  /** Starts what has waited for room that is there now. */
-  void BeginQueued();
-  void RefuseQueued(const std::vector<QueuedStart>& aStarts,
-                    RunEndKind aKind,
-                    const char* aReason);
   void TakeStop(const state::ProcessId& aEntry, const state::RunKey& aRun);
   void TakeCheck(const state::ProcessId& aEntry, const state::RunKey& aRun);
   void Stop(const state::RunKey& aKey, Run& aRun);
@@ -197,7 +188,6 @@
   EntryReports reports_;
   LeaseRenewals renewals_;
   AnswerMonitor answers_;
-  StartQueue queue_;
 
   std::optional<ServerDescription> server_;
   std::uint64_t born_ = 0;
--- a/src/coordination/dispatch/run_keeper_orders.cpp
+++ b/src/coordination/dispatch/run_keeper_orders.cpp
@@ -18,7 +18,6 @@
 RunKeeper::OnEntryGone(const ProcessId& aEntry)
 {
   reports_.Remove(aEntry);
-  queue_.TakeEntry(aEntry);
   for (auto& [key, run] : runs_) {
     if (run.entry == aEntry && run.phase != Phase::eStopping) {
       Note("stop", key, aEntry, "entry_gone");
@@ -43,7 +42,6 @@
   for (const RunKey& run : aOrders.checks) {
     TakeCheck(aEntry, run);
   }
-  BeginQueued();
   reports_.Answer(aEntry);
   reports_.SendUrgent();
 }
@@ -71,71 +69,20 @@
     Refuse(aEntry, key, RunEndKind::eOutdated, "task_runs_here");
     return;
   }
-  // The caller has submitted the job again, or the entry has moved the task.
-  RefuseQueued(queue_.TakeTask(key.task), RunEndKind::eStopped, "superseded");
-  QueuedStart start{ aEntry,
-                     key,
-                     aBatch.need,
-                     aBatch.limitMs,
-                     aBatch.priority,
-                     aBatch.payload,
-                     clock_.MonotonicNow() };
-  if (Fits(aBatch.need, server_->capacity - used_)) {
-    Begin(start);
-    return;
-  }
-  bool waits = settings_.queueTime.count() > 0 && queue_.Add(std::move(start));
-  if (!waits) {
+  if (!Fits(aBatch.need, server_->capacity - used_)) {
     Refuse(aEntry, key, RunEndKind::eNoRoom, "no_room");
+    return;
   }
-}
-
-void
-RunKeeper::Begin(const QueuedStart& aStart)
-{
   Run run;
-  run.entry = aStart.entry;
-  run.need = aStart.need;
-  run.limit = milliseconds(aStart.limitMs);
+  run.entry = aEntry;
+  run.need = aBatch.need;
+  run.limit = milliseconds(aBatch.limitMs);
   run.orderedAt = clock_.MonotonicNow();
   renewals_.OnLeaseGiven(runs_.empty());
-  runs_.emplace(aStart.run, run);
-  used_ = used_ + aStart.need;
+  runs_.emplace(key, run);
+  used_ = used_ + aBatch.need;
   reports_.MarkChanged();
-  hooks_.start(
-    { server_->id, aStart.run, aStart.payload, fencingToken_, LeaseEnd() });
-}
-
-void
-RunKeeper::BeginQueued()
-{
-  if (queue_.IsEmpty()) {
-    return;
-  }
-  if (pauses_.JustPaused()) {
-    RefuseQueued(queue_.TakeAll(), RunEndKind::eUnanswered, "agent_was_paused");
-    return;
-  }
-  if (!TakesRuns(Condition())) {
-    RefuseQueued(queue_.TakeAll(), RunEndKind::eRefused, "server_not_ready");
-    return;
-  }
-  RefuseQueued(queue_.TakeOlder(clock_.MonotonicNow() - settings_.queueTime),
-               RunEndKind::eNoRoom,
-               "no_room");
-  while (auto start = queue_.TakeFitting(server_->capacity - used_)) {
-    Begin(*start);
-  }
-}
-
-void
-RunKeeper::RefuseQueued(const std::vector<QueuedStart>& aStarts,
-                        RunEndKind aKind,
-                        const char* aReason)
-{
-  for (const QueuedStart& start : aStarts) {
-    Refuse(start.entry, start.run, aKind, aReason);
-  }
+  hooks_.start({ server_->id, key, aBatch.payload, fencingToken_, LeaseEnd() });
 }
 
 bool
@@ -162,9 +109,8 @@
 {
   auto run = runs_.find(aRun);
   if (run == runs_.end()) {
-    bool queued = queue_.Remove(aRun);
     withdrawn_[aRun] = clock_.MonotonicNow();
-    Refuse(aEntry, aRun, RunEndKind::eStopped, queued ? "ordered" : "not_here");
+    Refuse(aEntry, aRun, RunEndKind::eStopped, "not_here");
     return;
   }
   if (run->second.phase != Phase::eStopping) {
@@ -176,7 +122,7 @@
 void
 RunKeeper::TakeCheck(const ProcessId& aEntry, const RunKey& aRun)
 {
-  if (runs_.contains(aRun) || queue_.Holds(aRun)) {
+  if (runs_.contains(aRun)) {
     return;
   }
   withdrawn_[aRun] = clock_.MonotonicNow();
@@ -261,7 +207,6 @@
 {
   Note("start_failed", aRun->first, aRun->second.entry, aReason);
   End(aRun, aKind);
-  BeginQueued();
   reports_.SendUrgent();
 }
 
--- a/src/coordination/dispatch/server_pool.cpp
+++ b/src/coordination/dispatch/server_pool.cpp
@@ -2,9 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <functional>
-
-#include <fmt/format.h>
 
 namespace greengage::coordination {
 
@@ -23,12 +20,6 @@
 constexpr double kFarCost = 0.25;
 /** Weight of a full server against an empty one, in the same unit. */
 constexpr double kFillCost = 0.3;
-/**
- * Weight of an entry's own order of servers, so that entries which see the same
- * room do not all choose the same server: less than a quarter of a server.
- */
-constexpr double kPreferenceCost = 0;
-constexpr std::size_t kPreferences = 1024;
 /** More than all other weights: such a server is used when no other has room.
  */
 constexpr double kUnreliableCost = 2;
@@ -50,11 +41,8 @@
 
 }
 
-ServerPool::ServerPool(std::string aDataCentre,
-                       std::uint64_t aPreferenceSeed,
-                       const state::Clock& aClock)
+ServerPool::ServerPool(std::string aDataCentre, const state::Clock& aClock)
   : dataCentre_(std::move(aDataCentre))
-  , preferenceSeed_(aPreferenceSeed)
   , clock_(aClock)
   , model_(aClock)
 {
@@ -63,11 +51,7 @@
 void
 ServerPool::OnAgent(const ProcessInfo& aAgent)
 {
-  Server& server = servers_[aAgent.id];
-  server.agent = aAgent;
-  std::size_t hash = std::hash<std::string>()(
-    fmt::format("{} {}", preferenceSeed_, aAgent.id.ToString()));
-  server.preference = static_cast<double>(hash % kPreferences) / kPreferences;
+  servers_[aAgent.id].agent = aAgent;
 }
 
 std::vector<RunKey>
@@ -170,11 +154,9 @@
     double margin = std::log(aRequest.deadlineMs / std::max(1.0, aRunTimeMs));
     risk = 0.5 * std::erfc(margin / aRequest.workDeviation / std::sqrt(2.0));
   }
-  double preference = kPreferenceCost * aServer.preference;
   double unreliable =
     aServer.condition == ServerCondition::eUnreliable ? kUnreliableCost : 0;
-  return unreliable + speed + far + kFillCost * fill + kRiskCost * risk +
-         preference;
+  return unreliable + speed + far + kFillCost * fill + kRiskCost * risk;
 }
 
 std::optional<Placement>
--- a/src/coordination/dispatch/server_pool.h
+++ b/src/coordination/dispatch/server_pool.h
@@ -51,10 +51,7 @@
 class ServerPool
 {
 public:
-  /** @param aPreferenceSeed differs between entries, see Cost() */
-  ServerPool(std::string aDataCentre,
-             std::uint64_t aPreferenceSeed,
-             const state::Clock& aClock);
+  ServerPool(std::string aDataCentre, const state::Clock& aClock);
 
   void OnAgent(const ProcessInfo& aAgent);
   /** Forgets the agent; returns the entry's runs that it had. */
@@ -101,8 +98,6 @@
   struct Server
   {
     ProcessInfo agent;
-    /** This entry's own preference among equal servers, 0 to 1. */
-    double preference = 0;
     std::optional<ServerDescription> description;
     ServerCondition condition = ServerCondition::eUnreachable;
     state::ResourceAmount usedByOthers;
@@ -123,7 +118,6 @@
               const PlacementRequest& aRequest) const;
 
   std::string dataCentre_;
-  std::uint64_t preferenceSeed_;
   const state::Clock& clock_;
   RunTimeModel model_;
   std::map<state::ProcessId, Server> servers_;
--- a/src/coordination/dispatch/task_placer.cpp
+++ b/src/coordination/dispatch/task_placer.cpp
@@ -169,7 +169,6 @@
     batch.need = aJob.spec.steps[aStep].need;
     batch.payload = aJob.spec.payload;
     batch.limitMs = limitMs;
-    batch.priority = aJob.queue.priority;
   }
   batch.limitMs = std::min(batch.limitMs, limitMs);
   batch.runs.push_back({ aIndex, task.run });
--- a/src/daemon/dispatch/dispatch_entry_process.cpp
+++ b/src/daemon/dispatch/dispatch_entry_process.cpp
@@ -54,7 +54,6 @@
 DispatcherSettings(const DispatchEntrySettings& aSettings)
 {
   return { aSettings.peer.dataCentre,
-           std::hash<std::string>()(aSettings.peer.address),
            aSettings.farFactor,
            aSettings.processorShare };
 }
--- a/src/protocol/dispatch_codec.cpp
+++ b/src/protocol/dispatch_codec.cpp
@@ -76,7 +76,6 @@
   aBuilder.setStep(aBatch.step);
   Encode(aBatch.need, aBuilder.initNeed());
   aBuilder.setLimitMs(aBatch.limitMs);
-  aBuilder.setPriority(aBatch.priority);
   aBuilder.setPayload(ToText(aBatch.payload));
   auto runs = aBuilder.initRuns(static_cast<unsigned>(aBatch.runs.size()));
   for (unsigned i = 0; i < aBatch.runs.size(); ++i) {
@@ -93,7 +92,6 @@
   batch.step = aReader.getStep();
   batch.need = Decode(aReader.getNeed());
   batch.limitMs = aReader.getLimitMs();
-  batch.priority = aReader.getPriority();
   batch.payload = aReader.getPayload();
   for (auto run : aReader.getRuns()) {
     batch.runs.push_back({ run.getIndex(), run.getRun() });
--- a/src/protocol/peer.capnp
+++ b/src/protocol/peer.capnp
@@ -113,7 +113,6 @@
   payload @3 :Text;
   runs @4 :List(RunOrder);
   limitMs @5 :UInt32;
-  priority @6 :UInt32;
 }
 
 struct DispatchOrders {
--- a/src/protocol/peer.capnp.h
+++ b/src/protocol/peer.capnp.h
@@ -505,7 +505,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(89a00dba17279571, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(89a00dba17279571, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3580,8 +3580,6 @@
 
   inline  ::uint32_t getLimitMs() const;
 
-  inline  ::uint32_t getPriority() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3640,9 +3638,6 @@
   inline  ::uint32_t getLimitMs();
   inline void setLimitMs( ::uint32_t value);
 
-  inline  ::uint32_t getPriority();
-  inline void setPriority( ::uint32_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7528,20 +7523,6 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t RunBatch::Reader::getPriority() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t RunBatch::Builder::getPriority() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void RunBatch::Builder::setPriority( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool DispatchOrders::Reader::hasStarts() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
