Judge runs that will miss their deadline again as room appears

The search for a better server also offered the one that the task was on, or one that is just fast enough, and then nothing was moved. Change: a run that its forecast lets miss the deadline is judged on each tick: moved to a server that ends it sooner, or its job given up once none can. The server it is on is left out of the search.

--- a/src/coordination/dispatch/job_dispatcher.cpp
+++ b/src/coordination/dispatch/job_dispatcher.cpp
@@ -294,8 +294,8 @@
         job->started ? DispatchResult::eFailed : DispatchResult::eRejected;
       ended.emplace_back(
         id, DispatchOutcome{ result, DispatchReason::eTooLate, RetryAfter() });
-    } else {
-      CheckRunning(*job);
+    } else if (!CheckRunning(*job)) {
+      ended.emplace_back(id, FailedOutcome(DispatchReason::eTooLate));
     }
   }
   for (const auto& [id, outcome] : ended) {
--- a/src/coordination/dispatch/job_dispatcher.h
+++ b/src/coordination/dispatch/job_dispatcher.h
@@ -121,7 +121,9 @@
   void WaitAgain(DispatchedJob& aJob,
                  DispatchedStep& aStep,
                  DispatchedTask& aTask);
-  void CheckRunning(DispatchedJob& aJob);
+  /** False if a run of the job cannot end in time anywhere. */
+  bool CheckRunning(DispatchedJob& aJob);
+  void MoveRun(DispatchedJob& aJob, std::size_t aStep, std::uint32_t aIndex);
   void StopTask(const DispatchedJob& aJob,
                 std::size_t aStep,
                 std::uint32_t aIndex);
--- a/src/coordination/dispatch/job_dispatcher_runs.cpp
+++ b/src/coordination/dispatch/job_dispatcher_runs.cpp
@@ -98,8 +98,7 @@
     case RunVerdict::eKeep:
       return;
     case RunVerdict::eMove:
-      task.phase = TaskPhase::eStopping;
-      StopTask(job, stepNumber, aForecast.run.task.index);
+      MoveRun(job, stepNumber, aForecast.run.task.index);
       return;
     case RunVerdict::eHopeless:
       End(job.spec.id, FailedOutcome(DispatchReason::eTooLate));
@@ -166,24 +165,40 @@
   Enqueue(aJob);
 }
 
-void
+bool
 JobDispatcher::CheckRunning(DispatchedJob& aJob)
 {
   for (std::size_t i = 0; i < aJob.steps.size(); ++i) {
     DispatchedStep& step = aJob.steps[i];
     for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
       DispatchedTask& task = step.tasks[index];
+      RunVerdict verdict = monitor_.Recheck(aJob, i, task);
+      if (verdict == RunVerdict::eHopeless) {
+        return false;
+      }
+      if (verdict == RunVerdict::eMove) {
+        MoveRun(aJob, i, index);
+      }
       if (!monitor_.BecameOverdue(aJob, i, task)) {
         continue;
       }
       PlacementRequest request = placer_.RequestFor(aJob, i);
       auto shortest = servers_.ShortestRunTime(request);
       if (shortest && *shortest <= request.latestMs) {
-        task.phase = TaskPhase::eStopping;
-        StopTask(aJob, i, index);
+        MoveRun(aJob, i, index);
       }
     }
   }
+  return true;
+}
+
+void
+JobDispatcher::MoveRun(DispatchedJob& aJob,
+                       std::size_t aStep,
+                       std::uint32_t aIndex)
+{
+  aJob.steps[aStep].tasks[aIndex].phase = TaskPhase::eStopping;
+  StopTask(aJob, aStep, aIndex);
 }
 
 void
--- a/src/coordination/dispatch/run_monitor.cpp
+++ b/src/coordination/dispatch/run_monitor.cpp
@@ -46,20 +46,43 @@
   aTask.workMs = WorkFromForecast(aJob, aStep, aTask, aRunTimeMs);
   // The run makes progress: it is overdue only beyond its forecast.
   aTask.expectedMs = std::max(aTask.expectedMs, aRunTimeMs);
+  return Judge(aJob, aStep, aTask);
+}
+
+RunVerdict
+RunMonitor::Recheck(const DispatchedJob& aJob,
+                    std::size_t aStep,
+                    DispatchedTask& aTask)
+{
+  bool forecast = aTask.phase == TaskPhase::eRunning && aTask.workMs > 0;
+  auto now = clock_.MonotonicNow();
+  double left = aTask.expectedMs - MillisecondsBetween(aTask.sentAt, now);
+  if (!forecast || left <= UsableTimeMs(aJob, now)) {
+    return RunVerdict::eKeep;
+  }
+  return Judge(aJob, aStep, aTask);
+}
+
+RunVerdict
+RunMonitor::Judge(const DispatchedJob& aJob,
+                  std::size_t aStep,
+                  DispatchedTask& aTask) const
+{
   double left =
-    aRunTimeMs - MillisecondsBetween(aTask.sentAt, clock_.MonotonicNow());
+    aTask.expectedMs - MillisecondsBetween(aTask.sentAt, clock_.MonotonicNow());
   PlacementRequest request = placer_.RequestFor(aJob, aStep, &aTask);
+  request.except = aTask.server;
   auto shortest = servers_.ShortestRunTime(request);
   if (left > request.deadlineMs &&
       (!shortest || *shortest + kMoveMs > request.deadlineMs)) {
     return RunVerdict::eHopeless;
   }
+  // Only a server that ends the task sooner is worth a new start.
+  request.latestMs = std::min(request.latestMs, left - kMoveMs);
   auto other = servers_.Choose(request,
                                aJob.steps[aStep].runsByServer,
                                aJob.spec.steps[aStep].maxPerServer);
-  bool better =
-    other && other->server != aTask.server && other->runTimeMs + kMoveMs < left;
-  if (!better || aTask.moves >= kMaxMoves) {
+  if (!other || aTask.moves >= kMaxMoves) {
     return RunVerdict::eKeep;
   }
   ++aTask.moves;
--- a/src/coordination/dispatch/run_monitor.h
+++ b/src/coordination/dispatch/run_monitor.h
@@ -35,6 +35,10 @@
                         std::size_t aStep,
                         DispatchedTask& aTask,
                         double aRunTimeMs);
+  /** Judges again a run that its forecast lets miss the deadline. */
+  RunVerdict Recheck(const DispatchedJob& aJob,
+                     std::size_t aStep,
+                     DispatchedTask& aTask);
   /** True, once for each run, if it should have ended long ago. */
   bool BecameOverdue(const DispatchedJob& aJob,
                      std::size_t aStep,
@@ -45,6 +49,9 @@
   RunVerdict OnHang(const DispatchedJob& aJob,
                     std::size_t aStep,
                     const DispatchedTask& aTask);
+  RunVerdict Judge(const DispatchedJob& aJob,
+                   std::size_t aStep,
+                   DispatchedTask& aTask) const;
   /** Work of a task that will last this long on its server. */
   double WorkFromForecast(const DispatchedJob& aJob,
                           std::size_t aStep,
--- a/src/coordination/dispatch/server_pool.cpp
+++ b/src/coordination/dispatch/server_pool.cpp
@@ -88,7 +88,8 @@
                      const PlacementRequest& aRequest) const
 {
   if (!aServer.description || !TakesRuns(aServer.condition) ||
-      aServer.description->service != aRequest.service) {
+      aServer.description->service != aRequest.service ||
+      aServer.agent.id == aRequest.except) {
     return false;
   }
   const auto& labels = aServer.description->labels;
--- a/src/coordination/dispatch/server_pool.h
+++ b/src/coordination/dispatch/server_pool.h
@@ -33,6 +33,9 @@
   double workDeviation = 0;
   /** Longest run time of which the answer is still of use, in ms. */
   double latestMs = 0;
+  /** Server that is of no use, because the task is to leave it; none if zero.
+   */
+  state::ProcessId except;
 };
 
 /** Where a task can go now. */
--- a/tests/dispatch/job_dispatcher_test.cpp
+++ b/tests/dispatch/job_dispatcher_test.cpp
@@ -75,6 +75,8 @@
     hooks.answer = [](SubmissionId, const state::DispatchOutcome&) {};
     hooks.send = [this](const ProcessId& aAgent,
                         const DispatchOrders& aOrders) {
+      stopped_.insert(
+        stopped_.end(), aOrders.stops.begin(), aOrders.stops.end());
       for (const RunBatch& batch : aOrders.starts) {
         for (const RunOrder& order : batch.runs) {
           started_[aAgent].push_back(
@@ -88,6 +90,7 @@
   milliseconds time_{ 1000 };
   simulation::VirtualClock clock_{ time_, {} };
   std::map<ProcessId, std::vector<RunKey>> started_;
+  std::vector<RunKey> stopped_;
   JobDispatcher dispatcher_{ { "here" }, clock_, MakeHooks() };
 };
 
@@ -123,5 +126,40 @@
   EXPECT_EQ(Started(slow).back().run, shortRun.run + 1);
 }
 
+// Guards against a run that misses its deadline on a slow server because the
+// fast one had no room at the moment of its forecast.
+TEST_F(JobDispatcherTest, RunIsMovedWhenRoomAppearsLater)
+{
+  ProcessId slow = AddServer(1);
+  Submit(1, 1);
+  ASSERT_EQ(Started(slow).size(), 1u);
+  ProcessId other = AddServer(2);
+  Report(other, {}, {}, { 16'000, 32'768, 0 });
+  time_ += milliseconds(300);
+  Report(slow, {}, { { Started(slow)[0], 1600 } });
+  EXPECT_TRUE(stopped_.empty());
+  Report(other, {});
+  time_ += milliseconds(25);
+  dispatcher_.Tick();
+  EXPECT_EQ(stopped_, Started(slow));
+}
+
+// Guards against a caller that waits until the deadline for a run that can no
+// longer end in time anywhere.
+TEST_F(JobDispatcherTest, JobIsGivenUpOnceItsRunCannotBeMovedInTime)
+{
+  ProcessId slow = AddServer(1);
+  Submit(1, 1);
+  ProcessId other = AddServer(2);
+  Report(other, {}, {}, { 16'000, 32'768, 0 });
+  time_ += milliseconds(300);
+  Report(slow, {}, { { Started(slow)[0], 1600 } });
+  for (int i = 0; i < 30; ++i) {
+    time_ += milliseconds(25);
+    dispatcher_.Tick();
+  }
+  EXPECT_FALSE(dispatcher_.IsKnown(1));
+}
+
 }
 }
