--- a/src/coordination/dispatch/job_dispatcher.h
+++ b/src/coordination/dispatch/job_dispatcher.h
@@ -94,6 +94,8 @@
   void Tick();
 
   std::size_t JobCount() const { return jobs_.size(); }
+  /** Jobs with tasks that wait for room. */
+  std::size_t WaitingCount() const { return waiting_.size(); }
   const ServerPool& Servers() const { return servers_; }
 
 private:
--- a/src/coordination/dispatch/server_pool.cpp
+++ b/src/coordination/dispatch/server_pool.cpp
@@ -306,6 +306,31 @@
   return static_cast<std::size_t>(ready);
 }
 
+std::vector<ServerView>
+ServerPool::Views() const
+{
+  auto now = clock_.MonotonicNow();
+  std::vector<ServerView> views;
+  for (const auto& [id, server] : servers_) {
+    if (!server.description) {
+      continue;
+    }
+    auto leftAlone = std::max<state::MonotonicTime::duration>(
+      server.avoidUntil - now, milliseconds(0));
+    views.push_back({ id,
+                      server.description->id,
+                      server.agent.dataCentre,
+                      server.condition,
+                      model_.Speed(id),
+                      server.description->capacity,
+                      server.usedByOthers + server.own,
+                      server.runs.size(),
+                      server.failuresInRow,
+                      std::chrono::duration_cast<milliseconds>(leftAlone) });
+  }
+  return views;
+}
+
 std::size_t
 ServerPool::CountIn(const std::string& aDataCentre) const
 {
--- a/src/coordination/dispatch/server_pool.h
+++ b/src/coordination/dispatch/server_pool.h
@@ -38,6 +38,25 @@
   state::ProcessId except;
 };
 
+/** What an entry believes of one server, for operators. */
+struct ServerView
+{
+  state::ProcessId agent;
+  std::string server;
+  std::string dataCentre;
+  ServerCondition condition = ServerCondition::eUnreachable;
+  /** Learned; 1 is what callers estimate with. */
+  double speed = 1;
+  state::ResourceAmount capacity;
+  state::ResourceAmount used;
+  std::size_t ownRuns = 0;
+  unsigned failuresInRow = 0;
+  /** Time for which it gets no new runs after failures. */
+  std::chrono::milliseconds leftAlone{ 0 };
+
+  auto operator<=>(const ServerView&) const = default;
+};
+
 /** Where a task can go now. */
 struct Placement
 {
@@ -85,6 +104,7 @@
   /** Agents that have runs of this entry. */
   std::vector<state::ProcessId> AgentsInUse() const;
   std::size_t ReadyServers() const;
+  std::vector<ServerView> Views() const;
   std::size_t Count() const { return servers_.size(); }
   /** Servers in one data centre. */
   std::size_t CountIn(const std::string& aDataCentre) const;
--- a/src/daemon/dispatch/dispatch_agent_process.cpp
+++ b/src/daemon/dispatch/dispatch_agent_process.cpp
@@ -1,8 +1,8 @@
 #include "daemon/dispatch/dispatch_agent_process.h"
 
+#include "daemon/dispatch/dispatch_status.h"
 #include "daemon/dispatch/log_pause.h"
 #include "daemon/start_listening.h"
-#include "daemon/status_server.h"
 #include "transport/event_log.h"
 
 namespace greengage::daemon {
@@ -38,22 +38,6 @@
                                       .count());
 }
 
-const char*
-ToString(ServerCondition aCondition)
-{
-  switch (aCondition) {
-    case ServerCondition::eReady:
-      return "ready";
-    case ServerCondition::eDraining:
-      return "draining";
-    case ServerCondition::eUnreliable:
-      return "unreliable";
-    case ServerCondition::eUnreachable:
-      return "unreachable";
-  }
-  return "unknown";
-}
-
 }
 
 DispatchAgentProcess::DispatchAgentProcess(
@@ -82,12 +66,7 @@
                        OnNotice(value, respond);
                      });
                    })
-  , metricsServer_(traffic_,
-                   [this](const HttpRequest&, HttpResponder aRespond) {
-                     control_.Post([this, respond = std::move(aRespond)] {
-                       respond(MetricsResponse(metrics_.ToPrometheusText()));
-                     });
-                   })
+  , status_(traffic_, MakeStatusHooks())
 {
 }
 
@@ -152,6 +131,23 @@
   return hooks;
 }
 
+StatusServerHooks
+DispatchAgentProcess::MakeStatusHooks()
+{
+  StatusServerHooks hooks;
+  hooks.showMetrics = [this](HttpResponder aRespond) {
+    control_.Post([this, respond = std::move(aRespond)] {
+      respond(MetricsResponse(metrics_.ToPrometheusText()));
+    });
+  };
+  hooks.showStatus = [this](HttpResponder aRespond) {
+    control_.Post([this, respond = std::move(aRespond)] {
+      respond({ 200, DescribeKeeper(keeper_) });
+    });
+  };
+  return hooks;
+}
+
 PeerNodeHooks
 DispatchAgentProcess::MakePeerHooks()
 {
@@ -179,7 +175,7 @@
   }
   auto listening =
     StartListening(announcements_, settings_.announceAddress).and_then([&] {
-      return StartListening(metricsServer_, settings_.metricsAddress);
+      return StartListening(status_, settings_.metricsAddress);
     });
   if (!listening) {
     return listening;
--- a/src/daemon/dispatch/dispatch_agent_process.h
+++ b/src/daemon/dispatch/dispatch_agent_process.h
@@ -10,6 +10,7 @@
 #include "daemon/daemon_error.h"
 #include "daemon/dispatch/dispatch_metrics.h"
 #include "daemon/dispatch/peer_node.h"
+#include "daemon/status_server.h"
 #include "transport/control_thread.h"
 #include "transport/http_server.h"
 #include "transport/metrics.h"
@@ -89,6 +90,7 @@
 private:
   coordination::RunKeeperHooks MakeKeeperHooks();
   PeerNodeHooks MakePeerHooks();
+  StatusServerHooks MakeStatusHooks();
   void OnNotice(const ServerNotice& aNotice,
                 const transport::HttpResponder& aRespond);
   void OnPeerMessage(const coordination::ProcessInfo& aFrom,
@@ -107,7 +109,7 @@
   PeerNode peers_;
   coordination::RunKeeper keeper_;
   transport::HttpServer announcements_;
-  transport::HttpServer metricsServer_;
+  StatusServer status_;
   /** Kept for entries that start while the platform's store is away. */
   std::optional<coordination::ConfigurationCopy> configuration_;
   std::map<state::ProcessId, coordination::ProcessInfo> entries_;
--- a/src/daemon/dispatch/dispatch_entry_process.cpp
+++ b/src/daemon/dispatch/dispatch_entry_process.cpp
@@ -1,8 +1,8 @@
 #include "daemon/dispatch/dispatch_entry_process.h"
 
+#include "daemon/dispatch/dispatch_status.h"
 #include "daemon/dispatch/log_pause.h"
 #include "daemon/start_listening.h"
-#include "daemon/status_server.h"
 #include "transport/event_log.h"
 
 namespace greengage::daemon {
@@ -82,12 +82,7 @@
                  response.status = ready_ ? 200 : 503;
                  aRespond(std::move(response));
                })
-  , metricsServer_(traffic_,
-                   [this](const HttpRequest&, HttpResponder aRespond) {
-                     control_.Post([this, respond = std::move(aRespond)] {
-                       respond(MetricsResponse(metrics_.ToPrometheusText()));
-                     });
-                   })
+  , status_(traffic_, MakeStatusHooks())
 {
 }
 
@@ -161,6 +156,23 @@
   return hooks;
 }
 
+StatusServerHooks
+DispatchEntryProcess::MakeStatusHooks()
+{
+  StatusServerHooks hooks;
+  hooks.showMetrics = [this](HttpResponder aRespond) {
+    control_.Post([this, respond = std::move(aRespond)] {
+      respond(MetricsResponse(metrics_.ToPrometheusText()));
+    });
+  };
+  hooks.showStatus = [this](HttpResponder aRespond) {
+    control_.Post([this, respond = std::move(aRespond)] {
+      respond({ 200, DescribeDispatcher(dispatcher_, ready_) });
+    });
+  };
+  return hooks;
+}
+
 PeerNodeHooks
 DispatchEntryProcess::MakePeerHooks()
 {
@@ -192,9 +204,8 @@
     StartListening(callers_, settings_.frontAddress)
       .and_then(
         [&] { return StartListening(readiness_, settings_.readyAddress); })
-      .and_then([&] {
-        return StartListening(metricsServer_, settings_.metricsAddress);
-      });
+      .and_then(
+        [&] { return StartListening(status_, settings_.metricsAddress); });
   if (!listening) {
     return listening;
   }
--- a/src/daemon/dispatch/dispatch_entry_process.h
+++ b/src/daemon/dispatch/dispatch_entry_process.h
@@ -11,6 +11,7 @@
 #include "daemon/daemon_error.h"
 #include "daemon/dispatch/dispatch_metrics.h"
 #include "daemon/dispatch/peer_node.h"
+#include "daemon/status_server.h"
 #include "transport/control_thread.h"
 #include "transport/http_server.h"
 #include "transport/metrics.h"
@@ -115,6 +116,7 @@
 
   coordination::JobDispatcherHooks MakeDispatcherHooks();
   PeerNodeHooks MakePeerHooks();
+  StatusServerHooks MakeStatusHooks();
 
   void OnHttp(transport::HttpRequest aRequest,
               transport::HttpResponder aRespond);
@@ -148,7 +150,7 @@
   coordination::JobDispatcher dispatcher_;
   transport::HttpServer callers_;
   transport::HttpServer readiness_;
-  transport::HttpServer metricsServer_;
+  StatusServer status_;
   std::atomic<bool> ready_{ false };
 
   std::map<coordination::SubmissionId, Waiting> waiting_;
--- /dev/null
+++ b/src/daemon/dispatch/dispatch_status.cpp
@@ -0,0 +1,74 @@
+#include "daemon/dispatch/dispatch_status.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace greengage::daemon {
+
+namespace json = boost::json;
+using namespace coordination;
+
+namespace {
+
+json::object
+Describe(const ServerView& aServer)
+{
+  return { { "agent", aServer.agent.ToString() },
+           { "server", aServer.server },
+           { "data_centre", aServer.dataCentre },
+           { "condition", ToString(aServer.condition) },
+           { "speed", aServer.speed },
+           { "capacity_millicores", aServer.capacity.cpuMillicores },
+           { "used_millicores", aServer.used.cpuMillicores },
+           { "runs_of_this_entry", aServer.ownRuns },
+           { "failures_in_row", aServer.failuresInRow },
+           { "left_alone_ms", aServer.leftAlone.count() } };
+}
+
+}
+
+const char*
+ToString(ServerCondition aCondition)
+{
+  switch (aCondition) {
+    case ServerCondition::eReady:
+      return "ready";
+    case ServerCondition::eDraining:
+      return "draining";
+    case ServerCondition::eUnreachable:
+      return "unreachable";
+    case ServerCondition::eUnreliable:
+      return "unreliable";
+  }
+  return "unknown";
+}
+
+std::string
+DescribeDispatcher(const JobDispatcher& aDispatcher, bool aReady)
+{
+  json::array servers;
+  for (const ServerView& server : aDispatcher.Servers().Views()) {
+    servers.push_back(Describe(server));
+  }
+  return json::serialize(
+    json::object{ { "ready", aReady },
+                  { "configuration", aDispatcher.Configuration().version },
+                  { "queues", aDispatcher.Configuration().queues.size() },
+                  { "jobs", aDispatcher.JobCount() },
+                  { "jobs_waiting", aDispatcher.WaitingCount() },
+                  { "servers", std::move(servers) } });
+}
+
+std::string
+DescribeKeeper(const RunKeeper& aKeeper)
+{
+  const auto& server = aKeeper.Server();
+  return json::serialize(
+    json::object{ { "server", server ? server->id : "none" },
+                  { "service", server ? server->service : "none" },
+                  { "condition", ToString(aKeeper.Condition()) },
+                  { "runs", aKeeper.RunCount() } });
+}
+
+}
--- a/src/daemon/start_listening.h
+++ b/src/daemon/start_listening.h
@@ -5,12 +5,27 @@
 #include <tl/expected.hpp>
 
 #include "daemon/daemon_error.h"
-#include "transport/http_server.h"
+#include "transport/endpoint.h"
 
 namespace greengage::daemon {
 
 /** Serves on `ip:port`; does nothing if the address is empty. */
+template<class Server>
 tl::expected<void, DaemonError>
-StartListening(transport::HttpServer& aServer, const std::string& aAddress);
+StartListening(Server& aServer, const std::string& aAddress)
+{
+  if (aAddress.empty()) {
+    return {};
+  }
+  auto endpoint = transport::ParseEndpoint(aAddress);
+  if (!endpoint) {
+    return tl::unexpected(DaemonError{ endpoint.error().message });
+  }
+  auto bound = aServer.Start(*endpoint);
+  if (!bound) {
+    return tl::unexpected(DaemonError{ bound.error().message });
+  }
+  return {};
+}
 
 }
--- a/tests/platform/platform_process_test.cpp
+++ b/tests/platform/platform_process_test.cpp
@@ -94,7 +94,9 @@
     entry_ = std::make_unique<ChildProcess>(
       "greengage-platform-entry",
       std::vector<std::string>{ "--settings",
-                                WriteSettings(EntryListen(), "") });
+                                WriteSettings(EntryListen(), ""),
+                                "--metrics-port",
+                                std::to_string(metricsPort_) });
   }
 
   void StartAgent()
@@ -140,6 +142,7 @@
   unsigned seedPort_ = controlPort_;
   unsigned announcePort_ = FreePort();
   unsigned internalPort_ = FreePort();
+  unsigned metricsPort_ = FreePort();
   std::vector<std::string> files_;
   std::unique_ptr<ChildProcess> entry_;
   std::unique_ptr<ChildProcess> agent_;
@@ -173,6 +176,27 @@
   EXPECT_TRUE(agent_->EndsCleanly(6s)) << agent_->Output();
 }
 
+// Guards against operators who cannot see what an entry believes.
+TEST_F(PlatformProcessTest, StatusShowsConfigurationAndServers)
+{
+  store_.Publish(Configuration(3, ""));
+  StartEntry();
+  StartAgent();
+  ASSERT_TRUE(AwaitReady()) << entry_->Output();
+  std::string status =
+    CallHttp(Address(metricsPort_), "GET", "/v1/status", "", 1s).body;
+  for (const char* part : { R"("ready":true)",
+                            R"("configuration":3)",
+                            R"("condition":"ready")",
+                            R"("capacity_millicores":8000)" }) {
+    EXPECT_NE(status.find(part), std::string::npos) << part << "\n" << status;
+  }
+  EXPECT_EQ(Submit(1).status, 200);
+  std::string metrics =
+    CallHttp(Address(metricsPort_), "GET", "/metrics", "", 1s).body;
+  EXPECT_NE(metrics.find("greengage_jobs_ended_total"), std::string::npos) << metrics;
+}
+
 // Guards against a change that is not in force within 2 s.
 TEST_F(PlatformProcessTest, ConfigurationFollows)
 {
