--- a/tests/platform/platform_process_test.cpp
+++ b/tests/platform/platform_process_test.cpp
@@ -194,7 +194,8 @@
   EXPECT_EQ(Submit(1).status, 200);
   std::string metrics =
     CallHttp(Address(metricsPort_), "GET", "/metrics", "", 1s).body;
-  EXPECT_NE(metrics.find("greengage_jobs_ended_total"), std::string::npos) << metrics;
+  EXPECT_NE(metrics.find("greengage_jobs_ended_total"), std::string::npos)
+    << metrics;
 }
 
 // Guards against a change that is not in force within 2 s.
