--- a/src/coordination/dispatch/dispatched_job.cpp
+++ b/src/coordination/dispatch/dispatched_job.cpp
@@ -142,17 +142,6 @@
     });
 }
 
-bool
-WaitsForRoom(const DispatchedJob& aJob)
-{
-  for (std::size_t i = 0; i < aJob.steps.size(); ++i) {
-    if (aJob.steps[i].waiting > 0 && IsReady(aJob, aJob.spec.steps[i])) {
-      return true;
-    }
-  }
-  return false;
-}
-
 bool
 IsComplete(const DispatchedJob& aJob)
 {
--- a/src/coordination/dispatch/dispatched_job.h
+++ b/src/coordination/dispatch/dispatched_job.h
@@ -111,10 +111,6 @@
 bool
 IsReady(const DispatchedJob& aJob, const state::DispatchStep& aStep);
 
-/** True if a task of a step that is ready has not been started. */
-bool
-WaitsForRoom(const DispatchedJob& aJob);
-
 /** True if all tasks of all steps are done. */
 bool
 IsComplete(const DispatchedJob& aJob);
--- a/src/coordination/dispatch/job_dispatcher.cpp
+++ b/src/coordination/dispatch/job_dispatcher.cpp
@@ -294,9 +294,7 @@
         job->started ? DispatchResult::eFailed : DispatchResult::eRejected;
       ended.emplace_back(
         id, DispatchOutcome{ result, DispatchReason::eTooLate, RetryAfter() });
-    } else if ((now > job->uselessAt && WaitsForRoom(*job)) ||
-               !CheckRunning(*job)) {
-      // Its room serves jobs whose answers are still of use.
+    } else if (!CheckRunning(*job)) {
       ended.emplace_back(id, FailedOutcome(DispatchReason::eTooLate));
     }
   }
