Apply the operator's limit of a request's body

Change: the limit is decoded; a larger submission gets 413 at once, and its line names the reason (too_large).

--- a/src/daemon/dispatch/dispatch_entry_process.cpp
+++ b/src/daemon/dispatch/dispatch_entry_process.cpp
@@ -327,6 +327,13 @@
       aRespond);
     return;
   }
+  std::size_t maxBytes = dispatcher_.Configuration().maxBodyBytes;
+  if (maxBytes > 0 && aRequest.bodyBytes > maxBytes) {
+    Refuse({ DispatchResult::eRejected, DispatchReason::eTooLarge, {} },
+           aRequest,
+           aRespond);
+    return;
+  }
   if (aRequest.unsupported || queue->needsApproval) {
     Refuse({ DispatchResult::eRejected,
              DispatchReason::eUnsupported,
--- a/src/state/dispatch/dispatch_configuration.h
+++ b/src/state/dispatch/dispatch_configuration.h
@@ -37,7 +37,7 @@
 {
   std::uint64_t version = 0;
   std::vector<WorkQueue> queues;
-  /** Largest body of a caller's request in bytes. */
+  /** Largest body of a caller's request in bytes; 0: not limited. */
   std::size_t maxBodyBytes = 0;
 
   auto operator<=>(const DispatchConfiguration&) const = default;
--- a/src/state/dispatch/dispatch_job.cpp
+++ b/src/state/dispatch/dispatch_job.cpp
@@ -20,6 +20,8 @@
       return "server_lost";
     case DispatchReason::eNotConfigured:
       return "not_configured";
+    case DispatchReason::eTooLarge:
+      return "too_large";
     case DispatchReason::eUnsupported:
       return "unsupported";
     case DispatchReason::ePaused:
--- a/src/state/dispatch/dispatch_job.h
+++ b/src/state/dispatch/dispatch_job.h
@@ -93,6 +93,8 @@
   eNotConfigured,
   /** This kind of job is not served. */
   eUnsupported,
+  /** The request's body is larger than the configuration allows. */
+  eTooLarge,
   /** It waited in a socket while this process was paused. */
   ePaused,
   /** This process is about to end. */
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -140,6 +140,8 @@
   EXPECT_EQ(
     status(DispatchResult::eRejected, DispatchReason::eNotConfigured).status,
     503u);
+  EXPECT_EQ(status(DispatchResult::eRejected, DispatchReason::eTooLarge).status,
+            413u);
 }
 
 // Guards against queues that are read with wrong limits or objectives.
@@ -162,6 +164,17 @@
   EXPECT_EQ(state::FindQueue(*configuration, "other", "/p/5c"), nullptr);
 }
 
+// Guards against an operator's limit that is read and not applied.
+TEST(OperatorCodecTest, ReadsTheLargestBody)
+{
+  auto configuration = DecodeConfiguration(
+    R"({"version":7,"routes":[],"limits":{"maxBodyBytes":262144}})");
+  ASSERT_TRUE(configuration);
+  EXPECT_EQ(configuration->maxBodyBytes, 262'144u);
+  EXPECT_FALSE(DecodeConfiguration(
+    R"({"version":7,"routes":[],"limits":{"maxBodyBytes":"x"}})"));
+}
+
 // Guards against foreign or broken documents that replace the one in force.
 TEST(OperatorCodecTest, RefusesBrokenDocuments)
 {
--- a/tests/platform/platform_process_test.cpp
+++ b/tests/platform/platform_process_test.cpp
@@ -20,7 +20,7 @@
   return fmt::format(
     R"({{"version":{},"routes":[{{"name":"q","host":"{}","pathPrefix":"/p/",
         "timeoutMs":5000,"targetRuntimeMs":2000,"priority":0,"service":"portal",
-        "maxAttempts":2,"stretch":1.6}}]}})",
+        "maxAttempts":2,"stretch":1.6}}],"limits":{{"maxBodyBytes":400}}}})",
     aVersion,
     aHost);
 }
@@ -165,6 +165,12 @@
   HttpReply pending = CallHttp(Address(frontPort_), "GET", "/p/", "", 1s);
   EXPECT_EQ(pending.body, R"({"pending":0})");
   EXPECT_EQ(CallHttp(Address(frontPort_), "GET", "/q/", "", 1s).status, 404);
+  std::string large = R"({"spec":")" + std::string(400, 'x') +
+                      R"(","bestEffort":true,"steps":[{"count":1}]})";
+  EXPECT_EQ(
+    CallHttp(Address(frontPort_), "POST", "/p/00000000000000ff", large, 1s)
+      .status,
+    413);
   entry_->Signal(SIGHUP);
   EXPECT_NE(entry_->AwaitWord("name=settings_reloaded"), "none");
   auto last = std::async(std::launch::async, [this] { return Submit(6); });
