Keep the body's size last among the fields of a caller's request

Cause: a test failed once with a patience of 221 ms, the size of the body: an object file was older than the header, after a build had been ended by hand.

--- a/src/daemon/dispatch/dispatch_entry_process.h
+++ b/src/daemon/dispatch/dispatch_entry_process.h
@@ -54,9 +54,9 @@
   state::DispatchJob job;
   /** A kind of job that this version does not serve. */
   bool unsupported = false;
-  std::size_t bodyBytes = 0;
   /** How long the caller waits for the answer. */
   std::chrono::milliseconds patience{ 0 };
+  std::size_t bodyBytes = 0;
 
   auto operator<=>(const FrontRequest&) const = default;
 };
