Limit leases by the last contact of the entries

Callers would see two runs of one task: an entry that is behind confirms reports for a while after a caller was lost, then falls silent, and the agent ends just before it would stop the runs of that entry (600 ms and a tick). Its last renewal let them go on for 612 ms more on a slow clock, in sum 1,437 ms; callers submit a broken attempt again after 1,300 ms.

Cause: the length of a lease did not depend on the age of the evidence that the entries with runs on the server are alive, so the two timeouts added up.

The agent now requests leases that end at most 900 ms after the oldest confirmed contact of the entries that have runs there, converted to a server clock that runs 2% slow. The end of the agent adds nothing to that bound. The 275 ms between the stop order and the bound let the runs of other entries keep their leases. Renewals are due when 300 ms of the lease are left and it can be extended by 50 ms; with a recent contact that is the same moment as before.

--- a/src/coordination/dispatch/entry_reporter.cpp
+++ b/src/coordination/dispatch/entry_reporter.cpp
@@ -79,12 +79,18 @@
   }
 }
 
+std::optional<state::MonotonicTime>
+EntryReporter::ConfirmedAt(const ProcessId& aEntry) const
+{
+  auto entry = entries_.find(aEntry);
+  return entry == entries_.end() ? std::nullopt : entry->second.confirmedAt;
+}
+
 bool
 EntryReporter::HasTimedOut(const ProcessId& aEntry, milliseconds aLimit) const
 {
-  auto entry = entries_.find(aEntry);
-  return entry == entries_.end() || !entry->second.confirmedAt ||
-         clock_.MonotonicNow() - *entry->second.confirmedAt > aLimit;
+  auto confirmedAt = ConfirmedAt(aEntry);
+  return !confirmedAt || clock_.MonotonicNow() - *confirmedAt > aLimit;
 }
 
 void
--- a/src/coordination/dispatch/entry_reporter.h
+++ b/src/coordination/dispatch/entry_reporter.h
@@ -48,6 +48,12 @@
   void OnStartOrdered(const state::ProcessId& aEntry);
   /** Answers a message of the entry with a report, as a heartbeat. */
   void SendAnswer(const state::ProcessId& aEntry);
+  /**
+   * Returns the latest time that a message of the entry confirmed; empty if
+   * there was none.
+   */
+  std::optional<state::MonotonicTime> ConfirmedAt(
+    const state::ProcessId& aEntry) const;
   /** Returns true if no message of the entry was sent within this time. */
   bool HasTimedOut(const state::ProcessId& aEntry,
                    std::chrono::milliseconds aLimit) const;
--- a/src/coordination/dispatch/lease_renewals.cpp
+++ b/src/coordination/dispatch/lease_renewals.cpp
@@ -18,7 +18,8 @@
 
 RenewCall
 LeaseRenewals::Start(std::chrono::milliseconds aWait,
-                     std::uint64_t aFencingToken)
+                     std::uint64_t aFencingToken,
+                     std::chrono::milliseconds aLease)
 {
   auto now = clock_.MonotonicNow();
   RenewCall call;
@@ -27,7 +28,7 @@
   call.wait = aWait;
   call.fencingToken = aFencingToken;
   pending_[call.number] = { now, lastSeen_, aWait.count() > 0, aFencingToken };
-  extendedAt_ = now;
+  requestedUntil_ = now + aLease;
   nextAt_ = now + kRetryDelay;
   return call;
 }
@@ -74,12 +75,12 @@
 }
 
 void
-LeaseRenewals::OnLeaseGranted(bool aFirstRun)
+LeaseRenewals::OnLeaseGranted(bool aFirstRun, std::chrono::milliseconds aLease)
 {
   // A start order also extends the leases of the other runs, but it may be
   // lost, so it only counts if there are no other runs.
   if (aFirstRun) {
-    extendedAt_ = clock_.MonotonicNow();
+    requestedUntil_ = clock_.MonotonicNow() + aLease;
   }
 }
 
--- a/src/coordination/dispatch/lease_renewals.h
+++ b/src/coordination/dispatch/lease_renewals.h
@@ -33,8 +33,13 @@
 public:
   explicit LeaseRenewals(const state::Clock& aClock);
 
-  /** Registers a new call; the caller sets its lease. */
-  RenewCall Start(std::chrono::milliseconds aWait, std::uint64_t aFencingToken);
+  /**
+   * Registers a new call; the caller sets the end of the lease on the server's
+   * clock.
+   */
+  RenewCall Start(std::chrono::milliseconds aWait,
+                  std::uint64_t aFencingToken,
+                  std::chrono::milliseconds aLease);
   /**
    * Removes and returns the answered call; empty if it belongs to an earlier
    * incarnation of the server.
@@ -60,12 +65,12 @@
    * Records that a start order requests a lease, which delays the next renewal.
    * @param aFirstRun true if the server has no other runs
    */
-  void OnLeaseGranted(bool aFirstRun);
+  void OnLeaseGranted(bool aFirstRun, std::chrono::milliseconds aLease);
   /**
-   * Returns when a lease was last requested, for the time of the next renewal.
-   * LeaseTracker knows when leases end.
+   * Returns until when a lease was last requested, for the time of the next
+   * renewal. LeaseTracker has the latest time at which leases end.
    */
-  state::MonotonicTime ExtendedAt() const { return extendedAt_; }
+  state::MonotonicTime RequestedUntil() const { return requestedUntil_; }
   /** Returns false during the delay after a call. */
   bool CanStart() const;
   /** Returns true while a long poll is in flight. */
@@ -80,7 +85,7 @@
   std::uint64_t lastSeen_ = 0;
   std::uint64_t acknowledged_ = 0;
   unsigned unanswered_ = 0;
-  state::MonotonicTime extendedAt_;
+  state::MonotonicTime requestedUntil_;
   state::MonotonicTime nextAt_;
 };
 
--- a/src/coordination/dispatch/lease_tracker.cpp
+++ b/src/coordination/dispatch/lease_tracker.cpp
@@ -44,6 +44,15 @@
 {
 }
 
+milliseconds
+LeaseTracker::LongestUntil(MonotonicTime aEnd) const
+{
+  // The inverse of LatestLeaseEnd().
+  auto onServerClock = (aEnd - clockLearnedAt_) * kSlowestClockPercent / 100;
+  return std::chrono::floor<milliseconds>(
+    onServerClock - (clock_.MonotonicNow() - clockLearnedAt_) - kClockRounding);
+}
+
 std::uint64_t
 LeaseTracker::OnSent(milliseconds aLease)
 {
--- a/src/coordination/dispatch/lease_tracker.h
+++ b/src/coordination/dispatch/lease_tracker.h
@@ -49,6 +49,11 @@
   /** Records that an answer showed the clock of the server. */
   void OnClockLearned() { clockLearnedAt_ = clock_.MonotonicNow(); }
 
+  /**
+   * Returns the longest lease that, requested now, ends by this time on a clock
+   * that runs up to 2% slow; negative if there is none.
+   */
+  std::chrono::milliseconds LongestUntil(state::MonotonicTime aEnd) const;
   /** Registers a call that requests a lease and returns its number. */
   std::uint64_t OnSent(std::chrono::milliseconds aLease);
   /** The call was answered, or may have been received. */
--- a/src/coordination/dispatch/run_controller.h
+++ b/src/coordination/dispatch/run_controller.h
@@ -24,21 +24,26 @@
 /** Timeouts of a RunController. */
 struct RunControllerSettings
 {
-  /**
-   * Length of the leases that the agent requests. If the agent fails just
-   * before it stops the runs of an unresponsive entry, they continue for this
-   * long.
-   */
+  /** Length of the leases that the agent requests, unless maxContactAge ends
+   * them earlier. */
   std::chrono::milliseconds lease{ 600 };
   /** Longest lease that a server grants, whatever was requested. */
   std::chrono::milliseconds maxLease{ 1000 };
   /**
    * Contact timeout of an entry, after which its runs are stopped. It counts
-   * from the latest report of this agent that the entry has confirmed. The sum
-   * of this and the lease must be below the delay after which callers submit a
-   * failed job again (1,300 ms on the users' sites).
+   * from the latest report of this agent that the entry has confirmed.
    */
   std::chrono::milliseconds entryTimeout{ 600 };
+  /**
+   * Latest end of the leases, counted from the latest report that the least
+   * recent entry with runs here has confirmed. An agent that fails just before
+   * it stops the runs of an unresponsive entry cannot prolong them. It exceeds
+   * entryTimeout by the time that a stop needs, so that the leases of other
+   * entries' runs do not lapse. It must be below the delay after which callers
+   * submit a failed job again (1,300 ms on the users' sites), with 350 ms for
+   * an entry that confirms reports before it has handled its callers.
+   */
+  std::chrono::milliseconds maxContactAge{ 900 };
 
   auto operator<=>(const RunControllerSettings&) const = default;
 };
@@ -148,6 +153,8 @@
     /** Time at which the start call timed out without an answer. */
     std::optional<state::MonotonicTime> unansweredAt;
     state::MonotonicTime orderedAt;
+    /** Last contact of the entry, if the reporter does not have it. */
+    state::MonotonicTime entryContactAt;
     /** Time of the last stop order. */
     state::MonotonicTime stopSentAt;
     /** Number of stop orders that are neither answered nor failed. */
@@ -237,7 +244,13 @@
   void Renew(std::chrono::milliseconds aWait);
   void RenewLeases();
   void StopRunsOfTimedOutEntries();
-  std::chrono::milliseconds LeaseEnd() const;
+  /**
+   * Returns the length of the lease to request now: it ends at most
+   * maxContactAge after the last contact of any entry that has runs here.
+   */
+  std::chrono::milliseconds LeaseToRequest() const;
+  /** Returns the end of such a lease on the server's clock. */
+  std::chrono::milliseconds LeaseEnd(std::chrono::milliseconds aLease) const;
   /** Raises the token after the server refused this one as too low. */
   void RaiseFencingToken(std::uint64_t aRefused);
   void SetServerClock(std::chrono::milliseconds aServerClock);
--- a/src/coordination/dispatch/run_controller_calls.cpp
+++ b/src/coordination/dispatch/run_controller_calls.cpp
@@ -13,8 +13,10 @@
   knowledge.incarnation = incarnation_;
   knowledge.fencingToken = fencingToken_;
   SettleStart(aKey, true);
-  openStarts_[aKey] = leases_.OnSent(settings_.lease);
-  hooks_.start({ server_->id, aKey, aPayload, fencingToken_, LeaseEnd() });
+  auto lease = LeaseToRequest();
+  renewals_.OnLeaseGranted(runs_.size() == 1, lease);
+  openStarts_[aKey] = leases_.OnSent(lease);
+  hooks_.start({ server_->id, aKey, aPayload, fencingToken_, LeaseEnd(lease) });
 }
 
 void
--- a/src/coordination/dispatch/run_controller_orders.cpp
+++ b/src/coordination/dispatch/run_controller_orders.cpp
@@ -17,8 +17,12 @@
 void
 RunController::OnEntryLost(const ProcessId& aEntry)
 {
+  auto contactAt = reporter_.ConfirmedAt(aEntry);
   reporter_.RemoveEntry(aEntry);
   for (auto& [key, run] : runs_) {
+    if (run.entry == aEntry && contactAt) {
+      run.entryContactAt = *contactAt;
+    }
     if (run.entry == aEntry && run.phase != Phase::eStopping) {
       RecordDecision("stop", key, aEntry, "entry_gone");
       Stop(key, run);
@@ -87,7 +91,7 @@
   run.need = aBatch.need;
   run.limit = milliseconds(aBatch.limitMs);
   run.orderedAt = now;
-  renewals_.OnLeaseGranted(runs_.empty());
+  run.entryContactAt = aContact.confirmedAt;
   runs_.emplace(key, run);
   used_ = used_ + aBatch.need;
   reporter_.MarkChanged();
--- a/src/coordination/dispatch/run_controller_renewals.cpp
+++ b/src/coordination/dispatch/run_controller_renewals.cpp
@@ -16,8 +16,16 @@
 constexpr milliseconds kBusyPollTimeout{ 250 };
 /** Longest poll timeout that the server's interface allows. */
 constexpr milliseconds kIdlePollTimeout{ 2000 };
-/** Age at which leases are renewed although a long poll is in flight. */
+/**
+ * Age at which leases of the full length are renewed although a long poll is in
+ * flight; shorter leases are renewed when the same time is left.
+ */
 constexpr milliseconds kRenewAfter{ 300 };
+/**
+ * Minimum extension of the leases by such a renewal. While an entry with runs
+ * here is out of contact, the leases cannot be extended.
+ */
+constexpr milliseconds kMinExtension{ 50 };
 /** Increment of a refused fencing token, in ms (one minute). */
 constexpr std::uint64_t kFencingTokenStep = 60'000;
 /** Minimum age; whole percent are too coarse for the progress of new runs. */
@@ -223,8 +231,9 @@
     std::any_of(runs_.begin(), runs_.end(), [](const auto& aRun) {
       return aRun.second.knowledge.stop && !aRun.second.IsConfirmed();
     });
-  bool isRenewalDue =
-    !runs_.empty() && now - renewals_.ExtendedAt() >= kRenewAfter;
+  auto rest = renewals_.RequestedUntil() - now;
+  bool isRenewalDue = !runs_.empty() && rest <= settings_.lease - kRenewAfter &&
+                      LeaseToRequest() - rest >= kMinExtension;
   // Renewals without a wait show when an unreliable server answers again,
   // without placing a run on it.
   bool isUnreliable = !answerMonitor_.IsReliable();
@@ -240,18 +249,32 @@
   if (!server_) {
     return;
   }
-  RenewCall call = renewals_.Start(aWait, fencingToken_);
-  openRenewals_[call.number] = leases_.OnSent(settings_.lease);
-  call.leaseEnd = LeaseEnd();
+  auto lease = LeaseToRequest();
+  RenewCall call = renewals_.Start(aWait, fencingToken_, lease);
+  openRenewals_[call.number] = leases_.OnSent(lease);
+  call.leaseEnd = LeaseEnd(lease);
   hooks_.renew(call);
 }
 
 milliseconds
-RunController::LeaseEnd() const
+RunController::LeaseToRequest() const
+{
+  auto lease = settings_.lease;
+  for (const auto& [key, run] : runs_) {
+    auto contactAt =
+      reporter_.ConfirmedAt(run.entry).value_or(run.entryContactAt);
+    lease = std::min(lease,
+                     leases_.LongestUntil(contactAt + settings_.maxContactAge));
+  }
+  return std::max(lease, milliseconds(0));
+}
+
+milliseconds
+RunController::LeaseEnd(milliseconds aLease) const
 {
   auto now = std::chrono::duration_cast<milliseconds>(
     clock_.MonotonicNow().time_since_epoch());
-  return now + clockOffset_ + settings_.lease;
+  return now + clockOffset_ + aLease;
 }
 
 void
