Bound the age of the proof that an entry has handled its callers

An entry could confirm reports for 425 ms after a caller was lost, not for the 200 ms that the chain of leases counts with. Agents would keep the runs of a broken attempt until its caller submits it again (425 + 900 ms against 1,300 ms).

Cause: a probe that returns 200 ms late is in time, but proves nothing about a caller that was lost just after it was sent; the next probe starts only then and has 200 ms again.

An entry now also counts as behind when the last probe that returned in time was sent more than 350 ms ago. Ticks without a job count as proof, so the first job after an idle time is placed at once. A constant lag of 160 ms stays within the bound. 350 + 900 ms leave 50 ms for a stop.

EntryLagTest.ProofOfAReturnedProbeExpires fails with an unlimited proof age (0 changes, expected 1) and passes with 350 ms. IdleTimeIsNoLag guards the idle case and passes with and without the change.

--- a/src/coordination/dispatch/job_dispatcher.cpp
+++ b/src/coordination/dispatch/job_dispatcher.cpp
@@ -160,6 +160,7 @@
   lag_.Check();
   // An idle process sends no probes, so that its other threads are not woken.
   if (jobs_.empty() && !IsBehind()) {
+    lag_.OnIdle();
     return;
   }
   bool sent = lag_.SendProbe([this] {
--- a/src/coordination/dispatch/lag_monitor.cpp
+++ b/src/coordination/dispatch/lag_monitor.cpp
@@ -1,5 +1,7 @@
 #include "coordination/dispatch/lag_monitor.h"
 
+#include <algorithm>
+
 namespace greengage::coordination {
 
 using std::chrono::milliseconds;
@@ -14,6 +16,12 @@
  * process with a tenth of a core often waits 100 ms for processor time.
  */
 constexpr milliseconds kMaxLag{ 200 };
+/**
+ * Maximum time since the last probe that returned in time was sent. A caller
+ * that was lost just after that is only proven to be handled by the next probe,
+ * which may take kMaxLag again. A constant lag of 160 ms stays within it.
+ */
+constexpr milliseconds kMaxProofAge{ 350 };
 
 }
 
@@ -25,6 +33,7 @@
   , changed_(std::move(aChanged))
   , sentAt_(aClock.MonotonicNow() - kProbePeriod)
   , provenAt_(aClock.MonotonicNow())
+  , idleAt_(aClock.MonotonicNow())
 {
 }
 
@@ -47,7 +56,7 @@
 void
 LagMonitor::Check()
 {
-  if (isInFlight_ && Lag() > kMaxLag) {
+  if (IsBehind()) {
     SetReported(true, Lag());
   }
 }
@@ -55,7 +64,11 @@
 bool
 LagMonitor::IsBehind() const
 {
-  return wasSlow_ || (isInFlight_ && Lag() > kMaxLag);
+  if (!probe_) {
+    return false;
+  }
+  return wasSlow_ || (isInFlight_ && Lag() > kMaxLag) ||
+         clock_.MonotonicNow() - std::max(provenAt_, idleAt_) > kMaxProofAge;
 }
 
 void
@@ -66,7 +79,7 @@
   if (!wasSlow_) {
     provenAt_ = sentAt_;
   }
-  SetReported(wasSlow_, Lag());
+  SetReported(IsBehind(), Lag());
 }
 
 milliseconds
--- a/src/coordination/dispatch/lag_monitor.h
+++ b/src/coordination/dispatch/lag_monitor.h
@@ -35,11 +35,13 @@
    * @return true if a probe was sent
    */
   bool SendProbe(std::function<void()> aReturned);
+  /** Must be called instead of SendProbe() on a tick without any job. */
+  void OnIdle() { idleAt_ = clock_.MonotonicNow(); }
   /** Reports a probe that is overdue. Must be called on every tick. */
   void Check();
   /**
-   * Returns true if the probe in flight or the last one took too long. A probe
-   * that returns in time ends this state.
+   * Returns true if the probe in flight or the last one took too long, or if
+   * the last proof is too old. A probe that returns in time ends this state.
    */
   bool IsBehind() const;
   /**
@@ -63,6 +65,8 @@
   state::MonotonicTime sentAt_;
   /** Time at which the last probe that returned in time was sent. */
   state::MonotonicTime provenAt_;
+  /** Time of the last tick without a job, so without a caller to lose. */
+  state::MonotonicTime idleAt_;
   bool isInFlight_ = false;
   /** The last probe that returned took too long. */
   bool wasSlow_ = false;
--- a/src/coordination/dispatch/run_controller.h
+++ b/src/coordination/dispatch/run_controller.h
@@ -24,8 +24,10 @@
 /** Timeouts of a RunController. */
 struct RunControllerSettings
 {
-  /** Length of the leases that the agent requests, unless maxContactAge ends
-   * them earlier. */
+  /**
+   * Length of the leases that the agent requests, unless maxContactAge ends
+   * them earlier.
+   */
   std::chrono::milliseconds lease{ 600 };
   /** Longest lease that a server grants, whatever was requested. */
   std::chrono::milliseconds maxLease{ 1000 };
--- a/tests/dispatch/entry_lag_test.cpp
+++ b/tests/dispatch/entry_lag_test.cpp
@@ -194,6 +194,38 @@
   EXPECT_EQ(starts_, 2u);
 }
 
+// Guards against an entry that confirms reports for more than 350 ms after it
+// has fallen behind its callers: a probe that returns just in time does not
+// prove anything about a caller that was lost just after it was sent.
+TEST_F(EntryLagTest, ProofOfAReturnedProbeExpires)
+{
+  Submit(1, 1);
+  RunFor(milliseconds(225));
+  ReturnProbe();
+  RunFor(milliseconds(150));
+  EXPECT_EQ(changes_.size(), 0u);
+  // The next probe is in flight for 150 ms only.
+  RunFor(milliseconds(25));
+  ASSERT_EQ(changes_.size(), 1u);
+  EXPECT_TRUE(changes_[0].first);
+  std::uint64_t confirmedMs = confirmedAtMs_;
+  RunFor(milliseconds(50));
+  EXPECT_LE(confirmedAtMs_, confirmedMs);
+  ReturnProbe();
+  ASSERT_EQ(changes_.size(), 2u);
+  EXPECT_FALSE(changes_[1].first);
+}
+
+// Guards against a first job after an idle time that waits for a probe.
+TEST_F(EntryLagTest, IdleTimeIsNoLag)
+{
+  RunFor(milliseconds(1000));
+  Submit(1, 1);
+  EXPECT_EQ(starts_, 1u);
+  RunFor(milliseconds(25));
+  EXPECT_EQ(changes_.size(), 0u);
+}
+
 // Guards against probes that wake the threads of an idle process.
 TEST_F(EntryLagTest, IdleProcessSendsNoProbes)
 {
