Let the probe of an entry wait for all lost callers

After a reset of more than 256 connections at one entry, the entry could count as up to date before it had handled all of them, and place tasks of callers that had submitted their jobs elsewhere.

Cause: the probe made three turns through the queue of the traffic thread, and each poll between them reports at most 128 ready sockets.

TrafficProbe makes a socket of its own ready in the traffic thread. A poll reports ready sockets in turn, so this one is reported after all that were ready before, however many there are. Two more turns let the handlers of their strands run. No count of connections is needed.

--- a/src/daemon/dispatch/dispatch_entry_process.cpp
+++ b/src/daemon/dispatch/dispatch_entry_process.cpp
@@ -1,7 +1,5 @@
 #include "daemon/dispatch/dispatch_entry_process.h"
 
-#include <boost/asio/post.hpp>
-
 #include "daemon/dispatch/dispatch_status.h"
 #include "daemon/dispatch/log_pause.h"
 #include "daemon/start_listening.h"
@@ -26,12 +24,6 @@
 constexpr milliseconds kTickPeriod{ 25 };
 /** Membership has a tick period of 50 ms. */
 constexpr unsigned kTicksPerMembershipTick = 2;
-/**
- * Turns of a probe through the queue of the traffic thread. Sockets are polled
- * between the first and the second turn, and their handlers, which detect lost
- * callers, run before the third.
- */
-constexpr unsigned kProbeTurns = 3;
 /**
  * Submissions that are handled sooner, and do not join a job, are not logged:
  * job_ended covers them, and the number of lines per second is limited.
@@ -186,7 +178,9 @@
   };
   hooks.paused = LogPause;
   hooks.probe = [this](std::function<void()> aReturned) {
-    PassThroughTraffic(kProbeTurns, std::move(aReturned));
+    probe_.Send([this, returned = std::move(aReturned)]() mutable {
+      control_.Post(std::move(returned));
+    });
   };
   hooks.lagChanged = [](bool aIsBehind, milliseconds aLag) {
     LogEvent(aIsBehind ? events::kProcessBehind : events::kProcessCaughtUp,
@@ -196,20 +190,6 @@
   return hooks;
 }
 
-void
-DispatchEntryProcess::PassThroughTraffic(unsigned aTurns,
-                                         std::function<void()> aFunction)
-{
-  if (aTurns == 0) {
-    control_.Post(std::move(aFunction));
-    return;
-  }
-  boost::asio::post(traffic_.Context(),
-                    [this, aTurns, function = std::move(aFunction)]() mutable {
-                      PassThroughTraffic(aTurns - 1, std::move(function));
-                    });
-}
-
 PeerNodeHooks
 DispatchEntryProcess::MakePeerHooks()
 {
--- a/src/daemon/dispatch/dispatch_entry_process.h
+++ b/src/daemon/dispatch/dispatch_entry_process.h
@@ -17,6 +17,7 @@
 #include "transport/metrics.h"
 #include "transport/system_clock.h"
 #include "transport/traffic_pool.h"
+#include "transport/traffic_probe.h"
 
 namespace greengage::daemon {
 
@@ -131,11 +132,6 @@
   coordination::JobDispatcherHooks MakeDispatcherHooks();
   PeerNodeHooks MakePeerHooks();
 
-  /**
-   * Calls the function on the control thread after this number of turns through
-   * the queue of the traffic thread.
-   */
-  void PassThroughTraffic(unsigned aTurns, std::function<void()> aFunction);
   void OnHttpRequest(transport::HttpRequest aRequest,
                      transport::HttpResponder aRespond);
   void OnRequest(const CallerRequest& aRequest,
@@ -163,6 +159,7 @@
   transport::MetricsRegistry metrics_{ clock_ };
   DispatchMetrics dispatchMetrics_{ metrics_ };
   transport::TrafficPool traffic_{ 1 };
+  transport::TrafficProbe probe_{ traffic_ };
   transport::ControlThread control_;
   PeerNode peers_;
   coordination::JobDispatcher dispatcher_;
