Define the messages about tasks that crash their servers

An agent will report each crash of its server to all entries, with the tasks of all entries that had runs there, so that the crashes of a task are counted across submissions of its job. An order carries the number of known crashes of its task and the queue of its job. Nothing sends or reads these fields yet.

--- a/src/coordination/dispatch/dispatch_messages.h
+++ b/src/coordination/dispatch/dispatch_messages.h
@@ -14,6 +14,11 @@
 {
   std::uint32_t index = 0;
   std::uint32_t run = 0;
+  /**
+   * Number of known crashes of servers during a run of the task. The agent
+   * admits only one run of such a task at a time.
+   */
+  std::uint32_t crashes = 0;
 
   auto operator<=>(const RunOrder&) const = default;
 };
@@ -28,6 +33,8 @@
   std::uint32_t limitMs = 0;
   std::string payload;
   std::vector<RunOrder> runs;
+  /** Name of the queue of the job. */
+  std::string queue;
 
   auto operator<=>(const RunBatch&) const = default;
 };
@@ -133,6 +140,32 @@
   auto operator<=>(const ServerDescription&) const = default;
 };
 
+/** A task that had a run on a backend server when the server crashed. */
+struct CrashSuspect
+{
+  state::TaskKey task;
+  /** Name of the queue of the job. */
+  std::string queue;
+
+  auto operator<=>(const CrashSuspect&) const = default;
+};
+
+/**
+ * A crash of a backend server, which its agent reports to all entries. It lists
+ * the tasks of all entries, so that the crashes of a task are counted across
+ * submissions of its job to different entries.
+ */
+struct ServerCrash
+{
+  /** Identifies the crash among those that this agent reports. */
+  std::uint64_t number = 0;
+  /** Time since the crash was detected, when the report was sent. */
+  std::uint32_t ageMs = 0;
+  std::vector<CrashSuspect> suspects;
+
+  auto operator<=>(const ServerCrash&) const = default;
+};
+
 /** Report from an agent to an entry: server state and ended runs. */
 struct ServerReport
 {
@@ -148,6 +181,8 @@
    * the agent interprets; 0: unknown, from agents of the previous version.
    */
   std::uint64_t sentAtMs = 0;
+  /** Crashes that were not reported to this entry before. */
+  std::vector<ServerCrash> crashes;
 
   auto operator<=>(const ServerReport&) const = default;
 };
