Give up tasks that crash their servers

What callers saw: one task ended server after server until the deadline of its job, and the runs of all other jobs there were lost with them.

Cause: a run that was lost with its server went back to the queue, and nothing counted the crashes of its task.

Change: CrashHistory counts the crashes that agents report, for each task. A crash with suspects of an earlier one is attributed to them only, since most tasks on a server are victims. Two attributed crashes, or three in all, end the job as failed with the reason crashed_servers (200, state failed, so that the caller does not submit it again). The crashes are counted before the lost runs of the same report return to the queue, so a given-up task is not started in between. All entries receive the same reports, so the count continues when the job is submitted through another entry, which then fails it at once. A task that is given up exonerates the others of its crashes. A crash also ends the ejection of its server, whose next incarnation is a good one.

Agents do not send the reports yet.

--- a/src/coordination/dispatch/dispatch_records.h
+++ b/src/coordination/dispatch/dispatch_records.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <string>
 
+#include "coordination/dispatch/crash_history.h"
 #include "coordination/dispatch/dispatched_job.h"
 
 namespace greengage::coordination {
@@ -50,6 +51,21 @@
   auto operator<=>(const SubmissionRecord&) const = default;
 };
 
+/** A crash that was counted for a task of a job of this entry. */
+struct CrashRecord
+{
+  state::ProcessId agent;
+  /** Number of the crash among those that the agent reports. */
+  std::uint64_t number = 0;
+  /** Time since the crash was detected. */
+  std::chrono::milliseconds age{ 0 };
+  /** Number of tasks that had a run on the server. */
+  std::size_t tasks = 0;
+  CrashedTask task;
+
+  auto operator<=>(const CrashRecord&) const = default;
+};
+
 /** Tasks of a job sent to one agent, and the inputs of that decision. */
 struct PlacementRecord
 {
--- a/src/coordination/dispatch/job_dispatcher.cpp
+++ b/src/coordination/dispatch/job_dispatcher.cpp
@@ -38,6 +38,7 @@
   , pauses_(aClock, hooks_.paused)
   , lag_(aClock, hooks_.probe, hooks_.lagChanged)
   , servers_(aSettings.dataCentre, aClock)
+  , crashHistory_(aClock)
   , orders_(aClock,
             [this](const ProcessId& aAgent, DispatchOrders aOrders) {
               RecordPlacements(aAgent, aOrders);
@@ -103,6 +104,10 @@
   DispatchedJob& reference = *job;
   jobs_[id] = std::move(job);
   submissions_[aSubmission] = id;
+  if (crashHistory_.HasGivenUpTask(id)) {
+    End(id, FailedOutcome(DispatchReason::eCrashedServers));
+    return;
+  }
   if (reject != DispatchReason::eNone) {
     End(id, { DispatchResult::eRejected, reject, RetryAfter() });
     return;
@@ -401,6 +406,7 @@
   for (const auto& [id, outcome] : ended) {
     End(id, outcome);
   }
+  crashHistory_.RemoveExpired();
   SendPendingStops();
   orders_.AddKeepAlives(servers_.AgentsInUse());
   PlaceWaitingJobs();
--- a/src/coordination/dispatch/job_dispatcher.h
+++ b/src/coordination/dispatch/job_dispatcher.h
@@ -9,6 +9,7 @@
 #include <tuple>
 #include <vector>
 
+#include "coordination/dispatch/crash_history.h"
 #include "coordination/dispatch/dispatch_records.h"
 #include "coordination/dispatch/dispatched_job.h"
 #include "coordination/dispatch/lag_monitor.h"
@@ -35,6 +36,7 @@
   /** Called when a run ended without success. */
   std::function<void(const state::ProcessId& aAgent, const RunEnd&)> runEnded;
   std::function<void(const SubmissionRecord&)> submitted;
+  std::function<void(const CrashRecord&)> crashCounted;
   /** Called with the length of a pause of this process. */
   std::function<void(std::chrono::milliseconds)> paused;
   /** See LagMonitor; if empty, the process is never behind. */
@@ -138,6 +140,13 @@
   void RecordPlacements(const state::ProcessId& aAgent,
                         const DispatchOrders& aOrders) const;
 
+  /** Counts crashes, and ends jobs whose tasks must not be started again. */
+  void OnCrashes(const state::ProcessId& aAgent,
+                 const std::vector<ServerCrash>& aCrashes);
+  /** Records the crash if this entry has the job of the task. */
+  void RecordCrash(const state::ProcessId& aAgent,
+                   const ServerCrash& aCrash,
+                   const CrashedTask& aTask) const;
   void OnRunEnd(const state::ProcessId& aAgent, const RunEnd& aEnd);
   void OnForecast(const state::ProcessId& aAgent, const RunForecast& aForecast);
   void OnTaskDone(DispatchedJob& aJob,
@@ -174,6 +183,7 @@
   LagMonitor lag_;
   state::DispatchConfiguration configuration_;
   ServerPool servers_;
+  CrashHistory crashHistory_;
   OrderQueue orders_;
   PendingStops pendingStops_;
   ReportTimes reportTimes_;
--- a/src/coordination/dispatch/job_dispatcher_runs.cpp
+++ b/src/coordination/dispatch/job_dispatcher_runs.cpp
@@ -27,6 +27,8 @@
 {
   servers_.OnReport(aAgent, aReport);
   reportTimes_.OnReport(aAgent, aReport.sentAtMs);
+  // Before the ends, which return lost tasks to the queue.
+  OnCrashes(aAgent, aReport.crashes);
   for (const RunEnd& end : aReport.ends) {
     OnRunEnd(aAgent, end);
   }
--- a/src/coordination/dispatch/server_pool.cpp
+++ b/src/coordination/dispatch/server_pool.cpp
@@ -267,6 +267,17 @@
   ++server.ejections;
 }
 
+void
+ServerPool::OnCrashed(const ProcessId& aServer)
+{
+  auto server = servers_.find(aServer);
+  if (server != servers_.end()) {
+    server->second.failuresInRow = 0;
+    server->second.ejections = 0;
+    server->second.cooldownUntil = {};
+  }
+}
+
 void
 ServerPool::OnRefused(const ProcessId& aServer)
 {
--- a/src/coordination/dispatch/server_pool.h
+++ b/src/coordination/dispatch/server_pool.h
@@ -99,6 +99,9 @@
   /** Records a run that failed or hung for reasons other than its job. */
   void OnRunFailed(const state::ProcessId& aServer);
 
+  /** Readmits an ejected server that crashed: its new incarnation is good. */
+  void OnCrashed(const state::ProcessId& aServer);
+
   /** Starts a short cooldown of a server that refused a start. */
   void OnRefused(const state::ProcessId& aServer);
 
--- a/src/daemon/dispatch/dispatch_entry_process.cpp
+++ b/src/daemon/dispatch/dispatch_entry_process.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/post.hpp>
 
 #include "daemon/dispatch/dispatch_status.h"
+#include "daemon/dispatch/log_crashes.h"
 #include "daemon/dispatch/log_pause.h"
 #include "daemon/start_listening.h"
 #include "transport/event_log.h"
@@ -184,6 +185,7 @@
              aRecord.age.count(),
              aRecord.submissions);
   };
+  hooks.crashCounted = LogCrash;
   hooks.paused = LogPause;
   hooks.probe = [this](std::function<void()> aReturned) {
     PassThroughTraffic(kProbeTurns, std::move(aReturned));
--- /dev/null
+++ b/src/daemon/dispatch/log_crashes.cpp
@@ -0,0 +1,38 @@
+#include "daemon/dispatch/log_crashes.h"
+
+#include "transport/event_log.h"
+
+namespace greengage::daemon {
+
+using transport::LogEvent;
+namespace events = transport::events;
+
+void
+LogCrash(const coordination::CrashRecord& aRecord)
+{
+  const coordination::CrashedTask& task = aRecord.task;
+  LogEvent(events::kTaskCrashCounted,
+           "job={:016x} step={} task={} agent={} crash={} age_ms={} tasks={} "
+           "crashes={} attributed={}",
+           task.task.job,
+           task.task.step,
+           task.task.index,
+           aRecord.agent.ToString(),
+           aRecord.number,
+           aRecord.age.count(),
+           aRecord.tasks,
+           task.crashes,
+           task.attributed);
+  if (task.isGivenUp) {
+    LogEvent(events::kJobGivenUp,
+             "job={:016x} queue={} step={} task={} crashes={} attributed={}",
+             task.task.job,
+             transport::QuoteValue(task.queue),
+             task.task.step,
+             task.task.index,
+             task.crashes,
+             task.attributed);
+  }
+}
+
+}
--- /dev/null
+++ b/src/daemon/dispatch/log_crashes.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "coordination/dispatch/dispatch_records.h"
+
+namespace greengage::daemon {
+
+/** Logs a counted crash, and the job if it is given up. */
+void
+LogCrash(const coordination::CrashRecord& aRecord);
+
+}
--- a/src/state/dispatch/dispatch_job.cpp
+++ b/src/state/dispatch/dispatch_job.cpp
@@ -18,6 +18,8 @@
       return "impossible";
     case DispatchReason::eServerLost:
       return "server_lost";
+    case DispatchReason::eCrashedServers:
+      return "crashed_servers";
     case DispatchReason::eNotConfigured:
       return "not_configured";
     case DispatchReason::eTooLarge:
--- a/src/state/dispatch/dispatch_job.h
+++ b/src/state/dispatch/dispatch_job.h
@@ -89,6 +89,8 @@
   eImpossible,
   /** A backend server that ran a task was lost. */
   eServerLost,
+  /** Backend servers crashed during runs of one of the tasks. */
+  eCrashedServers,
   /** The entry has not received a configuration yet. */
   eNotConfigured,
   /** This kind of job is not supported. */
--- a/src/tools/job_explanation.cpp
+++ b/src/tools/job_explanation.cpp
@@ -136,6 +136,10 @@
   if (reason == "attempts_used") {
     return CauseOfExhaustedAttempts();
   }
+  if (reason == "crashed_servers") {
+    return "servers crashed during runs of one of its tasks, which is not "
+           "started again; see task_crash_counted for the crashes";
+  }
   if (reason == "paused") {
     return "the entry had just been paused, and the request may have waited in "
            "the socket longer than the caller waits for the answer";
--- a/src/transport/events.h
+++ b/src/transport/events.h
@@ -155,6 +155,12 @@
 inline constexpr EventKind kJobSubmitted{ 1610,
                                           "job_submitted",
                                           LogLevel::eInfo };
+inline constexpr EventKind kTaskCrashCounted{ 1620,
+                                              "task_crash_counted",
+                                              LogLevel::eInfo };
+inline constexpr EventKind kJobGivenUp{ 1621,
+                                        "job_given_up",
+                                        LogLevel::eWarning };
 
 // Settings and logging.
 inline constexpr EventKind kSettingsReloaded{ 1701,
@@ -185,7 +191,8 @@
   kPeerSilent,       kTasksPlaced,          kSettingsReloaded,
   kSettingsRefused,  kLinesDropped,         kSettingsWaitForStart,
   kProcessPaused,    kProcessBehind,        kProcessCaughtUp,
-  kRequestDropped,   kJobSubmitted,
+  kRequestDropped,   kJobSubmitted,         kTaskCrashCounted,
+  kJobGivenUp,
 };
 
 }
--- a/tests/dispatch/crash_fixture.h
+++ b/tests/dispatch/crash_fixture.h
@@ -83,6 +83,7 @@
               std::uint32_t aTasks = 1,
               const std::string& aQueue = "queue")
   {
+    queueOfJob_[aJob] = aQueue;
     state::WorkQueue queue;
     queue.name = aQueue;
     queue.service = "pool";
@@ -114,23 +115,34 @@
   /** Ends all runs on the server and reports the crash to all entries. */
   void Crash(std::uint64_t aServer)
   {
-    state::ProcessId agent = AgentOf(aServer);
-    auto lost = std::exchange(running_[agent], {});
+    auto lost = std::exchange(running_[AgentOf(aServer)], {});
+    std::vector<state::TaskKey> tasks;
+    for (const auto& [run, entry] : lost) {
+      tasks.push_back(run.task);
+    }
+    ReportCrash(aServer, tasks, lost);
+  }
+
+  /** Reports a crash with these tasks and ends of runs to all entries. */
+  void ReportCrash(std::uint64_t aServer,
+                   const std::vector<state::TaskKey>& aTasks,
+                   const std::map<state::RunKey, std::size_t>& aLost = {})
+  {
     coordination::ServerCrash crash;
     crash.number = ++crashes_;
-    for (const auto& [run, entry] : lost) {
-      crash.suspects.push_back({ run.task, QueueOf(run.task) });
+    for (const state::TaskKey& task : aTasks) {
+      crash.suspects.push_back({ task, QueueOf(task) });
     }
     for (std::size_t i = 0; i < entries_.size(); ++i) {
       coordination::ServerReport report;
       report.condition = coordination::ServerCondition::eReady;
       report.crashes.push_back(crash);
-      for (const auto& [run, entry] : lost) {
+      for (const auto& [run, entry] : aLost) {
         if (entry == i) {
           report.ends.push_back({ run, coordination::RunEndKind::eLost, 10 });
         }
       }
-      entries_[i].dispatcher->OnReport(agent, report);
+      entries_[i].dispatcher->OnReport(AgentOf(aServer), report);
     }
   }
 
--- a/tests/dispatch/job_dispatcher_crash_test.cpp
+++ b/tests/dispatch/job_dispatcher_crash_test.cpp
@@ -29,5 +29,83 @@
   EXPECT_EQ(entries_[0].outcomes[1].result, state::DispatchResult::eFailed);
 }
 
+// Guards against a lost run of an innocent task that ends its job, also when
+// two servers crashed under it because of others.
+TEST_F(JobDispatcherCrashTest, VictimsOfTwoCrashesComplete)
+{
+  AddServers(1);
+  TaskKey victim{ 1, 0, 0 };
+  Submit(1, 1);
+  for (std::uint64_t guilty : { 11, 12 }) {
+    ReportCrash(2, { { guilty, 0, 0 } });
+    Submit(0, guilty);
+    RunFor(std::chrono::milliseconds(500));
+    ASSERT_EQ(ServersOf(victim).size(), 1u);
+    ASSERT_EQ(ServersOf({ guilty, 0, 0 }).size(), 1u);
+    Crash(1);
+    EXPECT_EQ(entries_[0].outcomes.at(guilty),
+              state::FailedOutcome(state::DispatchReason::eCrashedServers));
+  }
+  Finish(victim);
+  EXPECT_EQ(entries_[1].outcomes.at(1).result,
+            state::DispatchResult::eCompleted);
+}
+
+// Guards against a count that begins anew when the caller submits the job
+// through another entry, or submits it again after it was given up.
+TEST_F(JobDispatcherCrashTest, CountContinuesAtAnotherEntry)
+{
+  AddServers(4);
+  Submit(0, 1);
+  TaskKey task{ 1, 0, 0 };
+  Crash(ServersOf(task).at(0));
+  entries_[0].dispatcher->Abandon(1);
+  Submit(1, 1);
+  Crash(ServersOf(task).at(0));
+  EXPECT_EQ(entries_[1].outcomes.at(1),
+            state::FailedOutcome(state::DispatchReason::eCrashedServers));
+  std::size_t starts = StartCount(task);
+  Submit(0, 1);
+  RunFor(std::chrono::milliseconds(500));
+  EXPECT_EQ(entries_[0].outcomes.at(1),
+            state::FailedOutcome(state::DispatchReason::eCrashedServers));
+  EXPECT_EQ(StartCount(task), starts);
+}
+
+// Guards against runs of a given-up job that go on.
+TEST_F(JobDispatcherCrashTest, OtherRunsOfAGivenUpJobAreStopped)
+{
+  AddServers(4);
+  Submit(0, 1, 3);
+  TaskKey task{ 1, 0, 0 };
+  for (std::uint64_t index = 1; index < 3; ++index) {
+    Finish({ 1, 0, static_cast<std::uint32_t>(index) },
+           coordination::RunEndKind::eFailed);
+  }
+  while (!entries_[0].outcomes.contains(1)) {
+    Crash(ServersOf(task).at(0));
+    RunFor(std::chrono::milliseconds(200));
+  }
+  for (const auto& [agent, runs] : running_) {
+    EXPECT_TRUE(runs.empty());
+  }
+}
+
+// Guards against an ejection that outlives the incarnation that failed: the
+// server that returns after a crash is a good one.
+TEST_F(JobDispatcherCrashTest, CrashEndsTheEjectionOfItsServer)
+{
+  AddServers(1);
+  for (std::uint64_t job = 1; job <= 3; ++job) {
+    Submit(0, job);
+    Finish({ job, 0, 0 }, coordination::RunEndKind::eFailed);
+  }
+  EXPECT_GT(entries_[0].dispatcher->Servers().Views()[0].cooldown.count(), 0);
+  running_[AgentOf(1)][{ { 99, 0, 0 }, 1 }] = 1;
+  Crash(1);
+  EXPECT_EQ(entries_[0].dispatcher->Servers().Views()[0].cooldown.count(), 0);
+  EXPECT_EQ(ServersOf({ 1, 0, 0 }).size(), 1u);
+}
+
 }
 }
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -127,6 +127,8 @@
     status(DispatchResult::eFailed, DispatchReason::eAttemptsUsed);
   EXPECT_EQ(failed.status, 200u);
   EXPECT_EQ(failed.body, R"({"state":"failed"})");
+  EXPECT_EQ(status(DispatchResult::eFailed, DispatchReason::eCrashedServers),
+            failed);
   EXPECT_EQ(status(DispatchResult::eFailed, DispatchReason::eTooLate).status,
             504u);
   EXPECT_EQ(status(DispatchResult::eFailed, DispatchReason::eServerLost).status,
