Keep suspected tasks apart

What callers would see: after a crash, the 10 to 15 tasks that were lost with the server start again together elsewhere. The next crash then lists several of the suspects, so the innocent ones are given up with the guilty one, and it loses the runs of yet another full server.

Change: a task with an attributed crash starts only on a server without another suspect of this entry, on the one with the fewest other runs, and other tasks avoid that server while others have free capacity. Orders carry the number of attributed crashes and the queue, so that the agent can refuse a second suspect of another entry; after such a refusal the server gets no suspect for 100 ms.

The tests SuspectsAreKeptApart, SuspectRunsWithFewOthers and RefusedSuspectWaits are new.

--- a/src/coordination/dispatch/dispatch_messages.h
+++ b/src/coordination/dispatch/dispatch_messages.h
@@ -15,7 +15,7 @@
   std::uint32_t index = 0;
   std::uint32_t run = 0;
   /**
-   * Number of known crashes of servers during a run of the task. The agent
+   * Number of crashes of servers that are attributed to the task. The agent
    * admits only one run of such a task at a time.
    */
   std::uint32_t crashes = 0;
--- a/src/coordination/dispatch/job_dispatcher.cpp
+++ b/src/coordination/dispatch/job_dispatcher.cpp
@@ -47,7 +47,11 @@
               hooks_.send(aAgent, std::move(aOrders));
             })
   , pendingStops_(aClock)
-  , placer_(servers_, orders_, aSettings.remoteRackFactor, aClock)
+  , placer_(servers_,
+            orders_,
+            crashHistory_,
+            aSettings.remoteRackFactor,
+            aClock)
   , monitor_(servers_, placer_, aClock)
   , createdAt_(aClock.MonotonicNow())
 {
--- a/src/coordination/dispatch/job_dispatcher_runs.cpp
+++ b/src/coordination/dispatch/job_dispatcher_runs.cpp
@@ -74,6 +74,9 @@
       break;
     case RunEndKind::eNoFreeCapacity:
       // The report that contains this end also updates the free capacity.
+      if (crashHistory_.Attributed(aEnd.run.task) > 0) {
+        servers_.OnSuspectRefused(aAgent);
+      }
       break;
     case RunEndKind::eOutdated:
       task.run += kOutdatedRunStep;
--- a/src/coordination/dispatch/server_pool.cpp
+++ b/src/coordination/dispatch/server_pool.cpp
@@ -38,6 +38,13 @@
 constexpr unsigned kMaxEjectionDoublings = 4;
 /** Cooldown after a refused start; a new report arrives within this time. */
 constexpr milliseconds kRefusedCooldown{ 50 };
+/**
+ * Cost of a suspect for each run that would be lost with its server, in units
+ * of log(speed). It exceeds the other costs.
+ */
+constexpr double kLostRunCost = 2;
+/** Cooldown for suspects after an agent refused one; it may have another. */
+constexpr milliseconds kSuspectCooldown{ 100 };
 /** Contact timeout after which an agent with runs gets no new runs. */
 constexpr milliseconds kContactTimeout{ 800 };
 
@@ -111,6 +118,11 @@
   if (now < aServer.cooldownUntil) {
     return false;
   }
+  // Two suspects on one server could not be distinguished after a crash.
+  if (aRequest.isSuspect &&
+      (!aServer.suspects.empty() || now < aServer.suspectCooldownUntil)) {
+    return false;
+  }
   if (!aServer.runs.empty() && now - aServer.lastContactAt > kContactTimeout) {
     return false;
   }
@@ -163,6 +175,18 @@
   return unreliable + speed + remote + kFillCost * fill + kRiskCost * risk;
 }
 
+double
+ServerPool::SuspectCost(const Server& aServer,
+                        const PlacementRequest& aRequest) const
+{
+  if (!aRequest.isSuspect) {
+    return aServer.suspects.empty() ? 0 : kLostRunCost;
+  }
+  double others = aServer.usedByOthers.cpuMillicores;
+  double othersRuns = others / std::max(1u, aRequest.need.cpuMillicores);
+  return kLostRunCost * (static_cast<double>(aServer.runs.size()) + othersRuns);
+}
+
 std::optional<Placement>
 ServerPool::Choose(const PlacementRequest& aRequest,
                    const std::map<ProcessId, std::uint32_t>& aStepRuns,
@@ -186,6 +210,7 @@
     bool meets = time <= aRequest.objectiveMs;
     // Among servers that miss the objective, the fastest is chosen.
     double cost = meets ? Cost(server, time, aRequest) : std::log(time);
+    cost += SuspectCost(server, aRequest);
     bool better = !best || (meets && !best->meetsObjective) ||
                   (meets == best->meetsObjective && cost < bestCost);
     if (better) {
@@ -215,7 +240,8 @@
 void
 ServerPool::OnRunSent(const ProcessId& aServer,
                       const RunKey& aRun,
-                      const ResourceAmount& aNeed)
+                      const ResourceAmount& aNeed,
+                      bool aIsSuspect)
 {
   Server& server = servers_[aServer];
   if (server.runs.empty()) {
@@ -224,6 +250,9 @@
     server.lastContactAt = clock_.MonotonicNow();
   }
   server.runs[aRun] = aNeed;
+  if (aIsSuspect) {
+    server.suspects.insert(aRun);
+  }
   server.usedByEntry = server.usedByEntry + aNeed;
 }
 
@@ -240,6 +269,7 @@
   }
   server->second.usedByEntry = server->second.usedByEntry - run->second;
   server->second.runs.erase(run);
+  server->second.suspects.erase(aRun);
   return true;
 }
 
@@ -286,6 +316,13 @@
     std::max(server.cooldownUntil, clock_.MonotonicNow() + kRefusedCooldown);
 }
 
+void
+ServerPool::OnSuspectRefused(const ProcessId& aServer)
+{
+  servers_[aServer].suspectCooldownUntil =
+    clock_.MonotonicNow() + kSuspectCooldown;
+}
+
 std::vector<RunKey>
 ServerPool::RunsOn(const ProcessId& aServer) const
 {
--- a/src/coordination/dispatch/server_pool.h
+++ b/src/coordination/dispatch/server_pool.h
@@ -35,6 +35,8 @@
   double latestMs = 0;
   /** Server that the task moves away from; zero if there is none. */
   state::ProcessId excludedServer;
+  /** The task is suspected to crash servers. */
+  bool isSuspect = false;
 };
 
 /** The entry's view of one server, for operators. */
@@ -92,7 +94,8 @@
 
   void OnRunSent(const state::ProcessId& aServer,
                  const state::RunKey& aRun,
-                 const state::ResourceAmount& aNeed);
+                 const state::ResourceAmount& aNeed,
+                 bool aIsSuspect = false);
   /** Returns false if the run is not registered on this server. */
   bool OnRunEnded(const state::ProcessId& aServer, const state::RunKey& aRun);
   void OnRunDone(const state::ProcessId& aServer);
@@ -105,6 +108,9 @@
   /** Starts a short cooldown of a server that refused a start. */
   void OnRefused(const state::ProcessId& aServer);
 
+  /** Starts a short cooldown for suspects only. */
+  void OnSuspectRefused(const state::ProcessId& aServer);
+
   std::vector<state::RunKey> RunsOn(const state::ProcessId& aServer) const;
   /** Returns the agents that have runs of this entry. */
   std::vector<state::ProcessId> AgentsInUse() const;
@@ -132,8 +138,11 @@
     /** Capacity used by the runs of this entry. */
     state::ResourceAmount usedByEntry;
     std::map<state::RunKey, state::ResourceAmount> runs;
+    /** Runs of tasks that are suspected to crash servers. */
+    std::set<state::RunKey> suspects;
     state::MonotonicTime lastContactAt;
     state::MonotonicTime cooldownUntil;
+    state::MonotonicTime suspectCooldownUntil;
     unsigned failuresInRow = 0;
     /** Ejections since the last success; each doubles the cooldown. */
     unsigned ejections = 0;
@@ -148,6 +157,10 @@
               double aRunTimeMs,
               const PlacementRequest& aRequest) const;
 
+  /** Cost of the runs that would be lost with a suspect on the server. */
+  double SuspectCost(const Server& aServer,
+                     const PlacementRequest& aRequest) const;
+
   std::string dataCentre_;
   const state::Clock& clock_;
   RunTimeModel model_;
--- a/src/coordination/dispatch/task_placer.cpp
+++ b/src/coordination/dispatch/task_placer.cpp
@@ -4,6 +4,8 @@
 
 namespace greengage::coordination {
 
+using state::RunKey;
+
 namespace {
 
 /** The agent sends a forecast above this multiple of the expected time. */
@@ -18,10 +20,12 @@
 
 TaskPlacer::TaskPlacer(ServerPool& aServers,
                        OrderQueue& aOrders,
+                       const CrashHistory& aCrashHistory,
                        double aRemoteRackFactor,
                        const state::Clock& aClock)
   : servers_(aServers)
   , orders_(aOrders)
+  , crashHistory_(aCrashHistory)
   , remoteRackFactor_(aRemoteRackFactor)
   , clock_(aClock)
 {
@@ -77,21 +81,28 @@
 {
   DispatchedStep& step = aJob.steps[aStep];
   const PlacementRequest unknownWork = RequestFor(aJob, aStep);
-  // All tasks without known progress have the same requirements.
+  // All tasks without known progress have the same requirements, except for
+  // suspects.
   bool unknownHasPlace = true;
   Places places;
   for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
     const DispatchedTask& task = step.tasks[index];
-    bool known = task.workMs > 0;
-    if (task.phase != TaskPhase::eWaiting || (!known && !unknownHasPlace)) {
+    if (task.phase != TaskPhase::eWaiting) {
+      continue;
+    }
+    bool isSuspect =
+      crashHistory_.Attributed(KeyOf(aJob, aStep, index).task) > 0;
+    bool special = task.workMs > 0 || isSuspect;
+    if (!special && !unknownHasPlace) {
       continue;
     }
+    PlacementRequest request =
+      special ? RequestFor(aJob, aStep, &task) : unknownWork;
+    request.isSuspect = isSuspect;
     auto placement =
-      FindPlace(step,
-                known ? RequestFor(aJob, aStep, &task) : unknownWork,
-                aJob.spec.steps[aStep].maxPerServer);
+      FindPlace(step, request, aJob.spec.steps[aStep].maxPerServer);
     if (!placement) {
-      unknownHasPlace = unknownHasPlace && known;
+      unknownHasPlace = unknownHasPlace && special;
       continue;
     }
     Reserve(aJob, aStep, index, *placement);
@@ -129,8 +140,11 @@
   task.server = aPlacement.server;
   --step.waiting;
   ++step.runsByServer[aPlacement.server];
-  servers_.OnRunSent(
-    aPlacement.server, KeyOf(aJob, aStep, aIndex), aJob.spec.steps[aStep].need);
+  RunKey run = KeyOf(aJob, aStep, aIndex);
+  servers_.OnRunSent(aPlacement.server,
+                     run,
+                     aJob.spec.steps[aStep].need,
+                     crashHistory_.Attributed(run.task) > 0);
 }
 
 void
@@ -173,10 +187,13 @@
   if (batch.runs.empty()) {
     batch.need = aJob.spec.steps[aStep].need;
     batch.payload = aJob.spec.payload;
+    batch.queue = aJob.queue.name;
     batch.limitMs = limitMs;
   }
   batch.limitMs = std::min(batch.limitMs, limitMs);
-  batch.runs.push_back({ aIndex, task.run });
+  RunKey run = KeyOf(aJob, aStep, aIndex);
+  batch.runs.push_back(
+    { aIndex, task.run, crashHistory_.Attributed(run.task) });
 }
 
 }
--- a/src/coordination/dispatch/task_placer.h
+++ b/src/coordination/dispatch/task_placer.h
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "coordination/dispatch/crash_history.h"
 #include "coordination/dispatch/dispatched_job.h"
 #include "coordination/dispatch/order_queue.h"
 #include "coordination/dispatch/server_pool.h"
@@ -22,6 +23,7 @@
   /** @param aRemoteRackFactor run time factor outside the rack of the data */
   TaskPlacer(ServerPool& aServers,
              OrderQueue& aOrders,
+             const CrashHistory& aCrashHistory,
              double aRemoteRackFactor,
              const state::Clock& aClock);
 
@@ -62,6 +64,7 @@
 
   ServerPool& servers_;
   OrderQueue& orders_;
+  const CrashHistory& crashHistory_;
   double remoteRackFactor_;
   const state::Clock& clock_;
 };
--- a/tests/dispatch/job_dispatcher_crash_test.cpp
+++ b/tests/dispatch/job_dispatcher_crash_test.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "dispatch/crash_fixture.h"
 
 // Decisions of a JobDispatcher about tasks that crash their servers.
@@ -107,5 +109,61 @@
   EXPECT_EQ(ServersOf({ 1, 0, 0 }).size(), 1u);
 }
 
+// Guards against suspects that share a server: after its crash they could not
+// be distinguished, and all of them would be given up.
+TEST_F(JobDispatcherCrashTest, SuspectsAreKeptApart)
+{
+  AddServers(2);
+  ReportCrash(3, { { 1, 0, 0 }, { 1, 0, 1 }, { 2, 0, 0 } });
+  Submit(0, 1, 2);
+  Submit(0, 2);
+  std::vector<std::uint64_t> first = ServersOf({ 1, 0, 0 });
+  ASSERT_EQ(first.size(), 1u);
+  ASSERT_EQ(ServersOf({ 1, 0, 1 }).size(), 1u);
+  EXPECT_NE(ServersOf({ 1, 0, 1 }), first);
+  EXPECT_TRUE(ServersOf({ 2, 0, 0 }).empty());
+  Finish({ 1, 0, 0 });
+  EXPECT_EQ(ServersOf({ 2, 0, 0 }), first);
+  for (const auto& [agent, started] : entries_[0].started) {
+    EXPECT_EQ(started.crashes, 1u);
+    EXPECT_EQ(started.queue, "queue");
+  }
+}
+
+// Guards against a suspect that takes many innocent runs with it although
+// another server has fewer.
+TEST_F(JobDispatcherCrashTest, SuspectRunsWithFewOthers)
+{
+  AddServers(3);
+  for (std::uint64_t job = 10; job < 14; ++job) {
+    Submit(0, job);
+  }
+  ReportCrash(9, { { 1, 0, 0 } });
+  std::size_t fewest = 4;
+  for (std::uint64_t number = 1; number <= 3; ++number) {
+    fewest = std::min(fewest, running_[AgentOf(number)].size());
+  }
+  Submit(0, 1);
+  std::uint64_t server = ServersOf({ 1, 0, 0 }).at(0);
+  EXPECT_EQ(running_[AgentOf(server)].size(), fewest + 1);
+  // The others avoid the server while another one has free capacity.
+  Submit(0, 20);
+  EXPECT_NE(ServersOf({ 20, 0, 0 }).at(0), server);
+}
+
+// Guards against a tight loop of orders to an agent that refuses a suspect.
+TEST_F(JobDispatcherCrashTest, RefusedSuspectWaits)
+{
+  AddServers(1);
+  ReportCrash(9, { { 1, 0, 0 } });
+  Submit(0, 1);
+  Finish({ 1, 0, 0 }, coordination::RunEndKind::eNoFreeCapacity);
+  EXPECT_EQ(StartCount({ 1, 0, 0 }), 1u);
+  Submit(0, 2);
+  EXPECT_EQ(StartCount({ 2, 0, 0 }), 1u);
+  RunFor(std::chrono::milliseconds(150));
+  EXPECT_EQ(StartCount({ 1, 0, 0 }), 2u);
+}
+
 }
 }
