Limit queues whose jobs crash servers to a share of them

Giving up each task after its crashes does not prevent the first ones of the next task.

Change: when two jobs of a queue are given up within 10 s, its tasks run only on a quarter of the servers of its service, at least one, until 10 s after the last given-up job. The other queues use these servers only when no other one has free capacity. All entries receive the same crash reports and pick the same servers by rendezvous hashing of the queue and the agents' addresses, without messages. Tasks that require a label get a share of the servers that have it. Jobs that the share cannot serve are rejected at once as overload. At most half of the queues of a service are limited, those with the most given-up jobs first, so a service with one queue never is. Events 1622 and 1623 and the metric greengage_queue_limits_active show the limits.

--- a/src/coordination/dispatch/dispatch_records.h
+++ b/src/coordination/dispatch/dispatch_records.h
@@ -5,6 +5,7 @@
 
 #include "coordination/dispatch/crash_history.h"
 #include "coordination/dispatch/dispatched_job.h"
+#include "coordination/dispatch/queue_isolation.h"
 
 namespace greengage::coordination {
 
@@ -66,6 +67,17 @@
   auto operator<=>(const CrashRecord&) const = default;
 };
 
+/** The begin or the end of the limit of a queue at this entry. */
+struct QueueLimitRecord
+{
+  QueueLimitChange change;
+  /** Number of servers that the queue may use; 0: not limited. */
+  std::size_t servers = 0;
+  std::size_t limitedQueues = 0;
+
+  auto operator<=>(const QueueLimitRecord&) const = default;
+};
+
 /** Tasks of a job sent to one agent, and the inputs of that decision. */
 struct PlacementRecord
 {
--- a/src/coordination/dispatch/dispatched_job.cpp
+++ b/src/coordination/dispatch/dispatched_job.cpp
@@ -120,6 +120,7 @@
   const DispatchStep& spec = aJob.spec.steps[aStep];
   PlacementRequest request;
   request.service = aJob.queue.service;
+  request.queue = aJob.queue.name;
   request.need = spec.need;
   request.requiredLabel = spec.requiredLabel;
   request.dataRack = spec.dataRack;
--- a/src/coordination/dispatch/job_dispatcher.cpp
+++ b/src/coordination/dispatch/job_dispatcher.cpp
@@ -39,6 +39,7 @@
   , lag_(aClock, hooks_.probe, hooks_.lagChanged)
   , servers_(aSettings.dataCentre, aClock)
   , crashHistory_(aClock)
+  , isolation_(aClock)
   , orders_(aClock,
             [this](const ProcessId& aAgent, DispatchOrders aOrders) {
               RecordPlacements(aAgent, aOrders);
@@ -129,6 +130,9 @@
   if (pauses_.HasJustPaused() || aAge > kMaxRequestAge) {
     return DispatchReason::ePaused;
   }
+  if (ExceedsIsolation(aJob)) {
+    return DispatchReason::eOverload;
+  }
   for (std::size_t i = 0; i < aJob.steps.size(); ++i) {
     PlacementRequest request = placer_.RequestFor(aJob, i);
     auto shortest = servers_.ShortestRunTime(request);
@@ -411,6 +415,7 @@
     End(id, outcome);
   }
   crashHistory_.RemoveExpired();
+  UpdateIsolation();
   SendPendingStops();
   orders_.AddKeepAlives(servers_.AgentsInUse());
   PlaceWaitingJobs();
--- a/src/coordination/dispatch/job_dispatcher.h
+++ b/src/coordination/dispatch/job_dispatcher.h
@@ -16,6 +16,7 @@
 #include "coordination/dispatch/order_queue.h"
 #include "coordination/dispatch/pause_detector.h"
 #include "coordination/dispatch/pending_stops.h"
+#include "coordination/dispatch/queue_isolation.h"
 #include "coordination/dispatch/report_period.h"
 #include "coordination/dispatch/report_times.h"
 #include "coordination/dispatch/run_monitor.h"
@@ -37,6 +38,7 @@
   std::function<void(const state::ProcessId& aAgent, const RunEnd&)> runEnded;
   std::function<void(const SubmissionRecord&)> submitted;
   std::function<void(const CrashRecord&)> crashCounted;
+  std::function<void(const QueueLimitRecord&)> queueLimitChanged;
   /** Called with the length of a pause of this process. */
   std::function<void(std::chrono::milliseconds)> paused;
   /** See LagMonitor; if empty, the process is never behind. */
@@ -147,6 +149,10 @@
   void RecordCrash(const state::ProcessId& aAgent,
                    const ServerCrash& aCrash,
                    const CrashedTask& aTask) const;
+  /** Begins and ends limits of queues whose jobs crash servers. */
+  void UpdateIsolation();
+  /** Returns true if a limited queue cannot serve the job in time. */
+  bool ExceedsIsolation(const DispatchedJob& aJob) const;
   void OnRunEnd(const state::ProcessId& aAgent, const RunEnd& aEnd);
   void OnForecast(const state::ProcessId& aAgent, const RunForecast& aForecast);
   void OnTaskDone(DispatchedJob& aJob,
@@ -184,6 +190,7 @@
   state::DispatchConfiguration configuration_;
   ServerPool servers_;
   CrashHistory crashHistory_;
+  QueueIsolation isolation_;
   OrderQueue orders_;
   PendingStops pendingStops_;
   ReportTimes reportTimes_;
--- a/src/coordination/dispatch/job_dispatcher_crashes.cpp
+++ b/src/coordination/dispatch/job_dispatcher_crashes.cpp
@@ -16,13 +16,65 @@
     if (!tasks.empty()) {
       servers_.OnCrashed(aAgent);
     }
+    auto at = clock_.MonotonicNow() - milliseconds(crash.ageMs);
     for (const CrashedTask& task : tasks) {
       RecordCrash(aAgent, crash, task);
+      if (task.isGivenUp) {
+        isolation_.OnGivenUp(task.queue, task.task.job, at);
+      }
       if (crashHistory_.IsGivenUp(task.task)) {
         End(task.task.job, FailedOutcome(DispatchReason::eCrashedServers));
       }
     }
   }
+  if (!aCrashes.empty()) {
+    UpdateIsolation();
+  }
+}
+
+void
+JobDispatcher::UpdateIsolation()
+{
+  if (isolation_.IsIdle()) {
+    return;
+  }
+  QueueIsolation::ServiceByQueue services;
+  for (const state::WorkQueue& queue : configuration_.queues) {
+    services[queue.name] = queue.service;
+  }
+  auto changes = isolation_.Update(services);
+  std::erase_if(services, [this](const auto& aItem) {
+    return !isolation_.IsLimited(aItem.first);
+  });
+  servers_.Isolate(services);
+  if (!hooks_.queueLimitChanged) {
+    return;
+  }
+  for (const QueueLimitChange& change : changes) {
+    hooks_.queueLimitChanged({ change,
+                               servers_.IsolatedServers(change.queue),
+                               isolation_.Limited().size() });
+  }
+}
+
+bool
+JobDispatcher::ExceedsIsolation(const DispatchedJob& aJob) const
+{
+  if (servers_.IsolatedServers(aJob.queue.name) == 0) {
+    return false;
+  }
+  // A job that waits shows that the share has no free capacity.
+  if (PendingJobs(aJob.queue.name) > 0) {
+    return true;
+  }
+  for (std::size_t i = 0; i < aJob.steps.size(); ++i) {
+    PlacementRequest request = placer_.RequestFor(aJob, i);
+    auto shortest = servers_.ShortestRunTime(request);
+    if (!shortest || *shortest > request.latestMs) {
+      return true;
+    }
+  }
+  return false;
 }
 
 void
--- a/src/coordination/dispatch/server_pool.cpp
+++ b/src/coordination/dispatch/server_pool.cpp
@@ -107,7 +107,8 @@
         labels.end()) {
     return false;
   }
-  return Fits(aRequest.need, aServer.description->capacity);
+  return IsPermitted(aServer, aRequest) &&
+         Fits(aRequest.need, aServer.description->capacity);
 }
 
 bool
@@ -210,7 +211,7 @@
     bool meets = time <= aRequest.objectiveMs;
     // Among servers that miss the objective, the fastest is chosen.
     double cost = meets ? Cost(server, time, aRequest) : std::log(time);
-    cost += SuspectCost(server, aRequest);
+    cost += SuspectCost(server, aRequest) + IsolationCost(server, aRequest);
     bool better = !best || (meets && !best->meetsObjective) ||
                   (meets == best->meetsObjective && cost < bestCost);
     if (better) {
--- a/src/coordination/dispatch/server_pool.h
+++ b/src/coordination/dispatch/server_pool.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "coordination/dispatch/dispatch_messages.h"
@@ -18,6 +19,8 @@
 struct PlacementRequest
 {
   std::string service;
+  /** Queue of the job; see ServerPool::Isolate(). */
+  std::string queue;
   state::ResourceAmount need;
   std::string requiredLabel;
   std::string dataRack;
@@ -108,6 +111,16 @@
   /** Starts a short cooldown of a server that refused a start. */
   void OnRefused(const state::ProcessId& aServer);
 
+  /**
+   * Limits queues to a share of the servers, which other queues use only if no
+   * other server has free capacity; replaces earlier limits. To be called again
+   * when servers are added or removed.
+   * @param aQueues names of queues, with their services
+   */
+  void Isolate(const std::map<std::string, std::string>& aQueues);
+  /** Returns the number of servers of a limited queue; 0: not limited. */
+  std::size_t IsolatedServers(const std::string& aQueue) const;
+
   /** Starts a short cooldown for suspects only. */
   void OnSuspectRefused(const state::ProcessId& aServer);
 
@@ -157,14 +170,29 @@
               double aRunTimeMs,
               const PlacementRequest& aRequest) const;
 
+  /** Returns false if the queue is limited to other servers. */
+  bool IsPermitted(const Server& aServer,
+                   const PlacementRequest& aRequest) const;
+  /** Returns the addresses of the servers with this label, if not empty. */
+  std::vector<std::string> AddressesOf(const std::string& aService,
+                                       const std::string& aLabel) const;
   /** Cost of the runs that would be lost with a suspect on the server. */
   double SuspectCost(const Server& aServer,
                      const PlacementRequest& aRequest) const;
+  /** Cost of a server to which another queue is limited. */
+  double IsolationCost(const Server& aServer,
+                       const PlacementRequest& aRequest) const;
 
   std::string dataCentre_;
   const state::Clock& clock_;
   RunTimeModel model_;
   std::map<state::ProcessId, Server> servers_;
+  /**
+   * Addresses of the agents whose servers a limited queue may use, by queue and
+   * required label.
+   */
+  std::map<std::pair<std::string, std::string>, std::set<std::string>>
+    isolated_;
 };
 
 }
--- a/src/daemon/dispatch/dispatch_entry_process.cpp
+++ b/src/daemon/dispatch/dispatch_entry_process.cpp
@@ -186,6 +186,10 @@
              aRecord.submissions);
   };
   hooks.crashCounted = LogCrash;
+  hooks.queueLimitChanged = [this](const QueueLimitRecord& aRecord) {
+    dispatchMetrics_.OnQueueLimitChanged(aRecord);
+    LogQueueLimit(aRecord);
+  };
   hooks.paused = LogPause;
   hooks.probe = [this](std::function<void()> aReturned) {
     PassThroughTraffic(kProbeTurns, std::move(aReturned));
--- a/src/daemon/dispatch/dispatch_metrics.cpp
+++ b/src/daemon/dispatch/dispatch_metrics.cpp
@@ -53,6 +53,17 @@
     .Add();
 }
 
+void
+DispatchMetrics::OnQueueLimitChanged(
+  const coordination::QueueLimitRecord& aRecord)
+{
+  metrics_
+    .FindGauge({ "greengage_queue_limits_active", "" },
+               "Queues limited to a share of the servers, which their jobs "
+               "crash")
+    .Set(static_cast<double>(aRecord.limitedQueues));
+}
+
 void
 DispatchMetrics::OnRunDecision(const coordination::RunDecision& aDecision)
 {
--- a/src/daemon/dispatch/dispatch_metrics.h
+++ b/src/daemon/dispatch/dispatch_metrics.h
@@ -14,6 +14,7 @@
 
   void OnJobEnded(const coordination::JobRecord& aRecord);
   void OnRunEnded(const coordination::RunEnd& aEnd);
+  void OnQueueLimitChanged(const coordination::QueueLimitRecord& aRecord);
   void OnRefused(const state::DispatchOutcome& aOutcome);
   /** Counts a run decision of an agent by its name and reason. */
   void OnRunDecision(const coordination::RunDecision& aDecision);
--- a/src/daemon/dispatch/log_crashes.cpp
+++ b/src/daemon/dispatch/log_crashes.cpp
@@ -35,4 +35,18 @@
   }
 }
 
+void
+LogQueueLimit(const coordination::QueueLimitRecord& aRecord)
+{
+  LogEvent(aRecord.change.isLimited ? events::kQueueLimitBegan
+                                    : events::kQueueLimitEnded,
+           "queue={} given_up_jobs={} since_last_ms={} servers={} "
+           "limited_queues={}",
+           transport::QuoteValue(aRecord.change.queue),
+           aRecord.change.givenUpJobs,
+           aRecord.change.sinceLast.count(),
+           aRecord.servers,
+           aRecord.limitedQueues);
+}
+
 }
--- a/src/daemon/dispatch/log_crashes.h
+++ b/src/daemon/dispatch/log_crashes.h
@@ -8,4 +8,8 @@
 void
 LogCrash(const coordination::CrashRecord& aRecord);
 
+/** Logs the begin or the end of the limit of a queue. */
+void
+LogQueueLimit(const coordination::QueueLimitRecord& aRecord);
+
 }
--- a/src/transport/events.h
+++ b/src/transport/events.h
@@ -161,6 +161,12 @@
 inline constexpr EventKind kJobGivenUp{ 1621,
                                         "job_given_up",
                                         LogLevel::eWarning };
+inline constexpr EventKind kQueueLimitBegan{ 1622,
+                                             "queue_limit_began",
+                                             LogLevel::eWarning };
+inline constexpr EventKind kQueueLimitEnded{ 1623,
+                                             "queue_limit_ended",
+                                             LogLevel::eInfo };
 
 // Settings and logging.
 inline constexpr EventKind kSettingsReloaded{ 1701,
@@ -192,7 +198,7 @@
   kSettingsRefused,  kLinesDropped,         kSettingsWaitForStart,
   kProcessPaused,    kProcessBehind,        kProcessCaughtUp,
   kRequestDropped,   kJobSubmitted,         kTaskCrashCounted,
-  kJobGivenUp,
+  kJobGivenUp,       kQueueLimitBegan,      kQueueLimitEnded,
 };
 
 }
--- a/tests/dispatch/job_dispatcher_crash_test.cpp
+++ b/tests/dispatch/job_dispatcher_crash_test.cpp
@@ -165,5 +165,105 @@
   EXPECT_EQ(StartCount({ 1, 0, 0 }), 2u);
 }
 
+/** Entries with the queues "queue" and "other" of one service. */
+class QueueLimitTest : public CrashFixture
+{
+protected:
+  QueueLimitTest()
+  {
+    state::DispatchConfiguration configuration;
+    for (const char* name : { "queue", "other" }) {
+      state::WorkQueue& queue = configuration.queues.emplace_back();
+      queue.name = name;
+      queue.service = "pool";
+    }
+    for (Entry& entry : entries_) {
+      entry.dispatcher->SetConfiguration(configuration);
+    }
+    AddServers(8);
+  }
+
+  /** Two jobs of "queue" are given up. */
+  void GiveUpTwoJobs()
+  {
+    for (std::uint64_t job : { 901, 902 }) {
+      ReportCrash(100, { { job, 0, 0 } });
+      ReportCrash(101, { { job, 0, 0 } });
+    }
+  }
+
+  std::set<std::uint64_t> ServersOfJobs(std::uint64_t aFirst,
+                                        std::uint64_t aLast) const
+  {
+    std::set<std::uint64_t> servers;
+    for (std::uint64_t job = aFirst; job <= aLast; ++job) {
+      for (std::uint64_t server : ServersOf({ job, 0, 0 })) {
+        servers.insert(server);
+      }
+    }
+    return servers;
+  }
+};
+
+// Guards against a queue whose jobs crash servers and that takes the servers of
+// all other queues with it: all entries limit it to the same two of eight, and
+// the other queue uses the rest first.
+TEST_F(QueueLimitTest, LimitedQueueUsesOnlyItsShare)
+{
+  GiveUpTwoJobs();
+  for (std::uint64_t job = 1; job <= 8; ++job) {
+    Submit(job % 2, job);
+  }
+  std::set<std::uint64_t> share = ServersOfJobs(1, 8);
+  EXPECT_EQ(share.size(), 2u);
+  for (std::uint64_t job = 101; job <= 124; ++job) {
+    Submit(0, job, 1, "other");
+  }
+  std::set<std::uint64_t> rest = ServersOfJobs(101, 124);
+  EXPECT_EQ(rest.size(), 6u);
+  for (std::uint64_t server : share) {
+    EXPECT_FALSE(rest.contains(server));
+  }
+}
+
+// Guards against a limit that leaves servers unused while the other queue needs
+// them.
+TEST_F(QueueLimitTest, OtherQueueUsesTheShareWhenTheRestIsFull)
+{
+  GiveUpTwoJobs();
+  for (std::uint64_t job = 101; job <= 132; ++job) {
+    Submit(0, job, 1, "other");
+  }
+  EXPECT_EQ(ServersOfJobs(101, 132).size(), 8u);
+}
+
+// Guards against callers that wait for a full share: they are rejected
+// at once, and nothing has run.
+TEST_F(QueueLimitTest, JobsBeyondTheShareAreRejectedAtOnce)
+{
+  GiveUpTwoJobs();
+  for (std::uint64_t job = 1; job <= 10; ++job) {
+    Submit(0, job);
+  }
+  EXPECT_FALSE(entries_[0].outcomes.contains(9));
+  ASSERT_TRUE(entries_[0].outcomes.contains(10));
+  const state::DispatchOutcome& outcome = entries_[0].outcomes.at(10);
+  EXPECT_EQ(outcome.result, state::DispatchResult::eRejected);
+  EXPECT_EQ(outcome.reason, state::DispatchReason::eOverload);
+  EXPECT_GT(outcome.retryAfter.count(), 0);
+  EXPECT_EQ(StartCount({ 10, 0, 0 }), 0u);
+}
+
+// Guards against a limit that stays after its cause has ended.
+TEST_F(QueueLimitTest, LimitEndsAfterTheLastGivenUpJob)
+{
+  GiveUpTwoJobs();
+  RunFor(std::chrono::milliseconds(10'000));
+  for (std::uint64_t job = 1; job <= 32; ++job) {
+    Submit(0, job);
+  }
+  EXPECT_EQ(ServersOfJobs(1, 32).size(), 8u);
+}
+
 }
 }
