--- a/tests/dispatch/dispatch_simulation.h
+++ b/tests/dispatch/dispatch_simulation.h
@@ -191,6 +191,21 @@
   void SetFailurePredicate(
     std::function<bool(const state::TaskKey&, unsigned aServer)> aPredicate);
 
+  /**
+   * A server crashes 10 ms after it starts such a task and is back 3 s later. A
+   * start of such a task after three crashes is a violation.
+   */
+  void SetDeadlyPredicate(std::function<bool(const state::TaskKey&)> aPredicate)
+  {
+    deadlyPredicate_ = std::move(aPredicate);
+  }
+  /** Returns the number of servers that crashed during a run of the task. */
+  unsigned CrashesUnder(const state::TaskKey& aTask) const
+  {
+    auto crashes = crashesUnder_.find(aTask);
+    return crashes == crashesUnder_.end() ? 0 : crashes->second;
+  }
+
   const std::vector<SubmissionRecord>& Submissions() const
   {
     return submissions_;
@@ -353,6 +368,7 @@
                    std::uint64_t aBorn,
                    Milliseconds aUntil);
   void OnRunStarted(unsigned aServer, const state::RunKey& aRun);
+  void CrashAfterStart(unsigned aServer, const state::TaskKey& aTask);
   void OnRunEnded(unsigned aServer,
                   const state::RunKey& aRun,
                   coordination::RunEndKind aKind);
@@ -390,6 +406,8 @@
   std::uint64_t jobOfFirstViolation_ = 0;
   std::map<std::uint64_t, std::string> traces_;
   std::function<bool(const state::TaskKey&, unsigned)> failurePredicate_;
+  std::function<bool(const state::TaskKey&)> deadlyPredicate_;
+  std::map<state::TaskKey, unsigned> crashesUnder_;
   std::uint64_t nextProcess_ = 1;
 };
 
--- a/tests/dispatch/dispatch_simulation_calls.cpp
+++ b/tests/dispatch/dispatch_simulation_calls.cpp
@@ -270,6 +270,7 @@
     aRun.task.job,
     fmt::format("{} run {} starts on {}", aRun.task.index, aRun.run, aServer));
   startedTasks_.insert(aRun.task);
+  CrashAfterStart(aServer, aRun.task);
   auto& servers = runningServers_[aRun.task];
   servers.insert(aServer);
   if (servers.size() > 1) {
--- a/tests/dispatch/dispatch_simulation_servers.cpp
+++ b/tests/dispatch/dispatch_simulation_servers.cpp
@@ -9,13 +9,48 @@
 
 using coordination::ServerPool;
 
+namespace {
+
+/** Time from the start of a task that crashes its server to the crash. */
+constexpr Milliseconds kCrashDelay = 10;
+constexpr Milliseconds kCrashDownTime = 3000;
+
+}
+
 void
 DispatchSimulation::EndServer(unsigned aServer)
 {
+  for (const auto& [task, servers] : runningServers_) {
+    if (servers.contains(aServer)) {
+      ++crashesUnder_[task];
+    }
+  }
   servers_[aServer].server->Crash();
   servers_[aServer].isServerUp = false;
 }
 
+void
+DispatchSimulation::CrashAfterStart(unsigned aServer,
+                                    const state::TaskKey& aTask)
+{
+  if (!deadlyPredicate_ || !deadlyPredicate_(aTask)) {
+    return;
+  }
+  if (CrashesUnder(aTask) >= 3) {
+    AddViolation(aTask.job,
+                 fmt::format("task {:x}.{} starts on {} after three crashes",
+                             aTask.job,
+                             aTask.index,
+                             aServer));
+  }
+  ScheduleAt(now_ + kCrashDelay,
+             [this, aServer, born = servers_[aServer].server->Born()] {
+               if (servers_[aServer].server->Born() == born) {
+                 RestartServer(aServer, kCrashDownTime, false);
+               }
+             });
+}
+
 void
 DispatchSimulation::RestartServer(unsigned aServer,
                                   Milliseconds aDownTime,
