--- a/src/coordination/dispatch/dispatch_records.h
+++ b/src/coordination/dispatch/dispatch_records.h
@@ -3,7 +3,9 @@
 #include <chrono>
 #include <string>
 
+#include "coordination/dispatch/crash_history.h"
 #include "coordination/dispatch/dispatched_job.h"
+#include "coordination/dispatch/queue_isolation.h"
 
 namespace greengage::coordination {
 
@@ -50,6 +52,32 @@
   auto operator<=>(const SubmissionRecord&) const = default;
 };
 
+/** A crash that was counted for a task of a job of this entry. */
+struct CrashRecord
+{
+  state::ProcessId agent;
+  /** Number of the crash among those that the agent reports. */
+  std::uint64_t number = 0;
+  /** Time since the crash was detected. */
+  std::chrono::milliseconds age{ 0 };
+  /** Number of tasks that had a run on the server. */
+  std::size_t tasks = 0;
+  CrashedTask task;
+
+  auto operator<=>(const CrashRecord&) const = default;
+};
+
+/** The begin or the end of the limit of a queue at this entry. */
+struct QueueLimitRecord
+{
+  QueueLimitChange change;
+  /** Number of servers that the queue may use; 0: not limited. */
+  std::size_t servers = 0;
+  std::size_t limitedQueues = 0;
+
+  auto operator<=>(const QueueLimitRecord&) const = default;
+};
+
 /** Tasks of a job sent to one agent, and the inputs of that decision. */
 struct PlacementRecord
 {
--- a/src/coordination/dispatch/job_dispatcher.cpp
+++ b/src/coordination/dispatch/job_dispatcher.cpp
@@ -47,6 +47,8 @@
   , pauses_(aClock, hooks_.paused)
   , lag_(aClock, hooks_.probe, hooks_.lagChanged)
   , servers_(aSettings.dataCentre, aClock)
+  , crashHistory_(aClock)
+  , isolation_(aClock)
   , orders_(aClock,
             [this](const ProcessId& aAgent, DispatchOrders aOrders) {
               RecordPlacements(aAgent, aOrders);
@@ -55,7 +57,11 @@
               hooks_.send(aAgent, std::move(aOrders));
             })
   , pendingStops_(aClock)
-  , placer_(servers_, orders_, aSettings.remoteRackFactor, aClock)
+  , placer_(servers_,
+            orders_,
+            crashHistory_,
+            aSettings.remoteRackFactor,
+            aClock)
   , monitor_(servers_, placer_, aClock)
   , createdAt_(aClock.MonotonicNow())
 {
@@ -112,6 +118,10 @@
   DispatchedJob& reference = *job;
   jobs_[id] = std::move(job);
   submissions_[aSubmission] = id;
+  if (crashHistory_.HasGivenUpTask(id)) {
+    End(id, FailedOutcome(DispatchReason::eCrashedServers));
+    return;
+  }
   if (reject != DispatchReason::eNone) {
     End(id, { DispatchResult::eRejected, reject, RetryAfter() });
     return;
@@ -129,6 +139,9 @@
   if (pauses_.HasJustPaused() || aAge > kMaxRequestAge) {
     return DispatchReason::ePaused;
   }
+  if (ExceedsIsolation(aJob)) {
+    return DispatchReason::eOverload;
+  }
   for (std::size_t i = 0; i < aJob.steps.size(); ++i) {
     PlacementRequest request = placer_.RequestFor(aJob, i);
     auto shortest = servers_.ShortestRunTime(request);
@@ -410,6 +423,8 @@
   for (const auto& [id, outcome] : ended) {
     End(id, outcome);
   }
+  crashHistory_.RemoveExpired();
+  UpdateIsolation();
   SendPendingStops();
   orders_.AddKeepAlives(servers_.AgentsInUse());
   PlaceWaitingJobs();
--- a/src/coordination/dispatch/job_dispatcher.h
+++ b/src/coordination/dispatch/job_dispatcher.h
@@ -9,12 +9,14 @@
 #include <tuple>
 #include <vector>
 
+#include "coordination/dispatch/crash_history.h"
 #include "coordination/dispatch/dispatch_records.h"
 #include "coordination/dispatch/dispatched_job.h"
 #include "coordination/dispatch/lag_monitor.h"
 #include "coordination/dispatch/order_queue.h"
 #include "coordination/dispatch/pause_detector.h"
 #include "coordination/dispatch/pending_stops.h"
+#include "coordination/dispatch/queue_isolation.h"
 #include "coordination/dispatch/report_period.h"
 #include "coordination/dispatch/report_times.h"
 #include "coordination/dispatch/run_monitor.h"
@@ -35,6 +37,8 @@
   /** Called when a run ended without success. */
   std::function<void(const state::ProcessId& aAgent, const RunEnd&)> runEnded;
   std::function<void(const SubmissionRecord&)> submitted;
+  std::function<void(const CrashRecord&)> crashCounted;
+  std::function<void(const QueueLimitRecord&)> queueLimitChanged;
   /** Called with the length of a pause of this process. */
   std::function<void(std::chrono::milliseconds)> paused;
   /** See LagMonitor; if empty, the process is never behind. */
@@ -138,6 +142,17 @@
   void RecordPlacements(const state::ProcessId& aAgent,
                         const DispatchOrders& aOrders) const;
 
+  /** Counts crashes, and ends jobs whose tasks must not be started again. */
+  void OnCrashes(const state::ProcessId& aAgent,
+                 const std::vector<ServerCrash>& aCrashes);
+  /** Records the crash if this entry has the job of the task. */
+  void RecordCrash(const state::ProcessId& aAgent,
+                   const ServerCrash& aCrash,
+                   const CrashedTask& aTask) const;
+  /** Begins and ends limits of queues whose jobs crash servers. */
+  void UpdateIsolation();
+  /** Returns true if a limited queue cannot serve the job in time. */
+  bool ExceedsIsolation(const DispatchedJob& aJob) const;
   void OnRunEnd(const state::ProcessId& aAgent, const RunEnd& aEnd);
   void OnForecast(const state::ProcessId& aAgent, const RunForecast& aForecast);
   void OnUncertainStart(const state::ProcessId& aAgent,
@@ -179,6 +194,8 @@
   LagMonitor lag_;
   state::DispatchConfiguration configuration_;
   ServerPool servers_;
+  CrashHistory crashHistory_;
+  QueueIsolation isolation_;
   OrderQueue orders_;
   PendingStops pendingStops_;
   ReportTimes reportTimes_;
--- a/src/daemon/dispatch/dispatch_entry_process.cpp
+++ b/src/daemon/dispatch/dispatch_entry_process.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/post.hpp>
 
 #include "daemon/dispatch/dispatch_status.h"
+#include "daemon/dispatch/log_crashes.h"
 #include "daemon/dispatch/log_pause.h"
 #include "daemon/start_listening.h"
 #include "transport/event_log.h"
@@ -184,6 +185,11 @@
              aRecord.age.count(),
              aRecord.submissions);
   };
+  hooks.crashCounted = LogCrash;
+  hooks.queueLimitChanged = [this](const QueueLimitRecord& aRecord) {
+    dispatchMetrics_.OnQueueLimitChanged(aRecord);
+    LogQueueLimit(aRecord);
+  };
   hooks.paused = LogPause;
   hooks.probe = [this](std::function<void()> aReturned) {
     PassThroughTraffic(kProbeTurns, std::move(aReturned));
