Carry crashes, suspects and queue names between entry and agent

Cause: the wire format lacked the fields that dispatch_messages.h defines for crashes of servers, so a count could not leave the agent that detects a crash.

A frame of the previous version decodes to zero, an empty name and no crashes. A report with more than 64 crashes or with more than 1,024 suspects of one is refused.

Result: protocol_tests passes; the frame written with the earlier schema is read, and the limits are tested on both sides.

--- a/src/protocol/dispatch_codec.cpp
+++ b/src/protocol/dispatch_codec.cpp
@@ -5,9 +5,15 @@
 using namespace coordination;
 using state::ResourceAmount;
 using state::RunKey;
+using state::TaskKey;
 
 namespace {
 
+/** Maximum number of crashes in a report; an agent retains fewer. */
+constexpr unsigned kMaxCrashes = 64;
+/** Maximum number of suspects of a crash; an agent reports at most 256. */
+constexpr unsigned kMaxSuspects = 1024;
+
 ::capnp::Text::Reader
 ToText(const std::string& aText)
 {
@@ -81,6 +87,10 @@
   for (unsigned i = 0; i < aBatch.runs.size(); ++i) {
     runs[i].setIndex(aBatch.runs[i].index);
     runs[i].setRun(aBatch.runs[i].run);
+    runs[i].setCrashes(aBatch.runs[i].crashes);
+  }
+  if (!aBatch.queue.empty()) {
+    aBuilder.setQueue(ToText(aBatch.queue));
   }
 }
 
@@ -94,11 +104,45 @@
   batch.limitMs = aReader.getLimitMs();
   batch.payload = aReader.getPayload();
   for (auto run : aReader.getRuns()) {
-    batch.runs.push_back({ run.getIndex(), run.getRun() });
+    batch.runs.push_back({ run.getIndex(), run.getRun(), run.getCrashes() });
   }
+  batch.queue = aReader.getQueue();
   return batch;
 }
 
+void
+Encode(const ServerCrash& aCrash, wire::ServerCrash::Builder aBuilder)
+{
+  aBuilder.setNumber(aCrash.number);
+  aBuilder.setAgeMs(aCrash.ageMs);
+  auto suspects =
+    aBuilder.initSuspects(static_cast<unsigned>(aCrash.suspects.size()));
+  for (unsigned i = 0; i < aCrash.suspects.size(); ++i) {
+    const CrashSuspect& suspect = aCrash.suspects[i];
+    auto task = suspects[i].initTask();
+    task.setJob(suspect.task.job);
+    task.setStep(suspect.task.step);
+    task.setIndex(suspect.task.index);
+    suspects[i].setQueue(ToText(suspect.queue));
+  }
+}
+
+tl::expected<ServerCrash, ProtocolError>
+Decode(wire::ServerCrash::Reader aReader)
+{
+  if (aReader.getSuspects().size() > kMaxSuspects) {
+    return tl::unexpected(ProtocolError{ "crashes", "too many suspects" });
+  }
+  ServerCrash crash{ aReader.getNumber(), aReader.getAgeMs(), {} };
+  for (auto suspect : aReader.getSuspects()) {
+    auto task = suspect.getTask();
+    crash.suspects.push_back(
+      { TaskKey{ task.getJob(), task.getStep(), task.getIndex() },
+        suspect.getQueue() });
+  }
+  return crash;
+}
+
 void
 Encode(const ServerDescription& aDescription,
        wire::ServerDescription::Builder aBuilder)
@@ -188,6 +232,13 @@
       forecasts[i].setRunTimeMs(aReport.forecasts[i].runTimeMs);
     }
   }
+  if (!aReport.crashes.empty()) {
+    auto crashes =
+      aBuilder.initCrashes(static_cast<unsigned>(aReport.crashes.size()));
+    for (unsigned i = 0; i < aReport.crashes.size(); ++i) {
+      Encode(aReport.crashes[i], crashes[i]);
+    }
+  }
 }
 
 tl::expected<ServerReport, ProtocolError>
@@ -216,6 +267,16 @@
     report.forecasts.push_back(
       { Decode(forecast.getRun()), forecast.getRunTimeMs() });
   }
+  if (aReader.getCrashes().size() > kMaxCrashes) {
+    return tl::unexpected(ProtocolError{ "crashes", "too many" });
+  }
+  for (auto reader : aReader.getCrashes()) {
+    auto crash = Decode(reader);
+    if (!crash) {
+      return tl::unexpected(crash.error());
+    }
+    report.crashes.push_back(*std::move(crash));
+  }
   return report;
 }
 
--- a/src/protocol/peer.capnp
+++ b/src/protocol/peer.capnp
@@ -104,7 +104,7 @@
 
 struct ResourceAmount { cpuMillicores @0 :UInt32; memoryMb @1 :UInt32; gpus @2 :UInt32; }
 struct RunKey { job @0 :UInt64; step @1 :UInt32; index @2 :UInt32; run @3 :UInt32; }
-struct RunOrder { index @0 :UInt32; run @1 :UInt32; }
+struct RunOrder { index @0 :UInt32; run @1 :UInt32; crashes @2 :UInt32; }
 
 struct RunBatch {
   job @0 :UInt64;
@@ -113,6 +113,7 @@
   payload @3 :Text;
   runs @4 :List(RunOrder);
   limitMs @5 :UInt32;
+  queue @6 :Text;
 }
 
 struct DispatchOrders {
@@ -132,6 +133,10 @@
   capacity @3 :ResourceAmount;
 }
 
+struct TaskKey { job @0 :UInt64; step @1 :UInt32; index @2 :UInt32; }
+struct CrashSuspect { task @0 :TaskKey; queue @1 :Text; }
+struct ServerCrash { number @0 :UInt64; ageMs @1 :UInt32; suspects @2 :List(CrashSuspect); }
+
 struct ServerReport {
   description @0 :ServerDescription;
   condition @1 :UInt8;
@@ -139,6 +144,7 @@
   ends @3 :List(RunEnd);
   forecasts @4 :List(RunForecast);
   sentAtMs @5 :UInt64;
+  crashes @6 :List(ServerCrash);
 }
 
 struct ConfigurationCopy { version @0 :UInt64; document @1 :Text; }
--- a/src/protocol/peer.capnp.h
+++ b/src/protocol/peer.capnp.h
@@ -50,6 +50,9 @@
 CAPNP_DECLARE_SCHEMA(e67c4a596e3ec8a4);
 CAPNP_DECLARE_SCHEMA(af57177a6cb1bd80);
 CAPNP_DECLARE_SCHEMA(a8ef758c52fb4d63);
+CAPNP_DECLARE_SCHEMA(9528904d5d86d510);
+CAPNP_DECLARE_SCHEMA(8550a871d9633a8c);
+CAPNP_DECLARE_SCHEMA(ab7173ad71e73e25);
 CAPNP_DECLARE_SCHEMA(8e56a30d3aac5bdc);
 CAPNP_DECLARE_SCHEMA(ea995fa53d9467fc);
 CAPNP_DECLARE_SCHEMA(bb64938c7a25711b);
@@ -490,7 +493,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8c358a3186081d70, 1, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(8c358a3186081d70, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -505,7 +508,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(89a00dba17279571, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(89a00dba17279571, 2, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -572,6 +575,51 @@
   };
 };
 
+struct TaskKey {
+  TaskKey() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9528904d5d86d510, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CrashSuspect {
+  CrashSuspect() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8550a871d9633a8c, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ServerCrash {
+  ServerCrash() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ab7173ad71e73e25, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct ServerReport {
   ServerReport() = delete;
 
@@ -580,7 +628,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8e56a30d3aac5bdc, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(8e56a30d3aac5bdc, 2, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3488,6 +3536,8 @@
 
   inline  ::uint32_t getRun() const;
 
+  inline  ::uint32_t getCrashes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3522,6 +3572,9 @@
   inline  ::uint32_t getRun();
   inline void setRun( ::uint32_t value);
 
+  inline  ::uint32_t getCrashes();
+  inline void setCrashes( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3580,6 +3633,9 @@
 
   inline  ::uint32_t getLimitMs() const;
 
+  inline bool hasQueue() const;
+  inline  ::capnp::Text::Reader getQueue() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3638,6 +3694,13 @@
   inline  ::uint32_t getLimitMs();
   inline void setLimitMs( ::uint32_t value);
 
+  inline bool hasQueue();
+  inline  ::capnp::Text::Builder getQueue();
+  inline void setQueue( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initQueue(unsigned int size);
+  inline void adoptQueue(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownQueue();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4068,6 +4131,275 @@
 };
 #endif  // !CAPNP_LITE
 
+class TaskKey::Reader {
+public:
+  typedef TaskKey Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getJob() const;
+
+  inline  ::uint32_t getStep() const;
+
+  inline  ::uint32_t getIndex() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TaskKey::Builder {
+public:
+  typedef TaskKey Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getJob();
+  inline void setJob( ::uint64_t value);
+
+  inline  ::uint32_t getStep();
+  inline void setStep( ::uint32_t value);
+
+  inline  ::uint32_t getIndex();
+  inline void setIndex( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TaskKey::Pipeline {
+public:
+  typedef TaskKey Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class CrashSuspect::Reader {
+public:
+  typedef CrashSuspect Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTask() const;
+  inline  ::greengage::protocol::wire::TaskKey::Reader getTask() const;
+
+  inline bool hasQueue() const;
+  inline  ::capnp::Text::Reader getQueue() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CrashSuspect::Builder {
+public:
+  typedef CrashSuspect Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTask();
+  inline  ::greengage::protocol::wire::TaskKey::Builder getTask();
+  inline void setTask( ::greengage::protocol::wire::TaskKey::Reader value);
+  inline  ::greengage::protocol::wire::TaskKey::Builder initTask();
+  inline void adoptTask(::capnp::Orphan< ::greengage::protocol::wire::TaskKey>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::TaskKey> disownTask();
+
+  inline bool hasQueue();
+  inline  ::capnp::Text::Builder getQueue();
+  inline void setQueue( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initQueue(unsigned int size);
+  inline void adoptQueue(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownQueue();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CrashSuspect::Pipeline {
+public:
+  typedef CrashSuspect Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::greengage::protocol::wire::TaskKey::Pipeline getTask();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ServerCrash::Reader {
+public:
+  typedef ServerCrash Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+  inline bool hasSuspects() const;
+  inline  ::capnp::List< ::greengage::protocol::wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Reader getSuspects() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ServerCrash::Builder {
+public:
+  typedef ServerCrash Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+  inline bool hasSuspects();
+  inline  ::capnp::List< ::greengage::protocol::wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Builder getSuspects();
+  inline void setSuspects( ::capnp::List< ::greengage::protocol::wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::greengage::protocol::wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Builder initSuspects(unsigned int size);
+  inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::CrashSuspect,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::CrashSuspect,  ::capnp::Kind::STRUCT>> disownSuspects();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ServerCrash::Pipeline {
+public:
+  typedef ServerCrash Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class ServerReport::Reader {
 public:
   typedef ServerReport Reads;
@@ -4101,6 +4433,9 @@
 
   inline  ::uint64_t getSentAtMs() const;
 
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::greengage::protocol::wire::ServerCrash,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4163,6 +4498,13 @@
   inline  ::uint64_t getSentAtMs();
   inline void setSentAtMs( ::uint64_t value);
 
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::greengage::protocol::wire::ServerCrash,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::greengage::protocol::wire::ServerCrash,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::greengage::protocol::wire::ServerCrash,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::ServerCrash,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::ServerCrash,  ::capnp::Kind::STRUCT>> disownCrashes();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7384,6 +7726,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t RunOrder::Reader::getCrashes() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RunOrder::Builder::getCrashes() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RunOrder::Builder::setCrashes( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t RunBatch::Reader::getJob() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -7533,6 +7889,40 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool RunBatch::Reader::hasQueue() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool RunBatch::Builder::hasQueue() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RunBatch::Reader::getQueue() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RunBatch::Builder::getQueue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void RunBatch::Builder::setQueue( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RunBatch::Builder::initQueue(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void RunBatch::Builder::adoptQueue(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RunBatch::Builder::disownQueue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool DispatchOrders::Reader::hasStarts() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -7928,6 +8318,183 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t TaskKey::Reader::getJob() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TaskKey::Builder::getJob() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TaskKey::Builder::setJob( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t TaskKey::Reader::getStep() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TaskKey::Builder::getStep() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TaskKey::Builder::setStep( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t TaskKey::Reader::getIndex() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TaskKey::Builder::getIndex() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void TaskKey::Builder::setIndex( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashSuspect::Reader::hasTask() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashSuspect::Builder::hasTask() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::greengage::protocol::wire::TaskKey::Reader CrashSuspect::Reader::getTask() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::TaskKey>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::greengage::protocol::wire::TaskKey::Builder CrashSuspect::Builder::getTask() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::TaskKey>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::greengage::protocol::wire::TaskKey::Pipeline CrashSuspect::Pipeline::getTask() {
+  return  ::greengage::protocol::wire::TaskKey::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void CrashSuspect::Builder::setTask( ::greengage::protocol::wire::TaskKey::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::TaskKey>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::greengage::protocol::wire::TaskKey::Builder CrashSuspect::Builder::initTask() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::TaskKey>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CrashSuspect::Builder::adoptTask(
+    ::capnp::Orphan< ::greengage::protocol::wire::TaskKey>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::TaskKey>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::greengage::protocol::wire::TaskKey> CrashSuspect::Builder::disownTask() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::TaskKey>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool CrashSuspect::Reader::hasQueue() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashSuspect::Builder::hasQueue() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CrashSuspect::Reader::getQueue() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CrashSuspect::Builder::getQueue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void CrashSuspect::Builder::setQueue( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CrashSuspect::Builder::initQueue(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void CrashSuspect::Builder::adoptQueue(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CrashSuspect::Builder::disownQueue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t ServerCrash::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ServerCrash::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ServerCrash::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ServerCrash::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServerCrash::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ServerCrash::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ServerCrash::Reader::hasSuspects() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServerCrash::Builder::hasSuspects() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::greengage::protocol::wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Reader ServerCrash::Reader::getSuspects() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::CrashSuspect,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::greengage::protocol::wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Builder ServerCrash::Builder::getSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::CrashSuspect,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ServerCrash::Builder::setSuspects( ::capnp::List< ::greengage::protocol::wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::CrashSuspect,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::greengage::protocol::wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Builder ServerCrash::Builder::initSuspects(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::CrashSuspect,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ServerCrash::Builder::adoptSuspects(
+    ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::CrashSuspect,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::CrashSuspect,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::CrashSuspect,  ::capnp::Kind::STRUCT>> ServerCrash::Builder::disownSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::CrashSuspect,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool ServerReport::Reader::hasDescription() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -8102,6 +8669,40 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ServerReport::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServerReport::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::greengage::protocol::wire::ServerCrash,  ::capnp::Kind::STRUCT>::Reader ServerReport::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::ServerCrash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::greengage::protocol::wire::ServerCrash,  ::capnp::Kind::STRUCT>::Builder ServerReport::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::ServerCrash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void ServerReport::Builder::setCrashes( ::capnp::List< ::greengage::protocol::wire::ServerCrash,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::ServerCrash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::greengage::protocol::wire::ServerCrash,  ::capnp::Kind::STRUCT>::Builder ServerReport::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::ServerCrash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void ServerReport::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::ServerCrash,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::ServerCrash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::ServerCrash,  ::capnp::Kind::STRUCT>> ServerReport::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::ServerCrash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t ConfigurationCopy::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/tests/protocol/peer_codec_test.cpp
+++ b/tests/protocol/peer_codec_test.cpp
@@ -46,7 +46,13 @@
     reply,
     ConfigurationRecords{ 12, { { 11, "{}" } } },
     DispatchOrders{},
-    DispatchOrders{ { { 5, 1, { 1600, 64, 1 }, 250, "text", { { 3, 2 } } } },
+    DispatchOrders{ { { 5,
+                        1,
+                        { 1600, 64, 1 },
+                        250,
+                        "text",
+                        { { 3, 2, 1 }, { 4, 1, 0 } },
+                        "swatches" } },
                     { { { 5, 1, 4 }, 2 } },
                     { { { 6, 0, 0 }, 1 } },
                     70,
@@ -58,7 +64,9 @@
       { 3200, 128, 0 },
       { { { { 5, 1, 3 }, 2 }, RunEndKind::eFailed, 77 } },
       { { { { 5, 1, 4 }, 2 }, 900 } },
-      1'234'567'890'124 },
+      1'234'567'890'124,
+      { { 3, 40, { { { 5, 1, 3 }, "swatches" }, { { 6, 0, 9 }, "" } } },
+        { 4, 1, {} } } },
     ConfigurationCopy{ 9, "{\"version\":9}" },
   };
   auto decoded = DecodeFrame(ToBytes(EncodeFrame(messages)));
@@ -84,11 +92,12 @@
 
 // Guards against an entry and an agent of different versions that cannot talk
 // to each other: a frame without the times of orders and reports has times of
-// 0.
-TEST(PeerCodecTest, ReadsFramesWithoutReportTimes)
+// 0, and one without crashes and queue names has none.
+TEST(PeerCodecTest, ReadsFramesWithoutReportTimesAndCrashes)
 {
-  // Written with the schema before DispatchOrders.confirmedAtMs and
-  // ServerReport.sentAtMs were added.
+  // Written with the schema before DispatchOrders.confirmedAtMs,
+  // ServerReport.sentAtMs, ServerReport.crashes, RunOrder.crashes and
+  // RunBatch.queue were added.
   const unsigned char bytes[] = {
     0x00, 0x00, 0x00, 0x00, 0x21, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00,
     0x00, 0x00, 0x01, 0x00, 0x01, 0x00, 0x00, 0x00, 0x27, 0x00, 0x00, 0x00,
@@ -142,6 +151,21 @@
   EXPECT_FALSE(DecodeFrame(ToBytes(EncodeFrame({ report }))));
 }
 
+// Guards against a peer that fills the memory of an entry with crashes, which
+// the entry stores for some time.
+TEST(PeerCodecTest, RefusesTooManyCrashesAndSuspects)
+{
+  ServerReport report;
+  report.crashes.resize(64);
+  report.crashes[0].suspects.resize(1024);
+  EXPECT_TRUE(DecodeFrame(ToBytes(EncodeFrame({ report }))));
+  report.crashes[0].suspects.resize(1025);
+  EXPECT_FALSE(DecodeFrame(ToBytes(EncodeFrame({ report }))));
+  report.crashes[0].suspects.clear();
+  report.crashes.resize(65);
+  EXPECT_FALSE(DecodeFrame(ToBytes(EncodeFrame({ report }))));
+}
+
 // Guards against a small frame that decodes to millions of messages because it
 // holds a list of elements of size zero (found by fuzzing).
 TEST(PeerCodecTest, RefusesListsOfElementsOfSizeZero)
