Detect crashes of a server and report their suspects to all entries

Cause: a run that was lost with its server was started again and nothing was counted, so one task could end server after server. No entry can count alone: the runs lost with a server belong to several entries, and a job may come again through another one.

Calls without an answer, a paused agent, a leave notice and a drain are no evidence. The suspects are all tasks whose runs the incarnation may have started. Event 1611 and greengage_server_crashes_total record a crash.

--- a/src/coordination/dispatch/entry_reporter.cpp
+++ b/src/coordination/dispatch/entry_reporter.cpp
@@ -1,6 +1,7 @@
 #include "coordination/dispatch/entry_reporter.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace greengage::coordination {
 
@@ -37,6 +38,7 @@
   : clock_(aClock)
   , status_(std::move(aStatus))
   , send_(std::move(aSend))
+  , crashes_(aClock)
 {
 }
 
@@ -58,6 +60,9 @@
   Entry& entry = entries_[aEntry];
   entry.confirmedAt = std::max(entry.confirmedAt.value_or(aContact.confirmedAt),
                                aContact.confirmedAt);
+  if (std::exchange(entry.wasDisconnected, false)) {
+    entry.crashSent = 0;
+  }
   if (aReportPeriod.count() > 0) {
     entry.reportPeriod = aReportPeriod;
   }
@@ -87,6 +92,15 @@
          clock_.MonotonicNow() - *entry->second.confirmedAt > aLimit;
 }
 
+void
+EntryReporter::OnDisconnected(const ProcessId& aEntry)
+{
+  auto entry = entries_.find(aEntry);
+  if (entry != entries_.end()) {
+    entry->second.wasDisconnected = true;
+  }
+}
+
 void
 EntryReporter::SetDescription(
   const std::optional<ServerDescription>& aDescription)
@@ -116,6 +130,12 @@
   }
 }
 
+std::uint64_t
+EntryReporter::AddCrash(std::vector<CrashSuspect> aSuspects)
+{
+  return crashes_.Add(std::move(aSuspects));
+}
+
 void
 EntryReporter::MarkChanged()
 {
@@ -135,7 +155,8 @@
       !aOnlyUrgent &&
       (entry.hasChanged || NeedsDescription(entry) || NeedsRefresh(entry)) &&
       now - entry.reportedAt >= period;
-    if (due || !entry.ends.empty() || !entry.forecasts.empty()) {
+    if (due || !entry.ends.empty() || !entry.forecasts.empty() ||
+        entry.crashSent < crashes_.Newest()) {
       SendReport(id, entry);
     }
   }
@@ -171,6 +192,8 @@
   aEntry.ends.clear();
   report.forecasts = std::move(aEntry.forecasts);
   aEntry.forecasts.clear();
+  report.crashes = crashes_.After(aEntry.crashSent);
+  aEntry.crashSent = crashes_.Newest();
   aEntry.hasChanged = false;
   aEntry.reportedAt = now;
   report.sentAtMs = ToReportTime(now);
--- a/src/coordination/dispatch/entry_reporter.h
+++ b/src/coordination/dispatch/entry_reporter.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <vector>
 
+#include "coordination/dispatch/crash_log.h"
 #include "coordination/dispatch/dispatch_messages.h"
 #include "coordination/dispatch/order_contact.h"
 #include "coordination/dispatch/report_period.h"
@@ -15,9 +16,10 @@
 namespace greengage::coordination {
 
 /**
- * Sends the reports of an agent to each entry: ends and forecasts of runs
- * immediately, the used capacity of the server at a bounded rate, and the
- * description of the server periodically. Used by the control thread only.
+ * Sends the reports of an agent to each entry: ends and forecasts of runs and
+ * crashes of the server immediately, the used capacity of the server at a
+ * bounded rate, and the description of the server periodically. Used by the
+ * control thread only.
  */
 class EntryReporter
 {
@@ -52,15 +54,22 @@
   bool HasTimedOut(const state::ProcessId& aEntry,
                    std::chrono::milliseconds aLimit) const;
 
+  /**
+   * Records that messages to the entry may have been lost. Its next message
+   * shows that a connection exists again; the crashes are then reported again.
+   */
+  void OnDisconnected(const state::ProcessId& aEntry);
   /** @param aDescription empty if there is no server */
   void SetDescription(const std::optional<ServerDescription>& aDescription);
   void AddEnd(const state::ProcessId& aEntry, const RunEnd& aEnd);
   void AddForecast(const state::ProcessId& aEntry,
                    const RunForecast& aForecast);
+  /** Adds a crash to the next report to each entry; returns its number. */
+  std::uint64_t AddCrash(std::vector<CrashSuspect> aSuspects);
   /** Marks the used capacity or the condition of the server as changed. */
   void MarkChanged();
 
-  /** Sends reports with ended runs or forecasts. */
+  /** Sends reports with ended runs, forecasts or crashes. */
   void SendUrgent() { SendDue(true); }
   /** Sends all reports that are due. */
   void Send() { SendDue(false); }
@@ -79,6 +88,10 @@
     std::optional<state::MonotonicTime> descriptionSentAt;
     std::vector<RunEnd> ends;
     std::vector<RunForecast> forecasts;
+    /** Number of the newest crash that was sent. */
+    std::uint64_t crashSent = 0;
+    /** True if sent crashes may have been lost. */
+    bool wasDisconnected = false;
   };
 
   void SendDue(bool aOnlyUrgent);
@@ -92,6 +105,7 @@
   SendFunction send_;
   std::optional<ServerDescription> description_;
   std::map<state::ProcessId, Entry> entries_;
+  CrashLog crashes_;
 };
 
 }
--- a/src/coordination/dispatch/run_controller.cpp
+++ b/src/coordination/dispatch/run_controller.cpp
@@ -37,6 +37,7 @@
       })
   , renewals_(aClock)
   , leases_(aClock)
+  , crashDetector_(aClock)
 {
   leases_.SetMaxLease(aSettings.maxLease);
 }
@@ -87,6 +88,7 @@
   }
   sequence_ = aAnnouncement.sequence;
   serverDraining_ = aAnnouncement.draining;
+  crashDetector_.OnAnnouncement(serverDraining_);
   if (!isSameIncarnation) {
     reachable_ = true;
     answerMonitor_.Reset();
@@ -100,6 +102,7 @@
     reporter_.Send();
   }
   if (!isSameIncarnation) {
+    reporter_.SendUrgent();
     // The list determines which runs continue and which are stopped.
     Renew(milliseconds(0));
   }
@@ -114,6 +117,7 @@
     return;
   }
   hasLeft_ = true;
+  crashDetector_.OnLeave();
   reporter_.MarkChanged();
   hooks_.condition(Condition(), "left");
   reporter_.Send();
@@ -122,6 +126,8 @@
 void
 RunController::BeginIncarnation(std::uint64_t aBorn)
 {
+  RecordCrash(CrashEvidence::eLaterIncarnation);
+  crashDetector_.OnNewIncarnation();
   born_ = aBorn;
   ++incarnation_;
   incarnationKnownAt_ = clock_.MonotonicNow();
--- a/src/coordination/dispatch/run_controller.h
+++ b/src/coordination/dispatch/run_controller.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "coordination/dispatch/answer_monitor.h"
+#include "coordination/dispatch/crash_detector.h"
 #include "coordination/dispatch/dispatch_messages.h"
 #include "coordination/dispatch/entry_reporter.h"
 #include "coordination/dispatch/lease_renewals.h"
@@ -71,6 +72,8 @@
    * notice or an answer of another incarnation is ignored.
    */
   std::function<void(ServerCondition, const std::string& aReason)> condition;
+  /** Called once for each crash of the server while it had runs. */
+  std::function<void(const CrashRecord&)> serverCrashed;
   /** Called with the length of a pause of this process. */
   std::function<void(std::chrono::milliseconds)> paused;
 };
@@ -105,6 +108,8 @@
   /** @param aSameDataCentre if true, capacity is reported more often */
   void OnEntry(const state::ProcessId& aEntry, bool aSameDataCentre);
   void OnEntryLost(const state::ProcessId& aEntry);
+  /** Messages to the entry may have been lost with its connection. */
+  void OnEntryDisconnected(const state::ProcessId& aEntry);
   void OnOrders(const state::ProcessId& aEntry, const DispatchOrders& aOrders);
 
   void OnStartAnswer(const state::RunKey& aRun, StartAnswer aAnswer);
@@ -139,6 +144,7 @@
   {
     state::ProcessId entry;
     state::ResourceAmount need;
+    std::string queue;
     Phase phase = Phase::eStarting;
     std::chrono::milliseconds limit{ 0 };
     /** True if the entry was sent a forecast of this run. */
@@ -204,6 +210,14 @@
    */
   bool SupersedeOtherRuns(const state::RunKey& aRun,
                           const state::ProcessId& aEntry);
+  /** Records a crash of the present incarnation if this shows one. */
+  void RecordCrash(CrashEvidence aEvidence);
+  /** Records a crash if the leases of runs at a refusing server expired. */
+  void RecordCrashOfExpiredRuns(const ServerKnowledge& aServer);
+  /** Returns the tasks whose runs may have crashed the incarnation. */
+  std::vector<CrashSuspect> CrashSuspects() const;
+  /** Returns true if the present incarnation may have started the run. */
+  bool MayHaveRun(const Run& aRun) const;
   void SetReachable(bool aReachable, const std::string& aReason);
   /** Records whether a call was answered; reports a changed reliability. */
   void RecordAnswer(bool aAnswered);
@@ -257,6 +271,7 @@
   LeaseRenewals renewals_;
   LeaseTracker leases_;
   AnswerMonitor answerMonitor_;
+  CrashDetector crashDetector_;
 
   std::optional<ServerDescription> server_;
   /** Start time of the server's incarnation, as the server states it. */
--- a/src/coordination/dispatch/run_controller_calls.cpp
+++ b/src/coordination/dispatch/run_controller_calls.cpp
@@ -64,6 +64,11 @@
     return;
   }
   Run& run = found->second;
+  if (aAnswer == StartAnswer::eConnectionRefused) {
+    crashDetector_.OnConnectionRefused(run.orderedAt);
+  } else if (aAnswer == StartAnswer::eStarted) {
+    crashDetector_.OnAnswered(run.orderedAt);
+  }
   constexpr auto kRefused = StartCallState::eRefused;
   constexpr auto kNotSent = StartCallState::eNotSent;
   switch (aAnswer) {
@@ -177,6 +182,8 @@
     return;
   }
   ServerKnowledge server{ {}, leases_.Bounds(), refusedAt_ };
+  // The entries must count the crash before they place its runs again.
+  RecordCrashOfExpiredRuns(server);
   for (auto next = runs_.begin(); next != runs_.end();) {
     auto run = next++;
     ReleaseIfEnded(run, server, KindOfUnlistedEnd(run->second));
--- /dev/null
+++ b/src/coordination/dispatch/run_controller_crashes.cpp
@@ -0,0 +1,70 @@
+#include "coordination/dispatch/run_controller.h"
+
+#include <algorithm>
+#include <set>
+
+// Crashes of the server, and the runs that may have caused them.
+namespace greengage::coordination {
+
+using state::MonotonicTime;
+
+void
+RunController::RecordCrash(CrashEvidence aEvidence)
+{
+  if (!crashDetector_.IsCrash(aEvidence)) {
+    return;
+  }
+  auto suspects = CrashSuspects();
+  if (suspects.empty()) {
+    return;
+  }
+  crashDetector_.OnRecorded();
+  CrashRecord record;
+  record.server = server_ ? server_->id : std::string();
+  record.born = born_;
+  record.evidence = aEvidence;
+  record.age = crashDetector_.Age();
+  record.suspects = suspects;
+  record.number = reporter_.AddCrash(std::move(suspects));
+  if (hooks_.serverCrashed) {
+    hooks_.serverCrashed(record);
+  }
+}
+
+std::vector<CrashSuspect>
+RunController::CrashSuspects() const
+{
+  std::set<CrashSuspect> suspects;
+  for (const auto& [key, run] : runs_) {
+    if (MayHaveRun(run)) {
+      suspects.insert({ key.task, run.queue });
+    }
+  }
+  return { suspects.begin(), suspects.end() };
+}
+
+bool
+RunController::MayHaveRun(const Run& aRun) const
+{
+  // A run that an earlier incarnation listed ended with that one.
+  auto incarnation =
+    aRun.knowledge.listedBy.value_or(aRun.knowledge.incarnation);
+  if (incarnation != incarnation_) {
+    return false;
+  }
+  return aRun.IsConfirmed() || crashDetector_.MayHaveReceived(aRun.orderedAt);
+}
+
+void
+RunController::RecordCrashOfExpiredRuns(const ServerKnowledge& aServer)
+{
+  auto now = clock_.MonotonicNow();
+  bool isExpired = std::any_of(runs_.begin(), runs_.end(), [&](auto& aItem) {
+    return FindReleaseEvidence(aItem.second.knowledge, aServer, now);
+  });
+  if (isExpired) {
+    RecordCrash(CrashEvidence::eRefusedUntilLeaseEnd);
+  }
+}
+
+}
--- a/src/coordination/dispatch/run_controller_orders.cpp
+++ b/src/coordination/dispatch/run_controller_orders.cpp
@@ -26,6 +26,12 @@
   }
 }
 
+void
+RunController::OnEntryDisconnected(const ProcessId& aEntry)
+{
+  reporter_.OnDisconnected(aEntry);
+}
+
 void
 RunController::OnOrders(const ProcessId& aEntry, const DispatchOrders& aOrders)
 {
@@ -85,6 +91,7 @@
   Run run;
   run.entry = aEntry;
   run.need = aBatch.need;
+  run.queue = aBatch.queue;
   run.limit = milliseconds(aBatch.limitMs);
   run.orderedAt = now;
   renewals_.OnLeaseGranted(runs_.empty());
--- a/src/coordination/dispatch/run_controller_renewals.cpp
+++ b/src/coordination/dispatch/run_controller_renewals.cpp
@@ -56,6 +56,7 @@
   } else if (sent->sentAt >= incarnationKnownAt_) {
     renewals_.OnAcknowledged(sent->lastSeen);
   }
+  crashDetector_.OnAnswered(sent->sentAt);
   SetServerClock(aAnswer.serverClock);
   SetReachable(true, "renewed");
   RecordAnswer(true);
@@ -191,6 +192,7 @@
       return;
     case RenewFailure::eConnectionRefused:
       refusedAt_ = sent->sentAt;
+      crashDetector_.OnConnectionRefused(sent->sentAt);
       SetReachable(false, "connection refused");
       break;
     case RenewFailure::eNotSent:
@@ -200,6 +202,7 @@
       break;
     case RenewFailure::eNoAnswer:
       RecordAnswer(false);
+      crashDetector_.OnNoAnswer(sent->sentAt);
       if (renewals_.OnNoAnswer() >= kMaxFailedRenewals) {
         SetReachable(false, "no answer");
       }
--- a/src/daemon/dispatch/dispatch_agent_process.cpp
+++ b/src/daemon/dispatch/dispatch_agent_process.cpp
@@ -1,5 +1,7 @@
 #include "daemon/dispatch/dispatch_agent_process.h"
 
+#include <algorithm>
+
 #include <fmt/format.h>
 
 #include "daemon/dispatch/dispatch_status.h"
@@ -31,6 +33,22 @@
  * parsing one takes.
  */
 constexpr std::size_t kMaxAnnouncementBytes = 256 * 1024;
+/** Maximum number of suspects of a crash that a log line names. */
+constexpr std::size_t kMaxLoggedSuspects = 4;
+
+/** Returns the first suspects as job.step.task, separated by commas. */
+std::string
+FirstTasks(const std::vector<CrashSuspect>& aSuspects)
+{
+  std::string text;
+  for (std::size_t i = 0; i < std::min(aSuspects.size(), kMaxLoggedSuspects);
+       ++i) {
+    const state::TaskKey& task = aSuspects[i].task;
+    text += fmt::format(
+      "{}{:016x}.{}.{}", i == 0 ? "" : ",", task.job, task.step, task.index);
+  }
+  return text;
+}
 
 transport::HttpServerLimits
 AnnouncementLimits()
@@ -149,6 +167,19 @@
              transport::QuoteValue(aReason),
              runController_.RunCount());
   };
+  hooks.serverCrashed = [this](const CrashRecord& aRecord) {
+    dispatchMetrics_.OnServerCrashed();
+    LogEvent(events::kServerCrashed,
+             "server={} born={} evidence={} age_ms={} number={} suspects={} "
+             "tasks={}",
+             aRecord.server,
+             aRecord.born,
+             ToString(aRecord.evidence),
+             aRecord.age.count(),
+             aRecord.number,
+             aRecord.suspects.size(),
+             FirstTasks(aRecord.suspects));
+  };
   hooks.paused = LogPause;
   return hooks;
 }
@@ -163,7 +194,9 @@
       runController_.OnEntryLost(aPeer);
     }
   };
-  hooks.disconnected = [](const ProcessId&) {};
+  hooks.disconnected = [this](const ProcessId& aPeer) {
+    runController_.OnEntryDisconnected(aPeer);
+  };
   hooks.received = [this](const ProcessInfo& aFrom,
                           const PeerMessage& aMessage) {
     OnPeerMessage(aFrom, aMessage);
--- a/src/daemon/dispatch/dispatch_metrics.cpp
+++ b/src/daemon/dispatch/dispatch_metrics.cpp
@@ -66,4 +66,13 @@
     .Add();
 }
 
+void
+DispatchMetrics::OnServerCrashed()
+{
+  metrics_
+    .FindCounter({ "greengage_server_crashes_total", "" },
+                 "Crashes of the backend server while it had runs")
+    .Add();
+}
+
 }
--- a/src/daemon/dispatch/dispatch_metrics.h
+++ b/src/daemon/dispatch/dispatch_metrics.h
@@ -17,6 +17,8 @@
   void OnRefused(const state::DispatchOutcome& aOutcome);
   /** Counts a run decision of an agent by its name and reason. */
   void OnRunDecision(const coordination::RunDecision& aDecision);
+  /** Counts a crash of an agent's server. */
+  void OnServerCrashed();
 
 private:
   transport::MetricsRegistry& metrics_;
--- a/src/transport/events.h
+++ b/src/transport/events.h
@@ -156,6 +156,10 @@
                                           "job_submitted",
                                           LogLevel::eInfo };
 
+inline constexpr EventKind kServerCrashed{ 1611,
+                                           "server_crashed",
+                                           LogLevel::eWarning };
+
 // Settings and logging.
 inline constexpr EventKind kSettingsReloaded{ 1701,
                                               "settings_reloaded",
@@ -185,7 +189,7 @@
   kPeerSilent,       kTasksPlaced,          kSettingsReloaded,
   kSettingsRefused,  kLinesDropped,         kSettingsWaitForStart,
   kProcessPaused,    kProcessBehind,        kProcessCaughtUp,
-  kRequestDropped,   kJobSubmitted,
+  kRequestDropped,   kJobSubmitted,         kServerCrashed,
 };
 
 }
