Admit one run at a time of tasks with a known crash

Cause: two suspects of earlier crashes on one server would share its next crash, so a second crash would not show which of them causes it, and an innocent job could be given up with the guilty one.

Change: an agent refuses a run whose order states crashes while it has another such run, of any entry, as for lack of free capacity; the decision is logged and counted as suspect_runs_here. Tasks without a crash are admitted beside it.

--- a/src/coordination/dispatch/run_controller.h
+++ b/src/coordination/dispatch/run_controller.h
@@ -145,6 +145,8 @@
     state::ProcessId entry;
     state::ResourceAmount need;
     std::string queue;
+    /** Number of known crashes of servers during a run of the task. */
+    std::uint32_t crashes = 0;
     Phase phase = Phase::eStarting;
     std::chrono::milliseconds limit{ 0 };
     /** True if the entry was sent a forecast of this run. */
@@ -210,6 +212,8 @@
    */
   bool SupersedeOtherRuns(const state::RunKey& aRun,
                           const state::ProcessId& aEntry);
+  /** Returns true if a task that may crash its server has a run here. */
+  bool HasSuspectRun() const;
   /** Records a crash of the present incarnation if this shows one. */
   void RecordCrash(CrashEvidence aEvidence);
   /** Records a crash if the leases of runs at a refusing server expired. */
--- a/src/coordination/dispatch/run_controller_crashes.cpp
+++ b/src/coordination/dispatch/run_controller_crashes.cpp
@@ -67,4 +67,12 @@
   }
 }
 
+bool
+RunController::HasSuspectRun() const
+{
+  return std::any_of(runs_.begin(), runs_.end(), [](const auto& aItem) {
+    return aItem.second.crashes > 0;
+  });
+}
+
 }
--- a/src/coordination/dispatch/run_controller_orders.cpp
+++ b/src/coordination/dispatch/run_controller_orders.cpp
@@ -84,6 +84,11 @@
     Refuse(aEntry, key, RunEndKind::eOutdated, "task_runs_here", age);
     return;
   }
+  if (aOrder.crashes > 0 && HasSuspectRun()) {
+    // A second crash then has a single suspect with an earlier crash.
+    Refuse(aEntry, key, RunEndKind::eNoFreeCapacity, "suspect_runs_here", age);
+    return;
+  }
   if (!Fits(aBatch.need, server_->capacity - used_)) {
     Refuse(aEntry, key, RunEndKind::eNoFreeCapacity, "no_room", age);
     return;
@@ -92,6 +97,7 @@
   run.entry = aEntry;
   run.need = aBatch.need;
   run.queue = aBatch.queue;
+  run.crashes = aOrder.crashes;
   run.limit = milliseconds(aBatch.limitMs);
   run.orderedAt = now;
   renewals_.OnLeaseGranted(runs_.empty());
--- a/tests/dispatch/server_crash_test.cpp
+++ b/tests/dispatch/server_crash_test.cpp
@@ -331,5 +331,27 @@
   EXPECT_EQ(records_[0].suspects, suspects);
 }
 
+// Guards against two suspects that share a second crash, after which both jobs
+// would fail although one is innocent.
+TEST_F(ServerCrashTest, SecondSuspectIsRefusedBesideTheFirst)
+{
+  StartRunning(kEntry, kRun, 1);
+  Order(kOtherEntry, kOtherRun, 1);
+  EXPECT_EQ(starts_.back().run, kRun);
+  ASSERT_FALSE(ends_.empty());
+  EXPECT_EQ(ends_.back().run, kOtherRun);
+  EXPECT_EQ(ends_.back().kind, RunEndKind::eNoFreeCapacity);
+  EXPECT_EQ(reasons_.back(), "suspect_runs_here");
+}
+
+// Guards against a server that stands idle because it has a suspect: tasks
+// without a crash run beside it.
+TEST_F(ServerCrashTest, TaskWithoutCrashesRunsBesideASuspect)
+{
+  StartRunning(kEntry, kRun, 1);
+  StartRunning(kOtherEntry, kOtherRun);
+  EXPECT_EQ(controller_.RunCount(), 2u);
+}
+
 }
 }
