--- a/src/transport/events.h
+++ b/src/transport/events.h
@@ -155,6 +155,9 @@
 inline constexpr EventKind kJobSubmitted{ 1610,
                                           "job_submitted",
                                           LogLevel::eInfo };
+inline constexpr EventKind kServerCrashed{ 1611,
+                                           "server_crashed",
+                                           LogLevel::eWarning };
 inline constexpr EventKind kTaskCrashCounted{ 1620,
                                               "task_crash_counted",
                                               LogLevel::eInfo };
@@ -197,8 +200,9 @@
   kPeerSilent,       kTasksPlaced,          kSettingsReloaded,
   kSettingsRefused,  kLinesDropped,         kSettingsWaitForStart,
   kProcessPaused,    kProcessBehind,        kProcessCaughtUp,
-  kRequestDropped,   kJobSubmitted,         kTaskCrashCounted,
-  kJobGivenUp,       kQueueLimitBegan,      kQueueLimitEnded,
+  kRequestDropped,   kJobSubmitted,         kServerCrashed,
+  kTaskCrashCounted, kJobGivenUp,           kQueueLimitBegan,
+  kQueueLimitEnded,
 };
 
 }
