--- a/src/coordination/dispatch/entry_reporter.cpp
+++ b/src/coordination/dispatch/entry_reporter.cpp
@@ -1,6 +1,7 @@
 #include "coordination/dispatch/entry_reporter.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace greengage::coordination {
 
@@ -37,6 +38,7 @@
   : clock_(aClock)
   , status_(std::move(aStatus))
   , send_(std::move(aSend))
+  , crashes_(aClock)
 {
 }
 
@@ -58,6 +60,9 @@
   Entry& entry = entries_[aEntry];
   entry.confirmedAt = std::max(entry.confirmedAt.value_or(aContact.confirmedAt),
                                aContact.confirmedAt);
+  if (std::exchange(entry.wasDisconnected, false)) {
+    entry.crashSent = 0;
+  }
   if (aReportPeriod.count() > 0) {
     entry.reportPeriod = aReportPeriod;
   }
@@ -93,6 +98,15 @@
   return !confirmedAt || clock_.MonotonicNow() - *confirmedAt > aLimit;
 }
 
+void
+EntryReporter::OnDisconnected(const ProcessId& aEntry)
+{
+  auto entry = entries_.find(aEntry);
+  if (entry != entries_.end()) {
+    entry->second.wasDisconnected = true;
+  }
+}
+
 void
 EntryReporter::SetDescription(
   const std::optional<ServerDescription>& aDescription)
@@ -122,6 +136,12 @@
   }
 }
 
+std::uint64_t
+EntryReporter::AddCrash(std::vector<CrashSuspect> aSuspects)
+{
+  return crashes_.Add(std::move(aSuspects));
+}
+
 void
 EntryReporter::AddUncertainStart(const ProcessId& aEntry,
                                  const UncertainStart& aStart)
@@ -152,7 +172,7 @@
       (entry.hasChanged || NeedsDescription(entry) || NeedsRefresh(entry)) &&
       now - entry.reportedAt >= period;
     if (due || !entry.ends.empty() || !entry.forecasts.empty() ||
-        !entry.uncertainStarts.empty()) {
+        !entry.uncertainStarts.empty() || entry.crashSent < crashes_.Newest()) {
       SendReport(id, entry);
     }
   }
@@ -190,6 +210,8 @@
   aEntry.forecasts.clear();
   report.uncertainStarts = std::move(aEntry.uncertainStarts);
   aEntry.uncertainStarts.clear();
+  report.crashes = crashes_.After(aEntry.crashSent);
+  aEntry.crashSent = crashes_.Newest();
   aEntry.hasChanged = false;
   aEntry.reportedAt = now;
   report.sentAtMs = ToReportTime(now);
--- a/src/coordination/dispatch/job_dispatcher_runs.cpp
+++ b/src/coordination/dispatch/job_dispatcher_runs.cpp
@@ -27,6 +27,8 @@
 {
   servers_.OnReport(aAgent, aReport);
   reportTimes_.OnReport(aAgent, aReport.sentAtMs);
+  // Before the ends, which return lost tasks to the queue.
+  OnCrashes(aAgent, aReport.crashes);
   for (const RunEnd& end : aReport.ends) {
     OnRunEnd(aAgent, end);
   }
@@ -75,6 +77,9 @@
       break;
     case RunEndKind::eNoFreeCapacity:
       // The report that contains this end also updates the free capacity.
+      if (crashHistory_.Attributed(aEnd.run.task) > 0) {
+        servers_.OnSuspectRefused(aAgent);
+      }
       break;
     case RunEndKind::eOutdated:
       task.run += kOutdatedRunStep;
--- a/src/coordination/dispatch/server_pool.h
+++ b/src/coordination/dispatch/server_pool.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "coordination/dispatch/dispatch_messages.h"
@@ -18,6 +19,8 @@
 struct PlacementRequest
 {
   std::string service;
+  /** Queue of the job; see ServerPool::Isolate(). */
+  std::string queue;
   state::ResourceAmount need;
   std::string requiredLabel;
   std::string dataRack;
@@ -35,6 +38,8 @@
   double latestMs = 0;
   /** Server that the task moves away from; zero if there is none. */
   state::ProcessId excludedServer;
+  /** The task is suspected to crash servers. */
+  bool isSuspect = false;
 };
 
 /** The entry's view of one server, for operators. */
@@ -92,16 +97,33 @@
 
   void OnRunSent(const state::ProcessId& aServer,
                  const state::RunKey& aRun,
-                 const state::ResourceAmount& aNeed);
+                 const state::ResourceAmount& aNeed,
+                 bool aIsSuspect = false);
   /** Returns false if the run is not registered on this server. */
   bool OnRunEnded(const state::ProcessId& aServer, const state::RunKey& aRun);
   void OnRunDone(const state::ProcessId& aServer);
   /** Records a run that failed or hung for reasons other than its job. */
   void OnRunFailed(const state::ProcessId& aServer);
 
+  /** Readmits an ejected server that crashed: its new incarnation is good. */
+  void OnCrashed(const state::ProcessId& aServer);
+
   /** Starts a short cooldown of a server that refused a start. */
   void OnRefused(const state::ProcessId& aServer);
 
+  /**
+   * Limits queues to a share of the servers, which other queues use only if no
+   * other server has free capacity; replaces earlier limits. To be called again
+   * when servers are added or removed.
+   * @param aQueues names of queues, with their services
+   */
+  void Isolate(const std::map<std::string, std::string>& aQueues);
+  /** Returns the number of servers of a limited queue; 0: not limited. */
+  std::size_t IsolatedServers(const std::string& aQueue) const;
+
+  /** Starts a short cooldown for suspects only. */
+  void OnSuspectRefused(const state::ProcessId& aServer);
+
   std::vector<state::RunKey> RunsOn(const state::ProcessId& aServer) const;
   /** Returns the agents that have runs of this entry. */
   std::vector<state::ProcessId> AgentsInUse() const;
@@ -129,8 +151,11 @@
     /** Capacity used by the runs of this entry. */
     state::ResourceAmount usedByEntry;
     std::map<state::RunKey, state::ResourceAmount> runs;
+    /** Runs of tasks that are suspected to crash servers. */
+    std::set<state::RunKey> suspects;
     state::MonotonicTime lastContactAt;
     state::MonotonicTime cooldownUntil;
+    state::MonotonicTime suspectCooldownUntil;
     unsigned failuresInRow = 0;
     /** Ejections since the last success; each doubles the cooldown. */
     unsigned ejections = 0;
@@ -145,10 +170,29 @@
               double aRunTimeMs,
               const PlacementRequest& aRequest) const;
 
+  /** Returns false if the queue is limited to other servers. */
+  bool IsPermitted(const Server& aServer,
+                   const PlacementRequest& aRequest) const;
+  /** Returns the addresses of the servers with this label, if not empty. */
+  std::vector<std::string> AddressesOf(const std::string& aService,
+                                       const std::string& aLabel) const;
+  /** Cost of the runs that would be lost with a suspect on the server. */
+  double SuspectCost(const Server& aServer,
+                     const PlacementRequest& aRequest) const;
+  /** Cost of a server to which another queue is limited. */
+  double IsolationCost(const Server& aServer,
+                       const PlacementRequest& aRequest) const;
+
   std::string dataCentre_;
   const state::Clock& clock_;
   RunTimeModel model_;
   std::map<state::ProcessId, Server> servers_;
+  /**
+   * Addresses of the agents whose servers a limited queue may use, by queue and
+   * required label.
+   */
+  std::map<std::pair<std::string, std::string>, std::set<std::string>>
+    isolated_;
 };
 
 }
--- a/src/daemon/dispatch/dispatch_entry_process.cpp
+++ b/src/daemon/dispatch/dispatch_entry_process.cpp
@@ -1,6 +1,7 @@
 #include "daemon/dispatch/dispatch_entry_process.h"
 
 #include "daemon/dispatch/dispatch_status.h"
+#include "daemon/dispatch/log_crashes.h"
 #include "daemon/dispatch/log_pause.h"
 #include "daemon/start_listening.h"
 #include "transport/event_log.h"
@@ -176,6 +177,11 @@
              aRecord.age.count(),
              aRecord.submissions);
   };
+  hooks.crashCounted = LogCrash;
+  hooks.queueLimitChanged = [this](const QueueLimitRecord& aRecord) {
+    dispatchMetrics_.OnQueueLimitChanged(aRecord);
+    LogQueueLimit(aRecord);
+  };
   hooks.paused = LogPause;
   hooks.probe = [this](std::function<void()> aReturned) {
     probe_.Send([this, returned = std::move(aReturned)]() mutable {
--- a/src/daemon/dispatch/dispatch_metrics.cpp
+++ b/src/daemon/dispatch/dispatch_metrics.cpp
@@ -53,6 +53,17 @@
     .Add();
 }
 
+void
+DispatchMetrics::OnQueueLimitChanged(
+  const coordination::QueueLimitRecord& aRecord)
+{
+  metrics_
+    .FindGauge({ "greengage_queue_limits_active", "" },
+               "Queues limited to a share of the servers, which their jobs "
+               "crash")
+    .Set(static_cast<double>(aRecord.limitedQueues));
+}
+
 void
 DispatchMetrics::OnRunDecision(const coordination::RunDecision& aDecision)
 {
@@ -66,4 +77,13 @@
     .Add();
 }
 
+void
+DispatchMetrics::OnServerCrashed()
+{
+  metrics_
+    .FindCounter({ "greengage_server_crashes_total", "" },
+                 "Crashes of the backend server while it had runs")
+    .Add();
+}
+
 }
--- a/src/daemon/dispatch/dispatch_metrics.h
+++ b/src/daemon/dispatch/dispatch_metrics.h
@@ -14,9 +14,12 @@
 
   void OnJobEnded(const coordination::JobRecord& aRecord);
   void OnRunEnded(const coordination::RunEnd& aEnd);
+  void OnQueueLimitChanged(const coordination::QueueLimitRecord& aRecord);
   void OnRefused(const state::DispatchOutcome& aOutcome);
   /** Counts a run decision of an agent by its name and reason. */
   void OnRunDecision(const coordination::RunDecision& aDecision);
+  /** Counts a crash of an agent's server. */
+  void OnServerCrashed();
 
 private:
   transport::MetricsRegistry& metrics_;
--- a/src/transport/events.h
+++ b/src/transport/events.h
@@ -155,6 +155,21 @@
 inline constexpr EventKind kJobSubmitted{ 1610,
                                           "job_submitted",
                                           LogLevel::eInfo };
+inline constexpr EventKind kServerCrashed{ 1611,
+                                           "server_crashed",
+                                           LogLevel::eWarning };
+inline constexpr EventKind kTaskCrashCounted{ 1620,
+                                              "task_crash_counted",
+                                              LogLevel::eInfo };
+inline constexpr EventKind kJobGivenUp{ 1621,
+                                        "job_given_up",
+                                        LogLevel::eWarning };
+inline constexpr EventKind kQueueLimitBegan{ 1622,
+                                             "queue_limit_began",
+                                             LogLevel::eWarning };
+inline constexpr EventKind kQueueLimitEnded{ 1623,
+                                             "queue_limit_ended",
+                                             LogLevel::eInfo };
 
 // Settings and logging.
 inline constexpr EventKind kSettingsReloaded{ 1701,
@@ -185,7 +200,9 @@
   kPeerSilent,       kTasksPlaced,          kSettingsReloaded,
   kSettingsRefused,  kLinesDropped,         kSettingsWaitForStart,
   kProcessPaused,    kProcessBehind,        kProcessCaughtUp,
-  kRequestDropped,   kJobSubmitted,
+  kRequestDropped,   kJobSubmitted,         kServerCrashed,
+  kTaskCrashCounted, kJobGivenUp,           kQueueLimitBegan,
+  kQueueLimitEnded,
 };
 
 }
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -133,6 +133,8 @@
     status(DispatchResult::eFailed, DispatchReason::eOutcomeUnknown);
   EXPECT_EQ(unknown.status, 200u);
   EXPECT_EQ(unknown.body, R"({"state":"failed"})");
+  EXPECT_EQ(status(DispatchResult::eFailed, DispatchReason::eCrashedServers),
+            failed);
   EXPECT_EQ(status(DispatchResult::eFailed, DispatchReason::eTooLate).status,
             504u);
   EXPECT_EQ(status(DispatchResult::eFailed, DispatchReason::eServerLost).status,
