Name the record of a counted crash after its task

Agents have records of crashes of their own, so the record that an entry logs for each task becomes TaskCrashRecord. No change of behaviour; both users were type-checked.

--- a/src/coordination/dispatch/dispatch_records.h
+++ b/src/coordination/dispatch/dispatch_records.h
@@ -53,7 +53,7 @@
 };
 
 /** A crash that was counted for a task of a job of this entry. */
-struct CrashRecord
+struct TaskCrashRecord
 {
   state::ProcessId agent;
   /** Number of the crash among those that the agent reports. */
@@ -64,7 +64,7 @@
   std::size_t tasks = 0;
   CrashedTask task;
 
-  auto operator<=>(const CrashRecord&) const = default;
+  auto operator<=>(const TaskCrashRecord&) const = default;
 };
 
 /** The begin or the end of the limit of a queue at this entry. */
--- a/src/coordination/dispatch/job_dispatcher.h
+++ b/src/coordination/dispatch/job_dispatcher.h
@@ -37,7 +37,7 @@
   /** Called when a run ended without success. */
   std::function<void(const state::ProcessId& aAgent, const RunEnd&)> runEnded;
   std::function<void(const SubmissionRecord&)> submitted;
-  std::function<void(const CrashRecord&)> crashCounted;
+  std::function<void(const TaskCrashRecord&)> crashCounted;
   std::function<void(const QueueLimitRecord&)> queueLimitChanged;
   /** Called with the length of a pause of this process. */
   std::function<void(std::chrono::milliseconds)> paused;
--- a/src/daemon/dispatch/log_crashes.cpp
+++ b/src/daemon/dispatch/log_crashes.cpp
@@ -8,7 +8,7 @@
 namespace events = transport::events;
 
 void
-LogCrash(const coordination::CrashRecord& aRecord)
+LogCrash(const coordination::TaskCrashRecord& aRecord)
 {
   const coordination::CrashedTask& task = aRecord.task;
   LogEvent(events::kTaskCrashCounted,
--- a/src/daemon/dispatch/log_crashes.h
+++ b/src/daemon/dispatch/log_crashes.h
@@ -6,7 +6,7 @@
 
 /** Logs a counted crash, and the job if it is given up. */
 void
-LogCrash(const coordination::CrashRecord& aRecord);
+LogCrash(const coordination::TaskCrashRecord& aRecord);
 
 /** Logs the begin or the end of the limit of a queue. */
 void
