Count the deadline of a job from the read of its request

A caller that is cut off without a FIN or RST cannot be noticed by its entry; its runs end only at the deadline of the job, and it submits the job again 1,300 ms after its own timeout. Runs could outlive that timeout by the 400 ms that a request may wait in the entry, which with the 900 ms of the chain of leases uses up all of the 1,300 ms.

Cause: the caller's timeout was counted from the moment when the control thread handled the request, not from its read.

EntryLagTest.DeadlineCountsFromTheReadOfTheRequest failed without the subtraction (the job had not ended 1,100 ms after it was handled) and passes with it.

--- a/src/coordination/dispatch/job_dispatcher.cpp
+++ b/src/coordination/dispatch/job_dispatcher.cpp
@@ -90,12 +90,14 @@
     RecordSubmission(*known->second, aAge);
     return;
   }
+  // The caller has been waiting since before the request was read, and may have
+  // been cut off without a notice, so its runs must not outlive its timeout.
   auto job =
     std::make_unique<DispatchedJob>(MakeDispatchedJob(std::move(aJob),
                                                       aQueue,
                                                       servers_.Model(),
                                                       clock_.MonotonicNow(),
-                                                      aTimeout));
+                                                      aTimeout - aAge));
   job->submissions.push_back(aSubmission);
   ContinueRunNumbers(*job);
   pauses_.Check();
--- a/src/coordination/dispatch/job_dispatcher.h
+++ b/src/coordination/dispatch/job_dispatcher.h
@@ -79,7 +79,8 @@
   /**
    * Accepts a job, or rejects it immediately if it cannot be served in time.
    * @param aTimeout the time that the caller waits for the answer
-   * @param aAge time since the request was read from its connection
+   * @param aAge time since the request was read from its connection; the
+   * timeout counts from then
    */
   void Submit(SubmissionId aSubmission,
               const state::WorkQueue& aQueue,
--- a/tests/dispatch/entry_lag_test.cpp
+++ b/tests/dispatch/entry_lag_test.cpp
@@ -41,7 +41,8 @@
 
   void Submit(std::uint64_t aJob,
               SubmissionId aSubmission,
-              milliseconds aAge = milliseconds(0))
+              milliseconds aAge = milliseconds(0),
+              milliseconds aEstimate = milliseconds(300))
   {
     state::WorkQueue queue;
     queue.name = "queue";
@@ -51,7 +52,7 @@
     queue.objectiveMargin = milliseconds(60);
     state::DispatchJob job;
     job.id = aJob;
-    job.steps.push_back({ 1, { 1000, 64, 0 }, milliseconds(300) });
+    job.steps.push_back({ 1, { 1000, 64, 0 }, aEstimate });
     dispatcher_.Submit(aSubmission, queue, job, milliseconds(1500), aAge);
   }
 
@@ -133,6 +134,26 @@
                                             { 1, milliseconds(900), 2 } }));
 }
 
+// Guards against runs that outlive the time that their caller waits, because
+// the request had waited in this process. A caller that was cut off without a
+// FIN or RST cannot be noticed; it submits again 1,300 ms after that time.
+TEST_F(EntryLagTest, DeadlineCountsFromTheReadOfTheRequest)
+{
+  Submit(1, 1, milliseconds(400), milliseconds(900));
+  ASSERT_EQ(starts_, 1u);
+  for (int i = 0; i < 43; ++i) {
+    RunFor(milliseconds(25));
+    if (!probes_.empty()) {
+      ReturnProbe();
+    }
+  }
+  EXPECT_FALSE(outcomes_.contains(1));
+  RunFor(milliseconds(25));
+  ASSERT_TRUE(outcomes_.contains(1));
+  EXPECT_EQ(outcomes_[1].result, DispatchResult::eFailed);
+  EXPECT_EQ(outcomes_[1].reason, DispatchReason::eTooLate);
+}
+
 // Guards against agents that keep the runs of an entry that learns late that
 // its callers have disconnected.
 TEST_F(EntryLagTest, EntryThatIsBehindConfirmsOnlyWhatAProbeProves)
