--- a/src/coordination/dispatch/job_dispatcher_runs.cpp
+++ b/src/coordination/dispatch/job_dispatcher_runs.cpp
@@ -27,17 +27,18 @@
 {
   servers_.OnReport(aAgent, aReport);
   reportTimes_.OnReport(aAgent, aReport.sentAtMs);
-  // Before the ends, which return lost tasks to the queue.
+  // Crashes and uncertain starts come before the ends, which return lost tasks
+  // to the queue.
   OnCrashes(aAgent, aReport.crashes);
+  for (const UncertainStart& start : aReport.uncertainStarts) {
+    OnUncertainStart(aAgent, start);
+  }
   for (const RunEnd& end : aReport.ends) {
     OnRunEnd(aAgent, end);
   }
   for (const RunForecast& forecast : aReport.forecasts) {
     OnForecast(aAgent, forecast);
   }
-  for (const UncertainStart& start : aReport.uncertainStarts) {
-    OnUncertainStart(aAgent, start);
-  }
   PlaceWaitingJobs();
   orders_.Send();
 }
@@ -173,7 +174,6 @@
   servers_.Model().AddSample(
     aJob.queue.name, spec.estimate, aTask.server, milliseconds(aEnd.runTimeMs));
   aTask.phase = TaskPhase::eDone;
-  aTask.isStartUncertain = false;
   ++aStep.done;
   if (IsComplete(aJob)) {
     End(aJob.spec.id,
@@ -210,7 +210,6 @@
     --runs->second;
   }
   aTask.phase = TaskPhase::eWaiting;
-  aTask.isStartUncertain = false;
   ++aStep.waiting;
   Enqueue(aJob);
 }
