Let jobs wait for a capacity that has shrunk

Callers would see: 503 "impossible" for a job that fits the server as it was and as it will be again.

Cause: the entry compared a job with the present capacity of the servers and took it as constant for an incarnation.

Change: an entry keeps the largest capacity that each server has announced. A job that a server accepting runs has had the capacity for waits as one without free capacity does: it starts when the capacity grows, or is rejected as overload with Retry-After at its latest start. Servers that are draining or unreachable do not count, as before.

Evidence: JobWaitsForACapacityThatGrowsAgain and WaitingJobIsRejectedAsOverloadIfTheCapacityStaysSmall fail on (rejected as impossible at once) and pass now.

--- a/src/coordination/dispatch/job_dispatcher.cpp
+++ b/src/coordination/dispatch/job_dispatcher.cpp
@@ -153,6 +153,10 @@
       if (starting && servers_.ReadyServers() == 0) {
         continue;
       }
+      if (servers_.HasFittedBefore(request)) {
+        // The capacity of a server may grow again in time.
+        continue;
+      }
       return DispatchReason::eImpossible;
     }
     if (*shortest > request.latestMs) {
--- a/src/coordination/dispatch/server_pool.cpp
+++ b/src/coordination/dispatch/server_pool.cpp
@@ -84,8 +84,11 @@
       server.failuresInRow = 0;
       server.ejections = 0;
       server.cooldownUntil = {};
+      server.largestCapacity = {};
     }
     server.description = aReport.description;
+    server.largestCapacity =
+      Max(server.largestCapacity, server.description->capacity);
   }
   server.condition = aReport.condition;
   server.usedByOthers = aReport.usedByOthers;
@@ -93,8 +96,7 @@
 }
 
 bool
-ServerPool::IsUsable(const Server& aServer,
-                     const PlacementRequest& aRequest) const
+ServerPool::IsSuitable(const Server& aServer, const PlacementRequest& aRequest)
 {
   if (!aServer.description || !AcceptsRuns(aServer.condition) ||
       aServer.description->service != aRequest.service ||
@@ -102,15 +104,29 @@
     return false;
   }
   const auto& labels = aServer.description->labels;
-  if (!aRequest.requiredLabel.empty() &&
-      std::find(labels.begin(), labels.end(), aRequest.requiredLabel) ==
-        labels.end()) {
-    return false;
-  }
-  return IsPermitted(aServer, aRequest) &&
+  return aRequest.requiredLabel.empty() ||
+         std::find(labels.begin(), labels.end(), aRequest.requiredLabel) !=
+           labels.end();
+}
+
+bool
+ServerPool::IsUsable(const Server& aServer,
+                     const PlacementRequest& aRequest) const
+{
+  return IsSuitable(aServer, aRequest) && IsPermitted(aServer, aRequest) &&
          Fits(aRequest.need, aServer.description->capacity);
 }
 
+bool
+ServerPool::HasFittedBefore(const PlacementRequest& aRequest) const
+{
+  return std::any_of(
+    servers_.begin(), servers_.end(), [&](const auto& aServer) {
+      return IsSuitable(aServer.second, aRequest) &&
+             Fits(aRequest.need, aServer.second.largestCapacity);
+    });
+}
+
 bool
 ServerPool::HasFreeCapacity(const Server& aServer,
                             const PlacementRequest& aRequest) const
--- a/src/coordination/dispatch/server_pool.h
+++ b/src/coordination/dispatch/server_pool.h
@@ -94,6 +94,11 @@
    * without free capacity at present.
    */
   std::optional<double> ShortestRunTime(const PlacementRequest& aRequest) const;
+  /**
+   * Returns true if a server that accepts runs has announced enough capacity
+   * for the task, now or earlier.
+   */
+  bool HasFittedBefore(const PlacementRequest& aRequest) const;
 
   void OnRunSent(const state::ProcessId& aServer,
                  const state::RunKey& aRun,
@@ -147,6 +152,8 @@
     ProcessInfo agent;
     std::optional<ServerDescription> description;
     ServerCondition condition = ServerCondition::eUnreachable;
+    /** Maximum of each part of the capacity that the server has announced. */
+    state::ResourceAmount largestCapacity;
     state::ResourceAmount usedByOthers;
     /** Capacity used by the runs of this entry. */
     state::ResourceAmount usedByEntry;
@@ -161,6 +168,9 @@
     unsigned ejections = 0;
   };
 
+  /** Returns true if the server may run the task, whatever its capacity. */
+  static bool IsSuitable(const Server& aServer,
+                         const PlacementRequest& aRequest);
   bool IsUsable(const Server& aServer, const PlacementRequest& aRequest) const;
   /** Also false during a cooldown or after a contact timeout. */
   bool HasFreeCapacity(const Server& aServer,
--- a/src/state/dispatch/resource_amount.h
+++ b/src/state/dispatch/resource_amount.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 #include <limits>
@@ -43,6 +44,15 @@
            subtract(aLeft.gpus, aRight.gpus) };
 }
 
+/** Returns the larger of each part of two amounts. */
+constexpr ResourceAmount
+Max(const ResourceAmount& aLeft, const ResourceAmount& aRight)
+{
+  return { std::max(aLeft.cpuMillicores, aRight.cpuMillicores),
+           std::max(aLeft.memoryMb, aRight.memoryMb),
+           std::max(aLeft.gpus, aRight.gpus) };
+}
+
 /** Returns true if every part of aNeed is at most that of aFreeCapacity. */
 constexpr bool
 Fits(const ResourceAmount& aNeed, const ResourceAmount& aFreeCapacity)
--- a/tests/dispatch/capacity_change_test.cpp
+++ b/tests/dispatch/capacity_change_test.cpp
@@ -247,6 +247,32 @@
   JobDispatcher dispatcher_{ { "here" }, clock_, MakeHooks() };
 };
 
+// Guards against rejecting a job as impossible while the capacity of a server
+// is smaller for some time.
+TEST_F(EntryCapacityTest, JobWaitsForACapacityThatGrowsAgain)
+{
+  Report(ResourceAmount{ 500, 4000, 0 });
+  Submit(1);
+  EXPECT_TRUE(answers_.empty());
+  Wait(100);
+  EXPECT_TRUE(started_.empty());
+  Report(kLarge);
+  EXPECT_EQ(started_.size(), 1u);
+}
+
+// Guards against holding such a job beyond the time at which it can start.
+TEST_F(EntryCapacityTest, WaitingJobIsRejectedAsOverloadIfTheCapacityStaysSmall)
+{
+  Report(ResourceAmount{});
+  Submit(1);
+  Wait(1500);
+  EXPECT_TRUE(started_.empty());
+  ASSERT_TRUE(answers_.contains(1));
+  EXPECT_EQ(answers_[1].result, state::DispatchResult::eRejected);
+  EXPECT_EQ(answers_[1].reason, DispatchReason::eOverload);
+  EXPECT_GT(answers_[1].retryAfter.count(), 0);
+}
+
 // Guards against holding a job that no server has ever had the capacity for.
 TEST_F(EntryCapacityTest, JobLargerThanAnyFormerCapacityIsRejectedAtOnce)
 {
