Repeat that a start is uncertain when an entry checks the run

Callers would see two runs of one task: the report that a start is uncertain was lost with the connection to the entry, so the job was answered 502 or 504, its callers submitted it again, and the order was carried out late.

Cause: a check of a run that the agent still has was answered by nothing, and each certainty is reported once.

The check now repeats the report.

--- a/src/coordination/dispatch/run_controller_orders.cpp
+++ b/src/coordination/dispatch/run_controller_orders.cpp
@@ -156,7 +156,16 @@
 void
 RunController::HandleCheck(const ProcessId& aEntry, const RunKey& aRun)
 {
-  if (FindRunOf(aEntry, aRun) != runs_.end()) {
+  auto run = FindRunOf(aEntry, aRun);
+  if (run != runs_.end()) {
+    const Run& known = run->second;
+    if (known.reportedCertainty > StartCertainty::eCertain &&
+        !known.IsConfirmed()) {
+      // The earlier report may have been lost with its connection.
+      reporter_.AddUncertainStart(
+        aEntry,
+        { aRun, known.reportedCertainty == StartCertainty::eFinallyUncertain });
+    }
     return;
   }
   withdrawn_[{ aEntry, aRun }] = clock_.MonotonicNow();
--- a/tests/dispatch/run_controller_test.cpp
+++ b/tests/dispatch/run_controller_test.cpp
@@ -350,6 +350,21 @@
   EXPECT_EQ(uncertain_[0], (UncertainStart{ kRun, false }));
 }
 
+// Guards against a job that its callers submit again: the report that its start
+// is uncertain was lost with the connection to the entry.
+TEST_F(RunControllerTest, CheckRepeatsThatAStartIsUncertain)
+{
+  Order(kRun);
+  controller_.OnStartAnswer(kRun, StartAnswer::eNoAnswer);
+  FailRenewals(RenewFailure::eConnectionRefused, 50);
+  ASSERT_EQ(uncertain_.size(), 1u);
+  DispatchOrders orders;
+  orders.checks.push_back(kRun);
+  controller_.OnOrders(kEntry, orders);
+  ASSERT_EQ(uncertain_.size(), 2u);
+  EXPECT_EQ(uncertain_[1], uncertain_[0]);
+}
+
 // Guards against runs that are never stopped: the incarnation that answered the
 // stop order has ended, and the next one runs the task.
 TEST_F(RunControllerTest, StopIsRepeatedForALaterIncarnation)
