--- a/src/coordination/dispatch/job_dispatcher.cpp
+++ b/src/coordination/dispatch/job_dispatcher.cpp
@@ -27,9 +27,9 @@
  */
 constexpr milliseconds kMaxRequestAge{ 400 };
 
-/** Returns true if the callers submit the job again after this answer. */
+/** Returns true if the callers may submit the job again after this answer. */
 bool
-IsSubmittedAgainAfter(const DispatchOutcome& aOutcome)
+IsBroken(const DispatchOutcome& aOutcome)
 {
   return aOutcome.result == DispatchResult::eFailed &&
          (aOutcome.reason == DispatchReason::eTooLate ||
@@ -462,7 +462,7 @@
     waiting_.erase(*job->waitingKey);
   }
   DispatchOutcome outcome = aOutcome;
-  if (IsSubmittedAgainAfter(outcome) && HasUncertainStart(*job)) {
+  if (IsBroken(outcome) && HasUncertainStart(*job)) {
     outcome = FailedOutcome(DispatchReason::eOutcomeUnknown);
   }
   StopRuns(*job);
--- a/src/coordination/dispatch/job_dispatcher.h
+++ b/src/coordination/dispatch/job_dispatcher.h
@@ -184,7 +184,7 @@
   void StopRuns(DispatchedJob& aJob);
   /**
    * Answers all callers, stops all runs and removes the job. While a start is
-   * uncertain, an outcome after which callers submit the job again is replaced.
+   * uncertain, the reason of a broken job states so.
    */
   void End(std::uint64_t aJob, const state::DispatchOutcome& aOutcome);
 
--- a/tests/dispatch/dispatch_fault_scenario.cpp
+++ b/tests/dispatch/dispatch_fault_scenario.cpp
@@ -27,6 +27,7 @@
 {
   return aOutcome.result == DispatchResult::eFailed &&
          (aOutcome.reason == DispatchReason::eServerLost ||
+          aOutcome.reason == DispatchReason::eOutcomeUnknown ||
           aOutcome.reason == DispatchReason::eTooLate);
 }
 
