Do not limit leases by runs whose stop is answered

Cause: the limit counted runs that are being stopped. The incarnation that answered a stop ends the run within the time of a stop, and refuses its start afterwards, so the lease does not bound it.

AnsweredStopNoLongerLimitsTheLeases fails without the condition.

--- a/src/coordination/dispatch/run_controller_renewals.cpp
+++ b/src/coordination/dispatch/run_controller_renewals.cpp
@@ -264,6 +264,11 @@
 {
   auto lease = settings_.lease;
   for (const auto& [key, run] : runs_) {
+    // The incarnation that answered a stop ends the run whatever its lease.
+    const auto& stop = run.knowledge.stop;
+    if (stop && stop->incarnation == incarnation_) {
+      continue;
+    }
     auto contactAt =
       reporter_.ConfirmedAt(run.entry).value_or(run.entryContactAt);
     lease = std::min(lease,
--- a/tests/dispatch/run_controller_test.cpp
+++ b/tests/dispatch/run_controller_test.cpp
@@ -14,6 +14,7 @@
 using std::chrono::milliseconds;
 
 constexpr ProcessId kEntry{ 7, 7 };
+constexpr ProcessId kSilentEntry{ 8, 8 };
 constexpr std::uint64_t kBorn = 5000;
 constexpr RunKey kRun{ { 1, 0, 0 }, 1 };
 constexpr RunKey kOtherRun{ { 2, 0, 0 }, 1 };
@@ -66,6 +67,34 @@
     ASSERT_EQ(starts_.back().run, aRun);
   }
 
+  /** Orders a run for an entry that sends nothing afterwards. */
+  void OrderForSilentEntry(const RunKey& aRun)
+  {
+    controller_.OnEntry(kSilentEntry, true);
+    Wait(150);
+    DispatchOrders orders;
+    orders.starts.push_back(
+      { aRun.task.job, 0, { 1000, 64, 0 }, 0, "", { { 0, aRun.run } } });
+    controller_.OnOrders(kSilentEntry, orders);
+    time_ += milliseconds(2);
+    controller_.OnStartAnswer(aRun, StartAnswer::eStarted);
+    running_.push_back({ aRun, 1 });
+    AnswerRenewal(kBorn);
+  }
+
+  /** Waits in ticks, while the server answers every renewal. */
+  void WaitWithRenewals(int aMs)
+  {
+    for (int passed = 0; passed < aMs; passed += 25) {
+      Wait(25);
+      // An answer may start the next long poll, which waits.
+      for (auto sent = renewals_.size(); answeredUpTo_ < sent;) {
+        controller_.OnRenewAnswer(renewals_[answeredUpTo_++].number,
+                                  List(kBorn));
+      }
+    }
+  }
+
   /** Orders a run that the server confirms and lists. */
   void StartRunning(const RunKey& aRun)
   {
@@ -144,6 +173,7 @@
   std::vector<StopRunCall> stops_;
   std::vector<RenewCall> renewals_;
   std::size_t failedUpTo_ = 0;
+  std::size_t answeredUpTo_ = 0;
   std::vector<ListedRun> running_;
   std::vector<ListedEnd> ended_;
   std::vector<RunEnd> ends_;
@@ -365,6 +395,20 @@
   EXPECT_EQ(uncertain_[1], uncertain_[0]);
 }
 
+// Guards against runs of healthy entries that lapse: the stop of a run of an
+// entry without contact is answered, but its end is listed late.
+TEST_F(RunControllerTest, AnsweredStopNoLongerLimitsTheLeases)
+{
+  OrderForSilentEntry(kOtherRun);
+  WaitWithRenewals(750);
+  ASSERT_FALSE(stops_.empty());
+  controller_.OnStopAnswer(kOtherRun, true);
+  Order(kRun);
+  EXPECT_EQ(starts_.back().leaseEnd,
+            milliseconds(90'000) + (time_ - kStart) +
+              RunControllerSettings().lease);
+}
+
 // Guards against runs that are never stopped: the incarnation that answered the
 // stop order has ended, and the next one runs the task.
 TEST_F(RunControllerTest, StopIsRepeatedForALaterIncarnation)
