Refuse starts whose lease would be too short

Starts were sent with a lease that had nearly ended while the run of an entry without contact limited all leases of the server.

Such a start is now refused as if the server were not ready, which starts the cooldown of the server in that entry. RefusesStartsWhoseLeaseWouldBeTooShort fails without the check.

--- a/src/coordination/dispatch/run_controller_orders.cpp
+++ b/src/coordination/dispatch/run_controller_orders.cpp
@@ -8,6 +8,13 @@
 using state::RunKey;
 using std::chrono::milliseconds;
 
+namespace {
+
+/** Shortest lease of a start: two renewals, of which one may be lost. */
+constexpr milliseconds kMinStartLease{ 200 };
+
+}
+
 void
 RunController::OnEntry(const ProcessId& aEntry, bool aSameDataCentre)
 {
@@ -84,6 +91,11 @@
     Refuse(aEntry, key, RunEndKind::eRefused, "server_not_ready", age);
     return;
   }
+  if (LeaseToRequest() < kMinStartLease) {
+    // The server would refuse the start as late, or end the run soon.
+    Refuse(aEntry, key, RunEndKind::eRefused, "lease_too_short", age);
+    return;
+  }
   if (SupersedeOtherRuns(key, aEntry)) {
     Refuse(aEntry, key, RunEndKind::eOutdated, "task_runs_here", age);
     return;
--- a/tests/dispatch/run_controller_test.cpp
+++ b/tests/dispatch/run_controller_test.cpp
@@ -409,6 +409,22 @@
               RunControllerSettings().lease);
 }
 
+// Guards against starts that the server refuses as late, again and again: the
+// run of an entry without contact limits all leases until it is stopped.
+TEST_F(RunControllerTest, RefusesStartsWhoseLeaseWouldBeTooShort)
+{
+  OrderForSilentEntry(kOtherRun);
+  WaitWithRenewals(650);
+  auto starts = starts_.size();
+  DispatchOrders orders;
+  orders.starts.push_back(
+    { kRun.task.job, 0, { 1000, 64, 0 }, 0, "", { { 0, kRun.run } } });
+  controller_.OnOrders(kEntry, orders);
+  EXPECT_EQ(starts_.size(), starts);
+  ASSERT_FALSE(ends_.empty());
+  EXPECT_EQ(ends_.back(), (RunEnd{ kRun, RunEndKind::eRefused, 0 }));
+}
+
 // Guards against runs that are never stopped: the incarnation that answered the
 // stop order has ended, and the next one runs the task.
 TEST_F(RunControllerTest, StopIsRepeatedForALaterIncarnation)
