Return the probe of an entry after an error of its socket

An entry would stay behind and place nothing for ever, because a wait that ended with an error other than an abort dropped the probe. Found by the review, not seen; no test, since the socket pair has no way to fail from outside.

--- a/src/transport/traffic_probe.cpp
+++ b/src/transport/traffic_probe.cpp
@@ -44,7 +44,7 @@
   receiver_.async_wait(
     asio::socket_base::wait_read,
     [this, returned = std::move(aReturned)](error_code aError) mutable {
-      if (aError) {
+      if (aError == asio::error::operation_aborted) {
         return;
       }
       char byte = 0;
