--- a/src/coordination/dispatch/run_release.h
+++ b/src/coordination/dispatch/run_release.h
@@ -79,8 +79,8 @@
   state::MonotonicTime knownClock;
   /**
    * For a run that may have reached a later incarnation, on whose clock a lease
-   * may end much later; the server limits it to its longest lease. Assumes that
-   * a later incarnation does not carry out a call after its timeout.
+   * may end much later; the server limits it to its longest lease. It does not
+   * cover a start that a later incarnation carries out after its timeout.
    */
   state::MonotonicTime anyClock;
 
