Record three faults around a changed capacity of a server

The tests fail: a changed capacity reaches the entries with the next periodic report only, a refusal for want of capacity does not repeat it, and an entry repeats refused starts at message speed.

--- a/tests/dispatch/capacity_change_test.cpp
+++ b/tests/dispatch/capacity_change_test.cpp
@@ -95,6 +95,10 @@
     };
     hooks.report = [this](const ProcessId&, const ServerReport& aReport) {
       ends_.insert(ends_.end(), aReport.ends.begin(), aReport.ends.end());
+      lastReport_ = aReport;
+      if (aReport.description) {
+        reported_ = aReport.description->capacity;
+      }
     };
     hooks.condition = [](ServerCondition, const std::string&) {};
     return hooks;
@@ -107,6 +111,9 @@
   std::vector<RenewCall> renewals_;
   std::vector<ListedRun> running_;
   std::vector<RunEnd> ends_;
+  ServerReport lastReport_;
+  /** Capacity in the newest report that contained a description. */
+  ResourceAmount reported_;
   RunController controller_{ {}, 100, clock_, MakeHooks() };
 };
 
@@ -170,6 +177,33 @@
   EXPECT_FALSE(Order(5));
 }
 
+// Guards against entries that use an outdated capacity for a report period,
+// which is up to 250 ms, and several times that in other data centres.
+TEST_F(AgentCapacityTest, ChangedCapacityIsReportedAtOnce)
+{
+  DispatchOrders orders;
+  orders.reportPeriodMs = 250;
+  controller_.OnOrders(kEntry, orders);
+  Wait(150);
+  Announce(2, kSmall);
+  EXPECT_EQ(reported_, kSmall);
+  Announce(3, kLarge);
+  EXPECT_EQ(reported_, kLarge);
+}
+
+// Guards against an entry that missed the report of a smaller capacity and
+// sends starts until the description is repeated, 3 s later.
+TEST_F(AgentCapacityTest, RefusalForWantOfCapacityRepeatsTheCapacity)
+{
+  Announce(2, {});
+  Wait(100);
+  lastReport_ = {};
+  ASSERT_FALSE(Order(1));
+  ASSERT_FALSE(lastReport_.ends.empty());
+  ASSERT_TRUE(lastReport_.description);
+  EXPECT_EQ(lastReport_.description->capacity, ResourceAmount{});
+}
+
 class EntryCapacityTest : public ::testing::Test
 {
 protected:
@@ -311,5 +345,21 @@
   EXPECT_EQ(started_.size(), 4u);
 }
 
+// Guards against a loop of starts and refusals, one per round trip, while the
+// server has less capacity than it announced last.
+TEST_F(EntryCapacityTest, RefusedStartIsNotRepeatedAtOnce)
+{
+  Submit(1);
+  for (int round = 0; round < 20; ++round) {
+    time_ += milliseconds(4);
+    Report(std::nullopt,
+           { { started_.back(), RunEndKind::eNoFreeCapacity, 0 } });
+  }
+  EXPECT_LE(started_.size(), 2u);
+  EXPECT_TRUE(answers_.empty());
+  Wait(100);
+  EXPECT_LE(started_.size(), 3u);
+}
+
 }
 }
