State the conditions of the limits of contact and proof age

The comment on the limit of leases named an effect that the review disproved, and left out that renewals without runs are not limited. Comments only.

--- a/src/coordination/dispatch/lag_monitor.cpp
+++ b/src/coordination/dispatch/lag_monitor.cpp
@@ -19,7 +19,7 @@
 /**
  * Maximum time since the last probe that returned in time was sent. A caller
  * that was lost just after that is only proven to be handled by the next probe,
- * which may take kMaxLag again. A constant lag of 160 ms stays within it.
+ * which may take kMaxLag again.
  */
 constexpr milliseconds kMaxProofAge{ 350 };
 
--- a/src/coordination/dispatch/run_controller.h
+++ b/src/coordination/dispatch/run_controller.h
@@ -41,10 +41,12 @@
    * Latest end of the leases, counted from the latest report that the least
    * recent entry with runs here has confirmed. An agent that fails just before
    * it stops the runs of an unresponsive entry cannot prolong them. It exceeds
-   * entryTimeout by the time that a stop needs, so that the leases of other
-   * entries' runs do not lapse. It must be below the delay after which callers
-   * submit a failed job again (1,300 ms on the users' sites), with 350 ms for
-   * an entry that confirms reports before it has handled its callers.
+   * entryTimeout by more than a stop takes, after whose answer the run no
+   * longer counts. It must be at least lease plus the maximum age of an order,
+   * because renewals without runs are not limited, and 350 ms below the delay
+   * after which callers submit a failed job again (1,300 ms on the users'
+   * sites): an entry may confirm reports that long before it has handled its
+   * callers.
    */
   std::chrono::milliseconds maxContactAge{ 900 };
 
--- a/src/coordination/dispatch/run_controller_calls.cpp
+++ b/src/coordination/dispatch/run_controller_calls.cpp
@@ -179,7 +179,7 @@
 void
 RunController::ReleaseExpiredRuns()
 {
-  // While the server answers, its list also tells how each run has ended.
+  // While the server answers, its list also shows how each run has ended.
   if (reachable_) {
     return;
   }
