--- a/tests/dispatch/job_dispatcher_test.cpp
+++ b/tests/dispatch/job_dispatcher_test.cpp
@@ -340,7 +340,7 @@
 }
 
 // Guards against a second run of a task whose server may still carry out the
-// first start order: the job ends, and its callers do not submit it again.
+// first start order: the job ends instead.
 TEST_F(JobDispatcherTest, UnknownOutcomeOfARunEndsTheJobAsFailed)
 {
   ProcessId agent = AddServer(1);
@@ -361,9 +361,8 @@
   EXPECT_EQ(Started(agent).size(), 1u);
 }
 
-// Guards against an answer after which the callers submit the job again while
-// its server may still carry out a start order: at the deadline, and when the
-// agent is lost.
+// Guards against an answer that hides that a server may still carry out a start
+// order: at the deadline, and when the agent is lost.
 TEST_F(JobDispatcherTest, JobWithAnUncertainStartIsNotAnsweredAsBroken)
 {
   ProcessId agent = AddServer(1);
@@ -382,9 +381,9 @@
   }
 }
 
-// Guards against a job that is submitted again while the next incarnation of a
-// server may carry out a start whose stop an earlier one has answered, and
-// against a job that ends because of a run that was replaced.
+// Guards against an answer that hides that the next incarnation of a server may
+// carry out a start whose stop an earlier one has answered, and against a job
+// that ends because of a run that was replaced.
 TEST_F(JobDispatcherTest, WithdrawnStartPreventsAnAnswerAsBroken)
 {
   ProcessId agent = AddServer(1);
