--- a/review/4/case.py
+++ b/review/4/case.py
@@ -14,9 +14,9 @@
                    new_job)
 
 WORKERS = 8
-KILLS = 14
+KILLS = 32
 RESTART_AFTER_S = 0.1
-PERIOD_S = 4.0
+PERIOD_S = 2.5
 TASK_MS = 900
 CLIENTS = 40
 
