Count the runs that an agent did not order as used capacity

Cause: a restarted agent began with no capacity in use and accepted starts from the first announcement on, before the server had listed its runs. Runs in the list that it had not ordered were stopped, but never counted, neither while they ran nor while they were being stopped. The same held after a new incarnation, which may have carried out a late start.

Now nothing starts until the present incarnation has listed its runs after a call with the present fencing token, with which it refuses all earlier orders, and while a listed run is unknown. The list does not tell what such a run needs, so all capacity counts as used, in the reports too. The server is asked without a long poll meanwhile, and the entries get a report as soon as the capacity is known. A run that the agent has released is not unknown in an answer to a call sent before the release.

--- a/src/coordination/dispatch/lease_renewals.cpp
+++ b/src/coordination/dispatch/lease_renewals.cpp
@@ -27,7 +27,9 @@
   call.lastSeen = lastSeen_;
   call.wait = aWait;
   call.fencingToken = aFencingToken;
-  pending_[call.number] = { now, lastSeen_, aWait.count() > 0, aFencingToken };
+  pending_[call.number] = {
+    call.number, now, lastSeen_, aWait.count() > 0, aFencingToken
+  };
   requestedUntil_ = now + aLease;
   nextAt_ = now + kRetryDelay;
   return call;
--- a/src/coordination/dispatch/lease_renewals.h
+++ b/src/coordination/dispatch/lease_renewals.h
@@ -13,6 +13,8 @@
 /** A renewal call that was sent and is not answered yet. */
 struct PendingRenewal
 {
+  /** Numbers rise in the order of the calls. */
+  std::uint64_t number = 0;
   state::MonotonicTime sentAt;
   /** The call acknowledges the ends up to this number. */
   std::uint64_t lastSeen = 0;
--- a/src/coordination/dispatch/run_controller.cpp
+++ b/src/coordination/dispatch/run_controller.cpp
@@ -12,6 +12,8 @@
 constexpr milliseconds kStopRetryDelay{ 75 };
 /** Delay after which an unanswered and unlisted start is stopped. */
 constexpr milliseconds kListTimeout{ 100 };
+/** Retention of released runs: longer than any renewal takes. */
+constexpr milliseconds kReleasedRetention{ 4000 };
 /**
  * Retention of withdrawn runs. Connections buffer messages for a few seconds at
  * most, so no start order arrives later than this.
@@ -135,6 +137,8 @@
   born_ = aBorn;
   ++incarnation_;
   incarnationKnownAt_ = clock_.MonotonicNow();
+  isListed_ = false;
+  unknownRuns_.clear();
   sequence_ = 0;
   renewals_.ResetNumbers();
   leases_.OnNewIncarnation();
@@ -199,6 +203,9 @@
   auto expired = [now](const auto& aItem) {
     return now - aItem.second >= kWithdrawnRetention;
   };
+  std::erase_if(released_, [now](const auto& aRun) {
+    return now - aRun.second >= kReleasedRetention;
+  });
   std::erase_if(withdrawn_, expired);
   std::erase_if(unknownStops_, expired);
   reporter_.Send();
@@ -229,12 +236,31 @@
   }
 }
 
+state::ResourceAmount
+RunController::Used() const
+{
+  return KnowsAllRuns() || !server_ ? used_ : server_->capacity;
+}
+
+void
+RunController::ReportCapacityChange(bool aKnewAllRuns)
+{
+  if (KnowsAllRuns() == aKnewAllRuns) {
+    return;
+  }
+  reporter_.MarkChanged();
+  if (KnowsAllRuns()) {
+    // Jobs may wait for the capacity, so the report is sent at once.
+    reporter_.SetDescription(server_);
+  }
+}
+
 ServerReport
 RunController::StatusFor(const ProcessId& aEntry) const
 {
   ServerReport report;
   report.condition = Condition();
-  report.usedByOthers = used_;
+  report.usedByOthers = Used();
   for (const auto& [key, run] : runs_) {
     if (run.entry == aEntry) {
       report.usedByOthers = report.usedByOthers - run.need;
--- a/src/coordination/dispatch/run_controller.h
+++ b/src/coordination/dispatch/run_controller.h
@@ -281,6 +281,24 @@
                       RunEndKind aKind,
                       const char* aReason);
   ServerReport StatusFor(const state::ProcessId& aEntry) const;
+  /**
+   * Returns true if all runs on the server are those in runs_. Otherwise its
+   * free capacity is unknown: runs that an earlier agent or incarnation left
+   * may use all of it, also while they are being stopped.
+   */
+  bool KnowsAllRuns() const { return isListed_ && unknownRuns_.empty(); }
+  /** Returns the capacity in use; all of it while some runs are unknown. */
+  state::ResourceAmount Used() const;
+  /** Records which runs of an answer are unknown; stops them. */
+  void UpdateUnknownRuns(const RenewAnswer& aAnswer,
+                         const PendingRenewal& aSent);
+  /**
+   * Returns true if this agent did not order a listed run, or had released it
+   * before it sent the call.
+   */
+  bool IsUnknown(const state::RunKey& aRun, const PendingRenewal& aSent) const;
+  /** Reports the capacity after a change of KnowsAllRuns(). */
+  void ReportCapacityChange(bool aKnewAllRuns);
   void SendStop(const state::RunKey& aRun);
   void StopUnknownRun(const state::RunKey& aRun);
   void Renew(std::chrono::milliseconds aWait);
@@ -340,7 +358,20 @@
   std::map<state::RunKey, std::uint64_t> openStarts_;
   /** Numbers in leases_ of the renewals in progress. */
   std::map<std::uint64_t, std::uint64_t> openRenewals_;
+  /** Capacity that runs_ use. */
   state::ResourceAmount used_;
+  /**
+   * True once the present incarnation has listed its runs after a call with the
+   * present fencing token, with which it refuses all earlier start orders.
+   */
+  bool isListed_ = false;
+  /**
+   * Runs on the server that this agent did not order, with the number of the
+   * latest renewal whose answer listed the run.
+   */
+  std::map<state::RunKey, std::uint64_t> unknownRuns_;
+  /** Released runs and the time of their release. */
+  std::map<state::RunKey, state::MonotonicTime> released_;
   /**
    * Runs that must not be started any more, with the time of withdrawal. Two
    * entries may use the same run key, because run numbers start at 1 in each
--- a/src/coordination/dispatch/run_controller_calls.cpp
+++ b/src/coordination/dispatch/run_controller_calls.cpp
@@ -233,6 +233,7 @@
 {
   auto [key, run] = *aRun;
   runs_.erase(aRun);
+  released_[key] = clock_.MonotonicNow();
   used_ = used_ - run.need;
   reporter_.MarkChanged();
   std::uint32_t runTime = 0;
--- a/src/coordination/dispatch/run_controller_orders.cpp
+++ b/src/coordination/dispatch/run_controller_orders.cpp
@@ -131,7 +131,7 @@
     Refuse(aEntry, key, RunEndKind::eNoFreeCapacity, "suspect_runs_here", age);
     return;
   }
-  if (!Fits(aBatch.need, server_->capacity - used_)) {
+  if (!Fits(aBatch.need, server_->capacity - Used())) {
     reporter_.RepeatDescription(aEntry);
     Refuse(aEntry, key, RunEndKind::eNoFreeCapacity, "no_room", age);
     return;
--- a/src/coordination/dispatch/run_controller_renewals.cpp
+++ b/src/coordination/dispatch/run_controller_renewals.cpp
@@ -68,15 +68,19 @@
   SetServerClock(aAnswer.serverClock);
   SetReachable(true, "renewed");
   RecordAnswer(true);
+  bool knewAllRuns = KnowsAllRuns();
+  isListed_ = isListed_ || sent->fencingToken == fencingToken_;
+  UpdateUnknownRuns(aAnswer, *sent);
   ConfirmListedRuns(aAnswer);
   ReconcileRuns(aAnswer, *sent);
+  ReportCapacityChange(knewAllRuns);
   reporter_.SendUrgent();
   if (isNewIncarnation) {
     // This list may be older than the start of a run in the new incarnation.
     Renew(milliseconds(0));
   }
   if (sent->isLongPoll || HasUnacknowledgedEnds()) {
-    if (!renewals_.HasLongPoll()) {
+    if (!renewals_.HasLongPoll() && KnowsAllRuns()) {
       Renew(runs_.empty() ? kIdlePollTimeout : kBusyPollTimeout);
     }
   }
@@ -98,7 +102,6 @@
   for (const auto& [key, percent] : aAnswer.running) {
     auto found = runs_.find(key);
     if (found == runs_.end()) {
-      StopUnknownRun(key);
       continue;
     }
     Run& run = found->second;
@@ -108,6 +111,38 @@
   }
 }
 
+bool
+RunController::IsUnknown(const RunKey& aRun, const PendingRenewal& aSent) const
+{
+  if (runs_.contains(aRun)) {
+    return false;
+  }
+  auto released = released_.find(aRun);
+  return released == released_.end() || released->second < aSent.sentAt;
+}
+
+void
+RunController::UpdateUnknownRuns(const RenewAnswer& aAnswer,
+                                 const PendingRenewal& aSent)
+{
+  std::set<RunKey> listed;
+  for (const ListedRun& run : aAnswer.running) {
+    if (IsUnknown(run.run, aSent)) {
+      listed.insert(run.run);
+      auto& lastNumber = unknownRuns_[run.run];
+      lastNumber = std::max(lastNumber, aSent.number);
+      StopUnknownRun(run.run);
+    }
+  }
+  // The answer to an earlier call does not show that a run has ended.
+  std::erase_if(unknownRuns_, [&](const auto& aRun) {
+    return !listed.contains(aRun.first) && aRun.second < aSent.number;
+  });
+  for (const ListedEnd& end : aAnswer.ended) {
+    unknownRuns_.erase(end.run);
+  }
+}
+
 void
 RunController::ReconcileRuns(const RenewAnswer& aAnswer,
                              const PendingRenewal& aSent)
@@ -227,9 +262,9 @@
   }
   auto now = clock_.MonotonicNow();
   if (!renewals_.HasLongPoll() && renewals_.CanStart()) {
-    if (!reachable_) {
+    if (!reachable_ || !KnowsAllRuns()) {
       // The answer to a long poll would show seconds later that the server can
-      // be reached again.
+      // be reached or that its capacity is free.
       Renew(milliseconds(0));
     } else {
       Renew(runs_.empty() ? kIdlePollTimeout : kBusyPollTimeout);
@@ -246,8 +281,8 @@
   // Renewals without a wait show when an unreliable server answers again,
   // without placing a run on it.
   bool isUnreliable = !answerMonitor_.IsReliable();
-  if (renewals_.CanStart() &&
-      (isRenewalDue || stopAnswered || isUnreliable || IsProgressCheckDue())) {
+  if (renewals_.CanStart() && (isRenewalDue || stopAnswered || isUnreliable ||
+                               !KnowsAllRuns() || IsProgressCheckDue())) {
     Renew(milliseconds(0));
   }
 }
--- a/tests/dispatch/capacity_change_test.cpp
+++ b/tests/dispatch/capacity_change_test.cpp
@@ -31,6 +31,7 @@
   {
     controller_.OnEntry(kEntry, true);
     Announce(1, kLarge);
+    AnswerNewestRenewal();
     Wait(150);
   }
 
@@ -79,6 +80,11 @@
   {
     Wait(100);
     time_ += milliseconds(2);
+    AnswerNewestRenewal();
+  }
+
+  void AnswerNewestRenewal()
+  {
     controller_.OnRenewAnswer(renewals_.back().number,
                               { kBorn, milliseconds(90'000), running_, {} });
   }
--- a/tests/dispatch/dispatch_fault_property_test.cpp
+++ b/tests/dispatch/dispatch_fault_property_test.cpp
@@ -117,6 +117,19 @@
                          FaultKind::eStepAgentClock });
 }
 
+// Guards against starts beyond the capacity of a server: a restarted agent
+// counted the runs that its predecessor had ordered as free capacity, while
+// they ran and while they were stopped.
+TEST(DispatchFaultPropertyTest, RestartedAgentsKeepTheCapacity)
+{
+  ExpectInvariantsHold(
+    { FaultKind::eKillAgent, FaultKind::eKillAgent, FaultKind::eSlowServer },
+    [](DispatchSimulationSettings& aSettings) {
+      aSettings.serversGuardCapacity = false;
+      aSettings.speeds = { 0.6, 0.4, 0.4, 0.5 };
+    });
+}
+
 // Guards against a failure to connect that is taken as the end of a server.
 TEST(DispatchFaultPropertyTest, CallsThatFailWhileTheServerIsUp)
 {
--- a/tests/dispatch/dispatch_simulation.cpp
+++ b/tests/dispatch/dispatch_simulation.cpp
@@ -138,6 +138,7 @@
   rules.id = aId;
   rules.clockRate = settings_.serverClockRate;
   rules.maxLease = settings_.maxLease;
+  rules.guardsCapacity = settings_.serversGuardCapacity;
   if (settings_.maxStopTime > 0) {
     rules.stopTime = [this] { return Random(0, settings_.maxStopTime); };
   }
--- a/tests/dispatch/dispatch_simulation.h
+++ b/tests/dispatch/dispatch_simulation.h
@@ -42,6 +42,11 @@
   double serverClockRate = 1;
   /** Longest lease that servers accept; 0: unlimited. */
   std::chrono::milliseconds maxLease{ 0 };
+  /**
+   * If false, servers start runs beyond their capacity, and each such start is
+   * a violation.
+   */
+  bool serversGuardCapacity = true;
   /** Longest time in ms that a server needs to stop a run. */
   Milliseconds maxStopTime = 0;
   /** Longest delay in ms of an answer to a renewal, which others overtake. */
--- a/tests/dispatch/dispatch_simulation_calls.cpp
+++ b/tests/dispatch/dispatch_simulation_calls.cpp
@@ -271,6 +271,18 @@
     fmt::format("{} run {} starts on {}", aRun.task.index, aRun.run, aServer));
   startedTasks_.insert(aRun.task);
   CrashAfterStart(aServer, aRun.task);
+  auto running = servers_[aServer].server->RunCount();
+  if (running > FakeServer::kSlots) {
+    AddViolation(aRun.task.job,
+                 fmt::format("server {} starts run {} of task {:x}.{} beyond "
+                             "its capacity: {} of {} slots",
+                             aServer,
+                             aRun.run,
+                             aRun.task.job,
+                             aRun.task.index,
+                             running,
+                             FakeServer::kSlots));
+  }
   auto& servers = runningServers_[aRun.task];
   servers.insert(aServer);
   if (servers.size() > 1) {
--- a/tests/dispatch/fake_server.h
+++ b/tests/dispatch/fake_server.h
@@ -24,6 +24,8 @@
   double clockRate = 1;
   /** Longest lease from the time of a call; 0: unlimited. */
   std::chrono::milliseconds maxLease{ 0 };
+  /** If false, the server starts runs beyond its capacity. */
+  bool guardsCapacity = true;
   /** Returns the time that a stop takes in ms, at most 50; empty: 0. */
   std::function<Milliseconds()> stopTime;
 };
--- a/tests/dispatch/server_crash_test.cpp
+++ b/tests/dispatch/server_crash_test.cpp
@@ -30,6 +30,7 @@
     controller_.OnEntry(kEntry, true);
     controller_.OnEntry(kOtherEntry, true);
     Announce(kBorn, 1);
+    AnswerRenewal(kBorn);
   }
 
   void Announce(std::uint64_t aBorn, std::uint64_t aSequence, bool aDrain = {})
