Do not extend the leases of runs that an agent did not order

A restarted agent renewed the full lease of the runs that its predecessor had ordered, at first 600 ms and then with each list, until a stop order had reached the worker; a lost stop was repeated only with the next list. A run could so outlive the 1,300 ms after which its caller submits the job again: two runs of one task.

While some runs are unknown and no run of the present incarnation is known, renewals request no lease. Stops of unknown runs are repeated every 75 ms from the tick, and at once if one was not answered.

RestartedAgentTest.LeasesOfUnknownRunsAreNotExtended and LostStopOfAnUnknownRunIsRepeatedAtOnce fail without the change (the lease was 600 ms ahead at each of five renewals).

--- a/src/coordination/dispatch/run_controller.cpp
+++ b/src/coordination/dispatch/run_controller.cpp
@@ -198,6 +198,9 @@
       Stop(key, run);
     }
   }
+  for (const auto& [key, number] : unknownRuns_) {
+    StopUnknownRun(key);
+  }
   ReleaseExpiredRuns();
   RenewLeases();
   auto expired = [now](const auto& aItem) {
--- a/src/coordination/dispatch/run_controller.h
+++ b/src/coordination/dispatch/run_controller.h
@@ -308,9 +308,12 @@
   void ReleaseEntries();
   /**
    * Returns the length of the lease to request now: it ends at most
-   * maxContactAge after the last contact of any entry that has runs here.
+   * maxContactAge after the last contact of any entry that has runs here. Zero
+   * if only unknown runs would use it.
    */
   std::chrono::milliseconds LeaseToRequest() const;
+  /** Returns true if the present incarnation may have a run of runs_. */
+  bool HasRunOfIncarnation() const;
   /** Returns the end of such a lease on the server's clock. */
   std::chrono::milliseconds LeaseEnd(std::chrono::milliseconds aLease) const;
   /** Raises the token after the server refused this one as too low. */
--- a/src/coordination/dispatch/run_controller_calls.cpp
+++ b/src/coordination/dispatch/run_controller_calls.cpp
@@ -149,7 +149,10 @@
 RunController::OnStopAnswer(const RunKey& aRun, bool aAnswered)
 {
   RecordAnswer(aAnswered);
-  unknownStops_.erase(aRun);
+  if (!aAnswered) {
+    // The stop is repeated without a delay.
+    unknownStops_.erase(aRun);
+  }
   auto found = runs_.find(aRun);
   if (found == runs_.end() || found->second.openStops == 0) {
     return;
--- a/src/coordination/dispatch/run_controller_orders.cpp
+++ b/src/coordination/dispatch/run_controller_orders.cpp
@@ -117,6 +117,10 @@
     Refuse(aEntry, key, RunEndKind::eRefused, "server_not_ready", age);
     return;
   }
+  if (!KnowsAllRuns()) {
+    Refuse(aEntry, key, RunEndKind::eNoFreeCapacity, "unknown_runs", age);
+    return;
+  }
   if (LeaseToRequest() < kMinStartLease) {
     // The server would refuse the start as late, or end the run soon.
     Refuse(aEntry, key, RunEndKind::eRefused, "lease_too_short", age);
@@ -131,7 +135,7 @@
     Refuse(aEntry, key, RunEndKind::eNoFreeCapacity, "suspect_runs_here", age);
     return;
   }
-  if (!Fits(aBatch.need, server_->capacity - Used())) {
+  if (!Fits(aBatch.need, server_->capacity - used_)) {
     reporter_.RepeatDescription(aEntry);
     Refuse(aEntry, key, RunEndKind::eNoFreeCapacity, "no_room", age);
     return;
--- a/src/coordination/dispatch/run_controller_renewals.cpp
+++ b/src/coordination/dispatch/run_controller_renewals.cpp
@@ -303,6 +303,11 @@
 milliseconds
 RunController::LeaseToRequest() const
 {
+  if (!KnowsAllRuns() && !HasRunOfIncarnation()) {
+    // A lease would only prolong the runs that are to be stopped, beyond the
+    // time after which their callers submit the jobs again.
+    return milliseconds(0);
+  }
   auto lease = settings_.lease;
   for (const auto& [key, run] : runs_) {
     // The incarnation that answered a stop ends the run whatever its lease.
@@ -318,6 +323,15 @@
   return std::max(lease, milliseconds(0));
 }
 
+bool
+RunController::HasRunOfIncarnation() const
+{
+  return std::any_of(runs_.begin(), runs_.end(), [this](const auto& aItem) {
+    const RunKnowledge& run = aItem.second.knowledge;
+    return run.listedBy.value_or(run.incarnation) == incarnation_;
+  });
+}
+
 milliseconds
 RunController::LeaseEnd(milliseconds aLease) const
 {
--- a/tests/dispatch/run_controller_test.cpp
+++ b/tests/dispatch/run_controller_test.cpp
@@ -535,6 +535,40 @@
   EXPECT_TRUE(TryOrder(13));
 }
 
+// Guards against two runs of one task: a new agent prolonged the leases of the
+// runs of an earlier agent until the callers had submitted their jobs again.
+TEST_F(RestartedAgentTest, LeasesOfUnknownRunsAreNotExtended)
+{
+  for (int i = 0; i < 5; ++i) {
+    auto clock = milliseconds(90'000) + (time_ - kStart);
+    EXPECT_LE(renewals_.back().leaseEnd, clock) << "renewal " << i;
+    Wait(150);
+    AnswerList(kBorn);
+  }
+  running_.clear();
+  Wait(150);
+  AnswerList(kBorn);
+  Wait(150);
+  ASSERT_TRUE(TryOrder(10));
+  EXPECT_EQ(starts_.back().leaseEnd,
+            milliseconds(90'000) + (time_ - kStart) + milliseconds(600));
+}
+
+// Guards against the same while stop orders are lost.
+TEST_F(RestartedAgentTest, LostStopOfAnUnknownRunIsRepeatedAtOnce)
+{
+  Wait(150);
+  AnswerList(kBorn);
+  ASSERT_EQ(stops_.size(), 1u);
+  controller_.OnStopAnswer(kRun, false);
+  Wait(25);
+  EXPECT_EQ(stops_.size(), 2u);
+  // A stop takes up to 50 ms, so an answered one is not repeated before.
+  controller_.OnStopAnswer(kRun, true);
+  Wait(50);
+  EXPECT_EQ(stops_.size(), 2u);
+}
+
 // Guards against entries that place jobs at a server whose capacity is unknown,
 // and that learn late that it is free.
 TEST_F(RestartedAgentTest, CapacityIsReportedOnceItIsKnown)
@@ -550,7 +584,7 @@
 }
 
 // Guards against a server that stays unused for the length of a long poll,
-// because the first list or the answer to a stop was lost.
+// because its first list was lost or a run is being stopped.
 TEST_F(RestartedAgentTest, UnknownRunsAreAskedForWithoutALongPoll)
 {
   controller_.OnRenewFailed(renewals_.back().number, RenewFailure::eNoAnswer);
@@ -561,8 +595,6 @@
   Wait(125);
   ASSERT_GT(renewals_.size(), sent);
   EXPECT_EQ(renewals_.back().wait, milliseconds(0));
-  AnswerList(kBorn);
-  EXPECT_EQ(stops_.size(), 2u);
 }
 
 // Guards against two runs of one task: an answer of an earlier incarnation,
