Start nothing on a new incarnation before it has announced itself

Cause: the agent learned of the new incarnation from the answer to a renewal and counted it as ready, with the service, labels and capacity of the former one, until its first heartbeat. For the same reason the leave of the former incarnation stayed in force: an agent whose worker had left while it ran tasks answered each later heartbeat and started nothing until its own restart.

Now the present incarnation is unreachable for entries until it has announced itself, and a leave concerns only the incarnation that announced it.

RunControllerTest.NothingStartsBeforeTheNextIncarnationIsAnnounced and LeaveDoesNotConcernTheNextIncarnation fail without the change.

--- a/src/coordination/dispatch/run_controller.cpp
+++ b/src/coordination/dispatch/run_controller.cpp
@@ -54,7 +54,7 @@
 ServerCondition
 RunController::Condition() const
 {
-  if (!server_ || !reachable_ || hasLeft_) {
+  if (!server_ || !reachable_ || hasLeft_ || !isAnnounced_) {
     return ServerCondition::eUnreachable;
   }
   if (serverDraining_ || draining_) {
@@ -82,8 +82,8 @@
     // requested below contains them.
     renewals_.DropPending();
     BeginIncarnation(aAnnouncement.born);
-    hasLeft_ = false;
   }
+  isAnnounced_ = true;
   bool isDescriptionNew = server_ != aAnnouncement.description;
   if (isDescriptionNew) {
     server_ = aAnnouncement.description;
@@ -97,13 +97,9 @@
     answerMonitor_.Reset();
     SetServerClock(aAnnouncement.serverClock);
   }
-  if (Condition() != before) {
-    reporter_.MarkChanged();
-    hooks_.condition(Condition(),
-                     isSameIncarnation ? "announced"
-                                       : "a new incarnation of the server");
-    reporter_.Send();
-  }
+  ReportConditionChange(before,
+                        isSameIncarnation ? "announced"
+                                          : "a new incarnation of the server");
   if (isDescriptionNew || !isSameIncarnation) {
     // An entry that uses a former capacity places runs that are refused.
     reporter_.SendUrgent();
@@ -137,6 +133,8 @@
   born_ = aBorn;
   ++incarnation_;
   incarnationKnownAt_ = clock_.MonotonicNow();
+  hasLeft_ = false;
+  isAnnounced_ = false;
   isListed_ = false;
   unknownRuns_.clear();
   sequence_ = 0;
@@ -233,9 +231,17 @@
 {
   auto before = Condition();
   reachable_ = aReachable;
-  if (Condition() != before) {
+  ReportConditionChange(before, aReason);
+}
+
+void
+RunController::ReportConditionChange(ServerCondition aBefore,
+                                     const std::string& aReason)
+{
+  if (Condition() != aBefore) {
     reporter_.MarkChanged();
     hooks_.condition(Condition(), aReason);
+    reporter_.Send();
   }
 }
 
--- a/src/coordination/dispatch/run_controller.h
+++ b/src/coordination/dispatch/run_controller.h
@@ -254,6 +254,8 @@
   /** Returns true if the present incarnation may have started the run. */
   bool MayHaveRun(const Run& aRun) const;
   void SetReachable(bool aReachable, const std::string& aReason);
+  void ReportConditionChange(ServerCondition aBefore,
+                             const std::string& aReason);
   /** Records whether a call was answered; reports a changed reliability. */
   void RecordAnswer(bool aAnswered);
   /** Records that the server has a new incarnation. */
@@ -345,6 +347,11 @@
   state::MonotonicTime incarnationKnownAt_;
   /** True once the incarnation has announced its end. */
   bool hasLeft_ = false;
+  /**
+   * True once the incarnation has announced itself. Its service, labels and
+   * capacity may differ from those of the one before.
+   */
+  bool isAnnounced_ = false;
   /** Time at which the last call was sent that was refused as a connection. */
   std::optional<state::MonotonicTime> refusedAt_;
   std::uint64_t sequence_ = 0;
--- a/src/coordination/dispatch/run_controller_renewals.cpp
+++ b/src/coordination/dispatch/run_controller_renewals.cpp
@@ -59,8 +59,10 @@
   }
   bool isNewIncarnation = aAnswer.born != 0 && aAnswer.born != born_;
   if (isNewIncarnation) {
-    // Its announcement follows.
+    // Nothing is started there before its announcement, which follows.
+    auto before = Condition();
     BeginIncarnation(aAnswer.born);
+    ReportConditionChange(before, "a new incarnation answers");
   } else if (sent->sentAt >= incarnationKnownAt_) {
     renewals_.OnAcknowledged(sent->lastSeen);
   }
--- a/tests/dispatch/run_controller_test.cpp
+++ b/tests/dispatch/run_controller_test.cpp
@@ -482,6 +482,47 @@
   EXPECT_EQ(renewals_.back().fencingToken, before);
 }
 
+// Guards against starts on a server of another kind: its next incarnation,
+// under the same ID, answered a renewal before it announced its labels, and
+// tasks were started by those of the former incarnation.
+TEST_F(RunControllerTest, NothingStartsBeforeTheNextIncarnationIsAnnounced)
+{
+  AnswerRenewal(kBorn + 1);
+  AnswerList(kBorn + 1);
+  EXPECT_EQ(controller_.Condition(), ServerCondition::eUnreachable);
+  EXPECT_EQ(lastReport_.condition, ServerCondition::eUnreachable);
+  Wait(150);
+  DispatchOrders orders;
+  orders.starts.push_back(
+    { kRun.task.job, 0, { 1000, 64, 0 }, 0, "", { { 0, 1 } } });
+  controller_.OnOrders(kEntry, orders);
+  EXPECT_TRUE(starts_.empty());
+  ASSERT_EQ(ends_.size(), 1u);
+  EXPECT_EQ(ends_[0].kind, RunEndKind::eRefused);
+  auto announcement = Announcement(kBorn + 1, 1);
+  announcement.description.labels = { "b" };
+  controller_.OnAnnouncement(announcement);
+  EXPECT_EQ(lastReport_.condition, ServerCondition::eReady);
+  ASSERT_TRUE(lastReport_.description);
+  EXPECT_EQ(lastReport_.description->labels, announcement.description.labels);
+  Order(kOtherRun);
+}
+
+// Guards against a server that is never used again: it left while it ran tasks,
+// and its next incarnation, under the same ID, answered a renewal before it
+// announced itself.
+TEST_F(RunControllerTest, LeaveDoesNotConcernTheNextIncarnation)
+{
+  StartRunning(kRun);
+  controller_.OnServerLeft("server", kBorn);
+  running_.clear();
+  AnswerRenewal(kBorn + 1);
+  AnswerList(kBorn + 1);
+  Announce(kBorn + 1, 1);
+  EXPECT_EQ(controller_.Condition(), ServerCondition::eReady);
+  Order(kOtherRun);
+}
+
 /** An agent beside a server that runs tasks which an earlier agent started. */
 class RestartedAgentTest : public RunControllerTest
 {
@@ -608,6 +649,7 @@
   ASSERT_NE(renewals_.back().number, early);
   controller_.OnRenewAnswer(renewals_.back().number, List(kBorn + 9));
   AnswerList(kBorn + 9);
+  Announce(kBorn + 9, 1);
   Order(kRun);
   time_ += milliseconds(1);
   controller_.OnStartAnswer(kRun, StartAnswer::eStarted);
