--- a/src/coordination/dispatch/dispatch_messages.h
+++ b/src/coordination/dispatch/dispatch_messages.h
@@ -213,20 +213,31 @@
 
 /** A crash of the server of one agent, for entries that it does not report to.
  */
-struct CrashNewsItem
+struct ReportedCrash
 {
   state::ProcessId agent;
   ServerCrash crash;
 
-  auto operator<=>(const CrashNewsItem&) const = default;
+  auto operator<=>(const ReportedCrash&) const = default;
 };
 
-/** Crashes that an entry passes on to other entries. */
-struct CrashNews
+/** A job that its caller has cancelled, at any entry. */
+struct CancelledJob
 {
-  std::vector<CrashNewsItem> items;
+  std::uint64_t job = 0;
+  /** Time since it was cancelled. */
+  std::uint32_t ageMs = 0;
+
+  auto operator<=>(const CancelledJob&) const = default;
+};
+
+/** What an entry passes on to other entries. */
+struct EntryNews
+{
+  std::vector<ReportedCrash> crashes;
+  std::vector<CancelledJob> cancelledJobs;
 
-  auto operator<=>(const CrashNews&) const = default;
+  auto operator<=>(const EntryNews&) const = default;
 };
 
 /** A configuration document, unchanged as written by its operator. */
--- a/src/coordination/dispatch/job_dispatcher.cpp
+++ b/src/coordination/dispatch/job_dispatcher.cpp
@@ -63,6 +63,7 @@
             aSettings.remoteRackFactor,
             aClock)
   , monitor_(servers_, placer_, aClock)
+  , cancelled_(aClock)
   , createdAt_(aClock.MonotonicNow())
 {
 }
@@ -120,6 +121,10 @@
   DispatchedJob& reference = *job;
   jobs_[id] = std::move(job);
   submissions_[aSubmission] = id;
+  if (cancelled_.Contains(id)) {
+    End(id, FailedOutcome(DispatchReason::eCancelled));
+    return;
+  }
   if (crashHistory_.HasGivenUpTask(id)) {
     End(id, FailedOutcome(DispatchReason::eCrashedServers));
     return;
@@ -238,13 +243,24 @@
 bool
 JobDispatcher::Cancel(std::uint64_t aJob)
 {
-  if (!jobs_.contains(aJob)) {
-    return false;
-  }
-  End(aJob, FailedOutcome(DispatchReason::eCancelled));
+  bool isKnown = EndCancelled(aJob, milliseconds(0));
   PlaceWaitingJobs();
   orders_.Send();
-  return true;
+  return isKnown;
+}
+
+bool
+JobDispatcher::EndCancelled(std::uint64_t aJob, milliseconds aAge)
+{
+  bool isKnown = jobs_.contains(aJob);
+  if (cancelled_.Add(aJob, aAge) && hooks_.jobCancelled) {
+    hooks_.jobCancelled({ aJob, static_cast<std::uint32_t>(aAge.count()) },
+                        isKnown);
+  }
+  if (isKnown) {
+    End(aJob, FailedOutcome(DispatchReason::eCancelled));
+  }
+  return isKnown;
 }
 
 std::size_t
--- a/src/coordination/dispatch/job_dispatcher.h
+++ b/src/coordination/dispatch/job_dispatcher.h
@@ -9,6 +9,7 @@
 #include <tuple>
 #include <vector>
 
+#include "coordination/dispatch/cancelled_jobs.h"
 #include "coordination/dispatch/crash_history.h"
 #include "coordination/dispatch/dispatch_records.h"
 #include "coordination/dispatch/dispatched_job.h"
@@ -42,6 +43,11 @@
   /** Called with each crash that an agent reports; may be empty. */
   std::function<void(const state::ProcessId& aAgent, const ServerCrash&)>
     crashReported;
+  /**
+   * Called once for each job that its caller cancelled, here or at another
+   * entry; may be empty.
+   */
+  std::function<void(const CancelledJob&, bool aIsKnown)> jobCancelled;
   /** Called when an agent does not offer its server any more; may be empty. */
   std::function<void(const state::ProcessId& aAgent)> agentReleased;
   /** Called with the length of a pause of this process. */
@@ -98,7 +104,10 @@
               std::chrono::milliseconds aAge = std::chrono::milliseconds(0));
   /** Removes a lost caller; the job ends if no other caller waits for it. */
   void Abandon(SubmissionId aSubmission);
-  /** Returns false if this entry does not have the job. */
+  /**
+   * Ends the job, and refuses later submissions of it. Returns false if this
+   * entry does not have the job.
+   */
   bool Cancel(std::uint64_t aJob);
   bool IsKnown(std::uint64_t aJob) const { return jobs_.contains(aJob); }
   /** Returns the number of jobs of a queue without a started task. */
@@ -111,9 +120,9 @@
   void OnReport(const state::ProcessId& aAgent, const ServerReport& aReport);
   /**
    * Counts crashes that another entry passed on, of servers that this entry
-   * may not know.
+   * may not know, and ends jobs that were cancelled there.
    */
-  void OnCrashNews(const CrashNews& aNews);
+  void OnEntryNews(const EntryNews& aNews);
 
   /** Must be called every 25 ms. */
   void Tick();
@@ -164,6 +173,8 @@
   void RecordCrash(const state::ProcessId& aAgent,
                    const ServerCrash& aCrash,
                    const CrashedTask& aTask) const;
+  /** Returns false if this entry does not have the job. */
+  bool EndCancelled(std::uint64_t aJob, std::chrono::milliseconds aAge);
   /** Begins and ends limits of queues whose jobs crash servers. */
   void UpdateIsolation();
   /** Returns true if a limited queue cannot serve the job in time. */
@@ -216,6 +227,7 @@
   ReportTimes reportTimes_;
   TaskPlacer placer_;
   RunMonitor monitor_;
+  CancelledJobs cancelled_;
   std::map<std::uint64_t, std::unique_ptr<DispatchedJob>> jobs_;
   std::map<SubmissionId, std::uint64_t> submissions_;
   std::set<WaitingKey> waiting_;
--- a/src/coordination/dispatch/job_dispatcher_crashes.cpp
+++ b/src/coordination/dispatch/job_dispatcher_crashes.cpp
@@ -36,11 +36,14 @@
 }
 
 void
-JobDispatcher::OnCrashNews(const CrashNews& aNews)
+JobDispatcher::OnEntryNews(const EntryNews& aNews)
 {
-  for (const CrashNewsItem& item : aNews.items) {
+  for (const ReportedCrash& item : aNews.crashes) {
     OnCrashes(item.agent, { item.crash });
   }
+  for (const CancelledJob& cancelled : aNews.cancelledJobs) {
+    EndCancelled(cancelled.job, milliseconds(cancelled.ageMs));
+  }
   PlaceWaitingJobs();
   orders_.Send();
 }
--- a/src/coordination/messages.h
+++ b/src/coordination/messages.h
@@ -285,6 +285,6 @@
                                  ConfigurationCopy,
                                  DocumentRequest,
                                  DocumentPart,
-                                 CrashNews>;
+                                 EntryNews>;
 
 }
--- a/src/coordination/subset/crash_relay.h
+++ b/src/coordination/subset/news_relay.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -9,6 +8,7 @@
 #include <vector>
 
 #include "coordination/dispatch/dispatch_messages.h"
+#include "coordination/subset/news_list.h"
 #include "state/clock.h"
 #include "state/process_id.h"
 
@@ -25,57 +25,54 @@
               const std::set<state::ProcessId>& aOthers);
 
 /**
- * Passes crashes of servers on between the entries of a large fleet, in which
- * an agent reports to some entries only. Every entry must know the tasks that
- * crash servers before their callers submit them again, 1.3 s later. Entries
- * that are new get the crashes of the last 30 s. Used by the control thread
- * only.
+ * Passes news on between entries, which must know them before callers submit
+ * the jobs again, 1.3 s later: cancelled jobs and, in a large fleet, in which
+ * an agent reports to some entries only, crashes of servers. Entries that are
+ * new get the news of the last 30 s. Used by the control thread only.
  */
-class CrashRelay
+class NewsRelay
 {
 public:
   using SendFunction =
-    std::function<void(const state::ProcessId& aEntry, const CrashNews&)>;
+    std::function<void(const state::ProcessId& aEntry, const EntryNews&)>;
 
-  CrashRelay(const state::Clock& aClock, SendFunction aSend);
+  NewsRelay(const state::Clock& aClock, SendFunction aSend);
 
   void SetSelf(const state::ProcessId& aSelf) { self_ = aSelf; }
-  /** Records another entry that understands crash news. */
+  /** Records another entry that understands such news. */
   void OnEntry(const state::ProcessId& aEntry);
   void OnEntryLost(const state::ProcessId& aEntry);
   /** Records a crash that was reported or passed on; repetitions are ignored.
    */
   void OnCrash(const state::ProcessId& aAgent, const ServerCrash& aCrash);
+  /** Records a job that was cancelled here or at another entry. */
+  void OnCancelled(const CancelledJob& aJob);
   /** Sends what is new to each contact; call at least every 50 ms. */
   void Tick();
 
 private:
-  struct Item
+  using CrashId = std::pair<state::ProcessId, std::uint64_t>;
+
+  /** Sequence numbers of the newest items that were sent to a contact. */
+  struct Sent
   {
-    std::uint64_t sequence = 0;
-    state::MonotonicTime detectedAt;
-    CrashNewsItem news;
+    std::uint64_t crash = 0;
+    std::uint64_t cancelled = 0;
   };
-  using CrashId = std::pair<state::ProcessId, std::uint64_t>;
 
-  void RemoveOldest();
-  /**
-   * Sends the items after a sequence number, and sets it to that of the last
-   * one.
-   */
-  void SendNews(const state::ProcessId& aContact,
-                std::uint64_t& aSequence) const;
+  /** In smaller fleets every agent reports to every entry. */
+  bool IsLargeFleet() const;
+  void OnContactsChanged();
+  void SendNews(const state::ProcessId& aContact, Sent& aSent) const;
 
   const state::Clock& clock_;
   SendFunction send_;
   state::ProcessId self_;
   std::set<state::ProcessId> entries_;
-  /** The sequence number of the newest item sent to each contact. */
-  std::map<state::ProcessId, std::uint64_t> sent_;
+  std::map<state::ProcessId, Sent> sent_;
   bool contactsChanged_ = false;
-  std::uint64_t newest_ = 0;
-  std::deque<Item> items_;
-  std::set<CrashId> known_;
+  NewsList<CrashId, ReportedCrash> crashes_;
+  NewsList<std::uint64_t, std::uint64_t> cancelled_;
 };
 
 }
--- a/src/daemon/dispatch/dispatch_entry_process.cpp
+++ b/src/daemon/dispatch/dispatch_entry_process.cpp
@@ -109,10 +109,9 @@
                       const std::string& aDocument) {
                  OnConfigurationDocument(aDocument, aFrom.ToString());
                })
-  , crashRelay_(clock_,
-                [this](const ProcessId& aEntry, const CrashNews& aNews) {
-                  peers_.Send(aEntry, aNews);
-                })
+  , newsRelay_(clock_, [this](const ProcessId& aEntry, const EntryNews& aNews) {
+    peers_.Send(aEntry, aNews);
+  })
 {
 }
 
@@ -199,7 +198,15 @@
   };
   hooks.crashReported = [this](const ProcessId& aAgent,
                                const ServerCrash& aCrash) {
-    crashRelay_.OnCrash(aAgent, aCrash);
+    newsRelay_.OnCrash(aAgent, aCrash);
+  };
+  hooks.jobCancelled = [this](const CancelledJob& aJob, bool aIsKnown) {
+    newsRelay_.OnCancelled(aJob);
+    LogEvent(events::kJobCancelled,
+             "job={:016x} known={} age_ms={}",
+             aJob.job,
+             aIsKnown,
+             aJob.ageMs);
   };
   hooks.agentReleased = [this](const ProcessId& aAgent) {
     peers_.Disconnect(aAgent);
@@ -232,7 +239,7 @@
   };
   hooks.lost = [this](const ProcessId& aPeer) {
     documents_.Exchange().OnPeerLost(aPeer);
-    crashRelay_.OnEntryLost(aPeer);
+    newsRelay_.OnEntryLost(aPeer);
     dispatcher_.OnAgentLost(aPeer);
     UpdateReady();
   };
@@ -265,7 +272,7 @@
     return listening;
   }
   documents_.Exchange().SetSelf(peers_.Self());
-  crashRelay_.SetSelf(peers_.Self().id);
+  newsRelay_.SetSelf(peers_.Self().id);
   control_.Every(kTickPeriod, [this] { OnTick(); });
   control_.Start();
   traffic_.Start();
@@ -496,7 +503,7 @@
   documents_.Exchange().OnPeer(aPeer);
   if (aPeer.role == ProcessRole::eEntry) {
     if (documents_.Exchange().TakesPart(aPeer.id)) {
-      crashRelay_.OnEntry(aPeer.id);
+      newsRelay_.OnEntry(aPeer.id);
     }
   } else if (dispatcher_.Servers().Contains(aPeer.id)) {
     // Other agents offer their servers with their first report.
@@ -514,8 +521,8 @@
     }
     dispatcher_.OnReport(aFrom.id, *report);
     UpdateReady();
-  } else if (const auto* news = std::get_if<CrashNews>(&aMessage)) {
-    dispatcher_.OnCrashNews(*news);
+  } else if (const auto* news = std::get_if<EntryNews>(&aMessage)) {
+    dispatcher_.OnEntryNews(*news);
   } else if (const auto* copy = std::get_if<ConfigurationCopy>(&aMessage)) {
     // Entries of the previous version send whole documents.
     OnConfigurationDocument(copy->document, aFrom.id.ToString());
@@ -529,7 +536,7 @@
 {
   dispatcher_.Tick();
   documents_.Exchange().Tick();
-  crashRelay_.Tick();
+  newsRelay_.Tick();
   if (++ticks_ % kTicksPerMembershipTick == 0) {
     peers_.Tick(documents_.Exchange().AdvertisedVersion());
     CheckContactTimeouts();
--- a/src/daemon/dispatch/dispatch_entry_process.h
+++ b/src/daemon/dispatch/dispatch_entry_process.h
@@ -8,7 +8,7 @@
 #include <string>
 
 #include "coordination/dispatch/job_dispatcher.h"
-#include "coordination/subset/crash_relay.h"
+#include "coordination/subset/news_relay.h"
 #include "daemon/daemon_error.h"
 #include "daemon/dispatch/dispatch_metrics.h"
 #include "daemon/dispatch/document_service.h"
@@ -180,7 +180,7 @@
     submissionByRequestNumber_;
   coordination::SubmissionId nextSubmission_ = 1;
   DocumentService documents_;
-  coordination::CrashRelay crashRelay_;
+  coordination::NewsRelay newsRelay_;
   state::QueueIndex queues_;
   std::function<void()> onStopped_;
   state::MonotonicTime stopRequestedAt_;
--- a/src/protocol/dispatch_codec.cpp
+++ b/src/protocol/dispatch_codec.cpp
@@ -11,7 +11,7 @@
 
 /** Maximum number of crashes in a report; an agent retains fewer. */
 constexpr unsigned kMaxCrashes = 64;
-constexpr unsigned kMaxCrashNewsItems = 1024;
+constexpr unsigned kMaxNewsItems = 1024;
 /** Maximum number of suspects of a crash; an agent reports at most 256. */
 constexpr unsigned kMaxSuspects = 1024;
 
@@ -296,31 +296,44 @@
 }
 
 void
-EncodeCrashNews(const CrashNews& aNews, wire::CrashNews::Builder aBuilder)
+EncodeEntryNews(const EntryNews& aNews, wire::EntryNews::Builder aBuilder)
 {
-  auto items = aBuilder.initItems(static_cast<unsigned>(aNews.items.size()));
-  for (unsigned i = 0; i < aNews.items.size(); ++i) {
-    auto agent = items[i].initAgent();
-    agent.setHigh(aNews.items[i].agent.high);
-    agent.setLow(aNews.items[i].agent.low);
-    Encode(aNews.items[i].crash, items[i].initCrash());
+  auto crashes =
+    aBuilder.initCrashes(static_cast<unsigned>(aNews.crashes.size()));
+  for (unsigned i = 0; i < aNews.crashes.size(); ++i) {
+    auto agent = crashes[i].initAgent();
+    agent.setHigh(aNews.crashes[i].agent.high);
+    agent.setLow(aNews.crashes[i].agent.low);
+    Encode(aNews.crashes[i].crash, crashes[i].initCrash());
+  }
+  auto jobs = aBuilder.initCancelledJobs(
+    static_cast<unsigned>(aNews.cancelledJobs.size()));
+  for (unsigned i = 0; i < aNews.cancelledJobs.size(); ++i) {
+    jobs[i].setJob(aNews.cancelledJobs[i].job);
+    jobs[i].setAgeMs(aNews.cancelledJobs[i].ageMs);
   }
 }
 
-tl::expected<CrashNews, ProtocolError>
-DecodeCrashNews(wire::CrashNews::Reader aReader)
+tl::expected<EntryNews, ProtocolError>
+DecodeEntryNews(wire::EntryNews::Reader aReader)
 {
-  if (aReader.getItems().size() > kMaxCrashNewsItems) {
-    return tl::unexpected(ProtocolError{ "items", "too many" });
+  if (aReader.getCrashes().size() > kMaxNewsItems) {
+    return tl::unexpected(ProtocolError{ "crashes", "too many" });
+  }
+  if (aReader.getCancelledJobs().size() > kMaxNewsItems) {
+    return tl::unexpected(ProtocolError{ "cancelledJobs", "too many" });
+  }
+  EntryNews news;
+  for (auto job : aReader.getCancelledJobs()) {
+    news.cancelledJobs.push_back({ job.getJob(), job.getAgeMs() });
   }
-  CrashNews news;
-  for (auto item : aReader.getItems()) {
+  for (auto item : aReader.getCrashes()) {
     auto crash = Decode(item.getCrash());
     if (!crash) {
       return tl::unexpected(crash.error());
     }
     auto agent = item.getAgent();
-    news.items.push_back(
+    news.crashes.push_back(
       { { agent.getHigh(), agent.getLow() }, *std::move(crash) });
   }
   return news;
--- a/src/protocol/dispatch_codec.h
+++ b/src/protocol/dispatch_codec.h
@@ -24,11 +24,11 @@
 DecodeServerReport(wire::ServerReport::Reader aReader);
 
 void
-EncodeCrashNews(const coordination::CrashNews& aNews,
-                wire::CrashNews::Builder aBuilder);
+EncodeEntryNews(const coordination::EntryNews& aNews,
+                wire::EntryNews::Builder aBuilder);
 
 /** Returns an error for too many items or suspects. */
-tl::expected<coordination::CrashNews, ProtocolError>
-DecodeCrashNews(wire::CrashNews::Reader aReader);
+tl::expected<coordination::EntryNews, ProtocolError>
+DecodeEntryNews(wire::EntryNews::Reader aReader);
 
 }
--- a/src/protocol/peer.capnp
+++ b/src/protocol/peer.capnp
@@ -150,8 +150,9 @@
   isReleased @8 :Bool;
 }
 
-struct CrashNewsItem { agent @0 :ProcessId; crash @1 :ServerCrash; }
-struct CrashNews { items @0 :List(CrashNewsItem); }
+struct ReportedCrash { agent @0 :ProcessId; crash @1 :ServerCrash; }
+struct CancelledJob { job @0 :UInt64; ageMs @1 :UInt32; }
+struct EntryNews { crashes @0 :List(ReportedCrash); cancelledJobs @1 :List(CancelledJob); }
 
 struct ConfigurationCopy { version @0 :UInt64; document @1 :Text; }
 struct DocumentRequest { version @0 :UInt64; offset @1 :UInt32; }
@@ -183,7 +184,7 @@
     configurationCopy @21 :ConfigurationCopy;
     documentRequest @22 :DocumentRequest;
     documentPart @23 :DocumentPart;
-    crashNews @24 :CrashNews;
+    entryNews @24 :EntryNews;
   }
 }
 
--- a/src/protocol/peer.capnp.c++
+++ b/src/protocol/peer.capnp.c++
@@ -3620,9 +3620,9 @@
   6, 9, i_8e56a30d3aac5bdc, nullptr, nullptr, { &s_8e56a30d3aac5bdc, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<48> b_d5e93faa38882d24 = {
+static const ::capnp::_::AlignedData<48> b_a682227856c6142a = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
-     36,  45, 136,  56, 170,  63, 233, 213,
+     42,  20, 198,  86, 120,  34, 130, 166,
      11,   0,   0,   0,   1,   0,   0,   0,
      55, 157, 228, 162, 241, 208, 179, 197,
       2,   0,   7,   0,   0,   0,   0,   0,
@@ -3634,8 +3634,8 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
-    110, 112,  58,  67, 114,  97, 115, 104,
-     78, 101, 119, 115,  73, 116, 101, 109,
+    110, 112,  58,  82, 101, 112, 111, 114,
+    116, 101, 100,  67, 114,  97, 115, 104,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
       8,   0,   0,   0,   3,   0,   4,   0,
@@ -3670,67 +3670,146 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
-::capnp::word const* const bp_d5e93faa38882d24 = b_d5e93faa38882d24.words;
+::capnp::word const* const bp_a682227856c6142a = b_a682227856c6142a.words;
 #if !CAPNP_LITE
-static const ::capnp::_::RawSchema* const d_d5e93faa38882d24[] = {
+static const ::capnp::_::RawSchema* const d_a682227856c6142a[] = {
   &s_ab7173ad71e73e25,
   &s_c1555af74092be35,
 };
-static const uint16_t m_d5e93faa38882d24[] = {0, 1};
-static const uint16_t i_d5e93faa38882d24[] = {0, 1};
-const ::capnp::_::RawSchema s_d5e93faa38882d24 = {
-  0xd5e93faa38882d24, b_d5e93faa38882d24.words, 48, d_d5e93faa38882d24, m_d5e93faa38882d24,
-  2, 2, i_d5e93faa38882d24, nullptr, nullptr, { &s_d5e93faa38882d24, nullptr, nullptr, 0, 0, nullptr }
+static const uint16_t m_a682227856c6142a[] = {0, 1};
+static const uint16_t i_a682227856c6142a[] = {0, 1};
+const ::capnp::_::RawSchema s_a682227856c6142a = {
+  0xa682227856c6142a, b_a682227856c6142a.words, 48, d_a682227856c6142a, m_a682227856c6142a,
+  2, 2, i_a682227856c6142a, nullptr, nullptr, { &s_a682227856c6142a, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<47> b_9d73b8e71ce000db = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    219,   0, 224,  28, 231, 184, 115, 157,
+     11,   0,   0,   0,   1,   0,   2,   0,
+     55, 157, 228, 162, 241, 208, 179, 197,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 194,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  67,  97, 110,  99, 101,
+    108, 108, 101, 100,  74, 111,  98,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  34,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+    106, 111,  98,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97, 103, 101,  77, 115,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_9d73b8e71ce000db = b_9d73b8e71ce000db.words;
+#if !CAPNP_LITE
+static const uint16_t m_9d73b8e71ce000db[] = {1, 0};
+static const uint16_t i_9d73b8e71ce000db[] = {0, 1};
+const ::capnp::_::RawSchema s_9d73b8e71ce000db = {
+  0x9d73b8e71ce000db, b_9d73b8e71ce000db.words, 47, nullptr, m_9d73b8e71ce000db,
+  0, 2, i_9d73b8e71ce000db, nullptr, nullptr, { &s_9d73b8e71ce000db, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<36> b_c85ac457b9f8a7ff = {
+static const ::capnp::_::AlignedData<56> b_9fbc63e4e38617d5 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
-    255, 167, 248, 185,  87, 196,  90, 200,
+    213,  23, 134, 227, 228,  99, 188, 159,
      11,   0,   0,   0,   1,   0,   0,   0,
      55, 157, 228, 162, 241, 208, 179, 197,
-      1,   0,   7,   0,   0,   0,   0,   0,
+      2,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 170,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0,  63,   0,   0,   0,
+     25,   0,   0,   0, 119,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
-    110, 112,  58,  67, 114,  97, 115, 104,
+    110, 112,  58,  69, 110, 116, 114, 121,
      78, 101, 119, 115,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-      4,   0,   0,   0,   3,   0,   4,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     13,   0,   0,   0,  50,   0,   0,   0,
+     41,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      8,   0,   0,   0,   3,   0,   1,   0,
-     36,   0,   0,   0,   2,   0,   1,   0,
-    105, 116, 101, 109, 115,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     64,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     61,   0,   0,   0, 114,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     60,   0,   0,   0,   3,   0,   1,   0,
+     88,   0,   0,   0,   2,   0,   1,   0,
+     99, 114,  97, 115, 104, 101, 115,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   3,   0,   1,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
-     36,  45, 136,  56, 170,  63, 233, 213,
+     42,  20, 198,  86, 120,  34, 130, 166,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99,  97, 110,  99, 101, 108, 108, 101,
+    100,  74, 111,  98, 115,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    219,   0, 224,  28, 231, 184, 115, 157,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
-::capnp::word const* const bp_c85ac457b9f8a7ff = b_c85ac457b9f8a7ff.words;
+::capnp::word const* const bp_9fbc63e4e38617d5 = b_9fbc63e4e38617d5.words;
 #if !CAPNP_LITE
-static const ::capnp::_::RawSchema* const d_c85ac457b9f8a7ff[] = {
-  &s_d5e93faa38882d24,
+static const ::capnp::_::RawSchema* const d_9fbc63e4e38617d5[] = {
+  &s_9d73b8e71ce000db,
+  &s_a682227856c6142a,
 };
-static const uint16_t m_c85ac457b9f8a7ff[] = {0};
-static const uint16_t i_c85ac457b9f8a7ff[] = {0};
-const ::capnp::_::RawSchema s_c85ac457b9f8a7ff = {
-  0xc85ac457b9f8a7ff, b_c85ac457b9f8a7ff.words, 36, d_c85ac457b9f8a7ff, m_c85ac457b9f8a7ff,
-  1, 1, i_c85ac457b9f8a7ff, nullptr, nullptr, { &s_c85ac457b9f8a7ff, nullptr, nullptr, 0, 0, nullptr }
+static const uint16_t m_9fbc63e4e38617d5[] = {1, 0};
+static const uint16_t i_9fbc63e4e38617d5[] = {0, 1};
+const ::capnp::_::RawSchema s_9fbc63e4e38617d5 = {
+  0x9fbc63e4e38617d5, b_9fbc63e4e38617d5.words, 56, d_9fbc63e4e38617d5, m_9fbc63e4e38617d5,
+  2, 2, i_9fbc63e4e38617d5, nullptr, nullptr, { &s_9fbc63e4e38617d5, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<49> b_ea995fa53d9467fc = {
@@ -4352,10 +4431,10 @@
      16,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     99, 114,  97, 115, 104,  78, 101, 119,
+    101, 110, 116, 114, 121,  78, 101, 119,
     115,   0,   0,   0,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
-    255, 167, 248, 185,  87, 196,  90, 200,
+    213,  23, 134, 227, 228,  99, 188, 159,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
@@ -4369,6 +4448,7 @@
   &s_8e56a30d3aac5bdc,
   &s_8f83b833ad458241,
   &s_9bc99d996fb976e6,
+  &s_9fbc63e4e38617d5,
   &s_9fc985fcdb67630a,
   &s_a785736556550100,
   &s_acb6bb5088b7080c,
@@ -4377,7 +4457,6 @@
   &s_b2e0c1167815ab2d,
   &s_c1555af74092be35,
   &s_c3051d736c853f1d,
-  &s_c85ac457b9f8a7ff,
   &s_c8bec461f3e02cc1,
   &s_d018ed4f8a9ef08a,
   &s_da8812270d9948c6,
@@ -4390,7 +4469,7 @@
   &s_fa9e7b7b6bd0ab74,
   &s_ffa3a62fa7172389,
 };
-static const uint16_t m_bb64938c7a25711b[] = {12, 4, 7, 21, 16, 17, 24, 19, 23, 22, 18, 8, 9, 0, 10, 11, 2, 14, 13, 15, 3, 20, 5, 1, 6};
+static const uint16_t m_bb64938c7a25711b[] = {12, 4, 7, 21, 16, 17, 19, 23, 22, 18, 24, 8, 9, 0, 10, 11, 2, 14, 13, 15, 3, 20, 5, 1, 6};
 static const uint16_t i_bb64938c7a25711b[] = {0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24};
 const ::capnp::_::RawSchema s_bb64938c7a25711b = {
   0xbb64938c7a25711b, b_bb64938c7a25711b.words, 419, d_bb64938c7a25711b, m_bb64938c7a25711b,
@@ -4769,20 +4848,28 @@
 constexpr ::capnp::_::RawSchema const* ServerReport::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
-// CrashNewsItem
-constexpr uint16_t CrashNewsItem::_capnpPrivate::dataWordSize;
-constexpr uint16_t CrashNewsItem::_capnpPrivate::pointerCount;
+// ReportedCrash
+constexpr uint16_t ReportedCrash::_capnpPrivate::dataWordSize;
+constexpr uint16_t ReportedCrash::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind ReportedCrash::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* ReportedCrash::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// CancelledJob
+constexpr uint16_t CancelledJob::_capnpPrivate::dataWordSize;
+constexpr uint16_t CancelledJob::_capnpPrivate::pointerCount;
 #if !CAPNP_LITE
-constexpr ::capnp::Kind CrashNewsItem::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* CrashNewsItem::_capnpPrivate::schema;
+constexpr ::capnp::Kind CancelledJob::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* CancelledJob::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
-// CrashNews
-constexpr uint16_t CrashNews::_capnpPrivate::dataWordSize;
-constexpr uint16_t CrashNews::_capnpPrivate::pointerCount;
+// EntryNews
+constexpr uint16_t EntryNews::_capnpPrivate::dataWordSize;
+constexpr uint16_t EntryNews::_capnpPrivate::pointerCount;
 #if !CAPNP_LITE
-constexpr ::capnp::Kind CrashNews::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* CrashNews::_capnpPrivate::schema;
+constexpr ::capnp::Kind EntryNews::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* EntryNews::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
 // ConfigurationCopy
--- a/src/protocol/peer.capnp.h
+++ b/src/protocol/peer.capnp.h
@@ -55,8 +55,9 @@
 CAPNP_DECLARE_SCHEMA(8550a871d9633a8c);
 CAPNP_DECLARE_SCHEMA(ab7173ad71e73e25);
 CAPNP_DECLARE_SCHEMA(8e56a30d3aac5bdc);
-CAPNP_DECLARE_SCHEMA(d5e93faa38882d24);
-CAPNP_DECLARE_SCHEMA(c85ac457b9f8a7ff);
+CAPNP_DECLARE_SCHEMA(a682227856c6142a);
+CAPNP_DECLARE_SCHEMA(9d73b8e71ce000db);
+CAPNP_DECLARE_SCHEMA(9fbc63e4e38617d5);
 CAPNP_DECLARE_SCHEMA(ea995fa53d9467fc);
 CAPNP_DECLARE_SCHEMA(df097ecb8d056e75);
 CAPNP_DECLARE_SCHEMA(da8812270d9948c6);
@@ -655,30 +656,45 @@
   };
 };
 
-struct CrashNewsItem {
-  CrashNewsItem() = delete;
+struct ReportedCrash {
+  ReportedCrash() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d5e93faa38882d24, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(a682227856c6142a, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct CrashNews {
-  CrashNews() = delete;
+struct CancelledJob {
+  CancelledJob() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c85ac457b9f8a7ff, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(9d73b8e71ce000db, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EntryNews {
+  EntryNews() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9fbc63e4e38617d5, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -761,7 +777,7 @@
     CONFIGURATION_COPY,
     DOCUMENT_REQUEST,
     DOCUMENT_PART,
-    CRASH_NEWS,
+    ENTRY_NEWS,
   };
 
   struct _capnpPrivate {
@@ -4718,9 +4734,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class CrashNewsItem::Reader {
+class ReportedCrash::Reader {
 public:
-  typedef CrashNewsItem Reads;
+  typedef ReportedCrash Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4753,9 +4769,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class CrashNewsItem::Builder {
+class ReportedCrash::Builder {
 public:
-  typedef CrashNewsItem Builds;
+  typedef ReportedCrash Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4793,9 +4809,9 @@
 };
 
 #if !CAPNP_LITE
-class CrashNewsItem::Pipeline {
+class ReportedCrash::Pipeline {
 public:
-  typedef CrashNewsItem Pipelines;
+  typedef ReportedCrash Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4811,9 +4827,90 @@
 };
 #endif  // !CAPNP_LITE
 
-class CrashNews::Reader {
+class CancelledJob::Reader {
+public:
+  typedef CancelledJob Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getJob() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CancelledJob::Builder {
+public:
+  typedef CancelledJob Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getJob();
+  inline void setJob( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CancelledJob::Pipeline {
+public:
+  typedef CancelledJob Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EntryNews::Reader {
 public:
-  typedef CrashNews Reads;
+  typedef EntryNews Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4828,8 +4925,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasItems() const;
-  inline  ::capnp::List< ::greengage::protocol::wire::CrashNewsItem,  ::capnp::Kind::STRUCT>::Reader getItems() const;
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::greengage::protocol::wire::ReportedCrash,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
+  inline bool hasCancelledJobs() const;
+  inline  ::capnp::List< ::greengage::protocol::wire::CancelledJob,  ::capnp::Kind::STRUCT>::Reader getCancelledJobs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4843,9 +4943,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class CrashNews::Builder {
+class EntryNews::Builder {
 public:
-  typedef CrashNews Builds;
+  typedef EntryNews Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4859,12 +4959,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasItems();
-  inline  ::capnp::List< ::greengage::protocol::wire::CrashNewsItem,  ::capnp::Kind::STRUCT>::Builder getItems();
-  inline void setItems( ::capnp::List< ::greengage::protocol::wire::CrashNewsItem,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::greengage::protocol::wire::CrashNewsItem,  ::capnp::Kind::STRUCT>::Builder initItems(unsigned int size);
-  inline void adoptItems(::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::CrashNewsItem,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::CrashNewsItem,  ::capnp::Kind::STRUCT>> disownItems();
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::greengage::protocol::wire::ReportedCrash,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::greengage::protocol::wire::ReportedCrash,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::greengage::protocol::wire::ReportedCrash,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::ReportedCrash,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::ReportedCrash,  ::capnp::Kind::STRUCT>> disownCrashes();
+
+  inline bool hasCancelledJobs();
+  inline  ::capnp::List< ::greengage::protocol::wire::CancelledJob,  ::capnp::Kind::STRUCT>::Builder getCancelledJobs();
+  inline void setCancelledJobs( ::capnp::List< ::greengage::protocol::wire::CancelledJob,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::greengage::protocol::wire::CancelledJob,  ::capnp::Kind::STRUCT>::Builder initCancelledJobs(unsigned int size);
+  inline void adoptCancelledJobs(::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::CancelledJob,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::CancelledJob,  ::capnp::Kind::STRUCT>> disownCancelledJobs();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4876,9 +4983,9 @@
 };
 
 #if !CAPNP_LITE
-class CrashNews::Pipeline {
+class EntryNews::Pipeline {
 public:
-  typedef CrashNews Pipelines;
+  typedef EntryNews Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -5269,9 +5376,9 @@
   inline bool hasDocumentPart() const;
   inline  ::greengage::protocol::wire::DocumentPart::Reader getDocumentPart() const;
 
-  inline bool isCrashNews() const;
-  inline bool hasCrashNews() const;
-  inline  ::greengage::protocol::wire::CrashNews::Reader getCrashNews() const;
+  inline bool isEntryNews() const;
+  inline bool hasEntryNews() const;
+  inline  ::greengage::protocol::wire::EntryNews::Reader getEntryNews() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -5494,13 +5601,13 @@
   inline void adoptDocumentPart(::capnp::Orphan< ::greengage::protocol::wire::DocumentPart>&& value);
   inline ::capnp::Orphan< ::greengage::protocol::wire::DocumentPart> disownDocumentPart();
 
-  inline bool isCrashNews();
-  inline bool hasCrashNews();
-  inline  ::greengage::protocol::wire::CrashNews::Builder getCrashNews();
-  inline void setCrashNews( ::greengage::protocol::wire::CrashNews::Reader value);
-  inline  ::greengage::protocol::wire::CrashNews::Builder initCrashNews();
-  inline void adoptCrashNews(::capnp::Orphan< ::greengage::protocol::wire::CrashNews>&& value);
-  inline ::capnp::Orphan< ::greengage::protocol::wire::CrashNews> disownCrashNews();
+  inline bool isEntryNews();
+  inline bool hasEntryNews();
+  inline  ::greengage::protocol::wire::EntryNews::Builder getEntryNews();
+  inline void setEntryNews( ::greengage::protocol::wire::EntryNews::Reader value);
+  inline  ::greengage::protocol::wire::EntryNews::Builder initEntryNews();
+  inline void adoptEntryNews(::capnp::Orphan< ::greengage::protocol::wire::EntryNews>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::EntryNews> disownEntryNews();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -9376,118 +9483,180 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool CrashNewsItem::Reader::hasAgent() const {
+inline bool ReportedCrash::Reader::hasAgent() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool CrashNewsItem::Builder::hasAgent() {
+inline bool ReportedCrash::Builder::hasAgent() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::greengage::protocol::wire::ProcessId::Reader CrashNewsItem::Reader::getAgent() const {
+inline  ::greengage::protocol::wire::ProcessId::Reader ReportedCrash::Reader::getAgent() const {
   return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::greengage::protocol::wire::ProcessId::Builder CrashNewsItem::Builder::getAgent() {
+inline  ::greengage::protocol::wire::ProcessId::Builder ReportedCrash::Builder::getAgent() {
   return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::greengage::protocol::wire::ProcessId::Pipeline CrashNewsItem::Pipeline::getAgent() {
+inline  ::greengage::protocol::wire::ProcessId::Pipeline ReportedCrash::Pipeline::getAgent() {
   return  ::greengage::protocol::wire::ProcessId::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void CrashNewsItem::Builder::setAgent( ::greengage::protocol::wire::ProcessId::Reader value) {
+inline void ReportedCrash::Builder::setAgent( ::greengage::protocol::wire::ProcessId::Reader value) {
   ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::greengage::protocol::wire::ProcessId::Builder CrashNewsItem::Builder::initAgent() {
+inline  ::greengage::protocol::wire::ProcessId::Builder ReportedCrash::Builder::initAgent() {
   return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void CrashNewsItem::Builder::adoptAgent(
+inline void ReportedCrash::Builder::adoptAgent(
     ::capnp::Orphan< ::greengage::protocol::wire::ProcessId>&& value) {
   ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::greengage::protocol::wire::ProcessId> CrashNewsItem::Builder::disownAgent() {
+inline ::capnp::Orphan< ::greengage::protocol::wire::ProcessId> ReportedCrash::Builder::disownAgent() {
   return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ProcessId>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool CrashNewsItem::Reader::hasCrash() const {
+inline bool ReportedCrash::Reader::hasCrash() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool CrashNewsItem::Builder::hasCrash() {
+inline bool ReportedCrash::Builder::hasCrash() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::greengage::protocol::wire::ServerCrash::Reader CrashNewsItem::Reader::getCrash() const {
+inline  ::greengage::protocol::wire::ServerCrash::Reader ReportedCrash::Reader::getCrash() const {
   return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ServerCrash>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::greengage::protocol::wire::ServerCrash::Builder CrashNewsItem::Builder::getCrash() {
+inline  ::greengage::protocol::wire::ServerCrash::Builder ReportedCrash::Builder::getCrash() {
   return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ServerCrash>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::greengage::protocol::wire::ServerCrash::Pipeline CrashNewsItem::Pipeline::getCrash() {
+inline  ::greengage::protocol::wire::ServerCrash::Pipeline ReportedCrash::Pipeline::getCrash() {
   return  ::greengage::protocol::wire::ServerCrash::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void CrashNewsItem::Builder::setCrash( ::greengage::protocol::wire::ServerCrash::Reader value) {
+inline void ReportedCrash::Builder::setCrash( ::greengage::protocol::wire::ServerCrash::Reader value) {
   ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ServerCrash>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::greengage::protocol::wire::ServerCrash::Builder CrashNewsItem::Builder::initCrash() {
+inline  ::greengage::protocol::wire::ServerCrash::Builder ReportedCrash::Builder::initCrash() {
   return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ServerCrash>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void CrashNewsItem::Builder::adoptCrash(
+inline void ReportedCrash::Builder::adoptCrash(
     ::capnp::Orphan< ::greengage::protocol::wire::ServerCrash>&& value) {
   ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ServerCrash>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::greengage::protocol::wire::ServerCrash> CrashNewsItem::Builder::disownCrash() {
+inline ::capnp::Orphan< ::greengage::protocol::wire::ServerCrash> ReportedCrash::Builder::disownCrash() {
   return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::ServerCrash>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool CrashNews::Reader::hasItems() const {
+inline  ::uint64_t CancelledJob::Reader::getJob() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CancelledJob::Builder::getJob() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CancelledJob::Builder::setJob( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CancelledJob::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CancelledJob::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CancelledJob::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool EntryNews::Reader::hasCrashes() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool CrashNews::Builder::hasItems() {
+inline bool EntryNews::Builder::hasCrashes() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::greengage::protocol::wire::CrashNewsItem,  ::capnp::Kind::STRUCT>::Reader CrashNews::Reader::getItems() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::CrashNewsItem,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::greengage::protocol::wire::ReportedCrash,  ::capnp::Kind::STRUCT>::Reader EntryNews::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::ReportedCrash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::greengage::protocol::wire::CrashNewsItem,  ::capnp::Kind::STRUCT>::Builder CrashNews::Builder::getItems() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::CrashNewsItem,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::greengage::protocol::wire::ReportedCrash,  ::capnp::Kind::STRUCT>::Builder EntryNews::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::ReportedCrash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void CrashNews::Builder::setItems( ::capnp::List< ::greengage::protocol::wire::CrashNewsItem,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::CrashNewsItem,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void EntryNews::Builder::setCrashes( ::capnp::List< ::greengage::protocol::wire::ReportedCrash,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::ReportedCrash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::greengage::protocol::wire::CrashNewsItem,  ::capnp::Kind::STRUCT>::Builder CrashNews::Builder::initItems(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::CrashNewsItem,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::greengage::protocol::wire::ReportedCrash,  ::capnp::Kind::STRUCT>::Builder EntryNews::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::ReportedCrash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void CrashNews::Builder::adoptItems(
-    ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::CrashNewsItem,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::CrashNewsItem,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void EntryNews::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::ReportedCrash,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::ReportedCrash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::CrashNewsItem,  ::capnp::Kind::STRUCT>> CrashNews::Builder::disownItems() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::CrashNewsItem,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::ReportedCrash,  ::capnp::Kind::STRUCT>> EntryNews::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::ReportedCrash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool EntryNews::Reader::hasCancelledJobs() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryNews::Builder::hasCancelledJobs() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::greengage::protocol::wire::CancelledJob,  ::capnp::Kind::STRUCT>::Reader EntryNews::Reader::getCancelledJobs() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::CancelledJob,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::greengage::protocol::wire::CancelledJob,  ::capnp::Kind::STRUCT>::Builder EntryNews::Builder::getCancelledJobs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::CancelledJob,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void EntryNews::Builder::setCancelledJobs( ::capnp::List< ::greengage::protocol::wire::CancelledJob,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::CancelledJob,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::greengage::protocol::wire::CancelledJob,  ::capnp::Kind::STRUCT>::Builder EntryNews::Builder::initCancelledJobs(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::CancelledJob,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void EntryNews::Builder::adoptCancelledJobs(
+    ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::CancelledJob,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::CancelledJob,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::CancelledJob,  ::capnp::Kind::STRUCT>> EntryNews::Builder::disownCancelledJobs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::greengage::protocol::wire::CancelledJob,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t ConfigurationCopy::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -10945,57 +11114,57 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Message::Reader::isCrashNews() const {
-  return which() == Message::CRASH_NEWS;
+inline bool Message::Reader::isEntryNews() const {
+  return which() == Message::ENTRY_NEWS;
 }
-inline bool Message::Builder::isCrashNews() {
-  return which() == Message::CRASH_NEWS;
+inline bool Message::Builder::isEntryNews() {
+  return which() == Message::ENTRY_NEWS;
 }
-inline bool Message::Reader::hasCrashNews() const {
-  if (which() != Message::CRASH_NEWS) return false;
+inline bool Message::Reader::hasEntryNews() const {
+  if (which() != Message::ENTRY_NEWS) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Message::Builder::hasCrashNews() {
-  if (which() != Message::CRASH_NEWS) return false;
+inline bool Message::Builder::hasEntryNews() {
+  if (which() != Message::ENTRY_NEWS) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::greengage::protocol::wire::CrashNews::Reader Message::Reader::getCrashNews() const {
-  KJ_IREQUIRE((which() == Message::CRASH_NEWS),
+inline  ::greengage::protocol::wire::EntryNews::Reader Message::Reader::getEntryNews() const {
+  KJ_IREQUIRE((which() == Message::ENTRY_NEWS),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::CrashNews>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::EntryNews>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::greengage::protocol::wire::CrashNews::Builder Message::Builder::getCrashNews() {
-  KJ_IREQUIRE((which() == Message::CRASH_NEWS),
+inline  ::greengage::protocol::wire::EntryNews::Builder Message::Builder::getEntryNews() {
+  KJ_IREQUIRE((which() == Message::ENTRY_NEWS),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::CrashNews>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::EntryNews>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Message::Builder::setCrashNews( ::greengage::protocol::wire::CrashNews::Reader value) {
+inline void Message::Builder::setEntryNews( ::greengage::protocol::wire::EntryNews::Reader value) {
   _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CRASH_NEWS);
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::CrashNews>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ENTRY_NEWS);
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::EntryNews>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::greengage::protocol::wire::CrashNews::Builder Message::Builder::initCrashNews() {
+inline  ::greengage::protocol::wire::EntryNews::Builder Message::Builder::initEntryNews() {
   _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CRASH_NEWS);
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::CrashNews>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ENTRY_NEWS);
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::EntryNews>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Message::Builder::adoptCrashNews(
-    ::capnp::Orphan< ::greengage::protocol::wire::CrashNews>&& value) {
+inline void Message::Builder::adoptEntryNews(
+    ::capnp::Orphan< ::greengage::protocol::wire::EntryNews>&& value) {
   _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CRASH_NEWS);
-  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::CrashNews>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ENTRY_NEWS);
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::EntryNews>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::greengage::protocol::wire::CrashNews> Message::Builder::disownCrashNews() {
-  KJ_IREQUIRE((which() == Message::CRASH_NEWS),
+inline ::capnp::Orphan< ::greengage::protocol::wire::EntryNews> Message::Builder::disownEntryNews() {
+  KJ_IREQUIRE((which() == Message::ENTRY_NEWS),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::CrashNews>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::EntryNews>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
--- a/src/protocol/peer_decode.cpp
+++ b/src/protocol/peer_decode.cpp
@@ -335,8 +335,8 @@
       auto copy = aReader.getConfigurationCopy();
       return ConfigurationCopy{ copy.getVersion(), copy.getDocument() };
     }
-    case wire::Message::CRASH_NEWS: {
-      auto news = DecodeCrashNews(aReader.getCrashNews());
+    case wire::Message::ENTRY_NEWS: {
+      auto news = DecodeEntryNews(aReader.getEntryNews());
       if (!news) {
         Reject(news.error().field, news.error().message);
       }
--- a/src/protocol/peer_encode.cpp
+++ b/src/protocol/peer_encode.cpp
@@ -327,9 +327,9 @@
     copy.setDocument(ToText(aMessage.document));
   }
 
-  void operator()(const CrashNews& aMessage)
+  void operator()(const EntryNews& aMessage)
   {
-    EncodeCrashNews(aMessage, builder.initCrashNews());
+    EncodeEntryNews(aMessage, builder.initEntryNews());
   }
 
   void operator()(const DocumentRequest& aMessage)
--- a/src/transport/events.h
+++ b/src/transport/events.h
@@ -164,6 +164,9 @@
 inline constexpr EventKind kEntriesChosen{ 1612,
                                            "entries_chosen",
                                            LogLevel::eInfo };
+inline constexpr EventKind kJobCancelled{ 1613,
+                                          "job_cancelled",
+                                          LogLevel::eInfo };
 inline constexpr EventKind kTaskCrashCounted{ 1620,
                                               "task_crash_counted",
                                               LogLevel::eInfo };
@@ -239,6 +242,7 @@
   kJobSubmitted,
   kServerCrashed,
   kEntriesChosen,
+  kJobCancelled,
   kTaskCrashCounted,
   kJobGivenUp,
   kQueueLimitBegan,
--- a/tests/dispatch/job_dispatcher_test.cpp
+++ b/tests/dispatch/job_dispatcher_test.cpp
@@ -88,6 +88,9 @@
   JobDispatcherHooks MakeHooks()
   {
     JobDispatcherHooks hooks;
+    hooks.jobCancelled = [this](const CancelledJob& aJob, bool) {
+      cancelled_.push_back(aJob.job);
+    };
     hooks.answer = [this](SubmissionId,
                           const state::DispatchOutcome& aOutcome) {
       outcomes_.push_back(aOutcome);
@@ -117,6 +120,7 @@
   std::vector<RunKey> checked_;
   /** Of the last message to any agent. */
   std::uint64_t confirmedAtMs_ = 0;
+  std::vector<std::uint64_t> cancelled_;
   JobDispatcher dispatcher_{ { "here" }, clock_, MakeHooks() };
 };
 
@@ -153,15 +157,17 @@
   EXPECT_EQ(Started(slow).back().run, shortRun.run + 1);
 }
 
-// Guards against a crash when a job is cancelled and submitted again with fewer
-// steps or tasks, while an agent still reports runs of the first submission.
+// Guards against a crash when the caller of a job disconnects and submits it
+// again with fewer steps or tasks, while an agent still reports runs of the
+// first submission.
 TEST_F(JobDispatcherTest, ReportsOnTasksThatAJobNoLongerHasAreIgnored)
 {
   ProcessId agent = AddServer(1);
   SubmitSteps(1, 8, 2);
   auto first = Started(agent);
   ASSERT_EQ(first.size(), 16u);
-  ASSERT_TRUE(dispatcher_.Cancel(1));
+  dispatcher_.Abandon(1);
+  ASSERT_FALSE(dispatcher_.IsKnown(1));
   SubmitSteps(1, 1, 1);
   std::vector<RunEnd> ends;
   std::vector<RunForecast> forecasts;
@@ -400,5 +406,77 @@
             state::FailedOutcome(state::DispatchReason::eOutcomeUnknown));
 }
 
+// Guards against a cancelled job that runs again: its request arrived once more
+// seconds after the cancel was acknowledged.
+TEST_F(JobDispatcherTest, LateRequestOfACancelledJobStartsNothing)
+{
+  auto agent = AddServer(1);
+  Submit(1, 2);
+  ASSERT_EQ(Started(agent).size(), 2u);
+  EXPECT_TRUE(dispatcher_.Cancel(1));
+  for (int i = 0; i < 30; ++i) {
+    time_ += milliseconds(4000);
+    Report(agent, {});
+    if (i < 29) {
+      Submit(1, 2);
+      EXPECT_EQ(outcomes_.back().reason, state::DispatchReason::eCancelled);
+    }
+  }
+  EXPECT_EQ(Started(agent).size(), 2u);
+  EXPECT_EQ(cancelled_, std::vector<std::uint64_t>{ 1 });
+}
+
+// Guards against a job that runs although its cancel, which another entry or a
+// faster connection delivered, was acknowledged before its request arrived.
+TEST_F(JobDispatcherTest, CancelBeforeTheRequestStartsNothing)
+{
+  auto agent = AddServer(1);
+  EXPECT_FALSE(dispatcher_.Cancel(1));
+  Submit(1, 2);
+  ASSERT_FALSE(outcomes_.empty());
+  EXPECT_EQ(outcomes_.back().reason, state::DispatchReason::eCancelled);
+  EXPECT_TRUE(Started(agent).empty());
+  EXPECT_FALSE(dispatcher_.IsKnown(1));
+}
+
+// Guards against a job that runs on after its cancel was acknowledged by an
+// entry that does not have it: the caller had submitted it to another entry.
+TEST_F(JobDispatcherTest, CancelAtAnotherEntryStopsTheRuns)
+{
+  auto agent = AddServer(1);
+  Submit(1, 2);
+  Submit(2, 1);
+  ASSERT_EQ(Started(agent).size(), 3u);
+  dispatcher_.OnEntryNews({ {}, { { 1, 20 } } });
+  EXPECT_EQ(outcomes_.back().reason, state::DispatchReason::eCancelled);
+  EXPECT_EQ(stopped_.size(), 2u);
+  EXPECT_TRUE(dispatcher_.IsKnown(2));
+  // The news are passed on once.
+  dispatcher_.OnEntryNews({ {}, { { 1, 45 } } });
+  EXPECT_EQ(cancelled_, std::vector<std::uint64_t>{ 1 });
+}
+
+// Guards against memory that grows with each cancelled job, and against one
+// that is forgotten before the time for which its state is kept.
+TEST(CancelledJobsTest, ForgetsJobsAfterTheirRetention)
+{
+  milliseconds time{ 1000 };
+  simulation::VirtualClock clock{ time, {} };
+  CancelledJobs jobs(clock);
+  EXPECT_TRUE(jobs.Add(1, milliseconds(0)));
+  EXPECT_FALSE(jobs.Add(1, milliseconds(0)));
+  time += milliseconds(119'000);
+  EXPECT_TRUE(jobs.Contains(1));
+  time += milliseconds(1000);
+  EXPECT_FALSE(jobs.Contains(1));
+  jobs.Add(2, milliseconds(0));
+  EXPECT_EQ(jobs.Count(), 1u);
+  for (std::uint64_t job = 10; job < 100'000; ++job) {
+    jobs.Add(job, milliseconds(0));
+  }
+  EXPECT_LE(jobs.Count(), 65'536u);
+  EXPECT_TRUE(jobs.Contains(99'999));
+}
+
 }
 }
--- a/tests/platform/platform_fakes.cpp
+++ b/tests/platform/platform_fakes.cpp
@@ -277,6 +277,13 @@
     .count();
 }
 
+void
+FakeServerProcess::SetWork(double aWorkMs)
+{
+  std::lock_guard lock(mutex_);
+  options_.workMs = aWorkMs;
+}
+
 unsigned
 FakeServerProcess::StartCount()
 {
--- a/tests/platform/platform_fakes.h
+++ b/tests/platform/platform_fakes.h
@@ -80,6 +80,8 @@
   /** Sends one announcement; false if the agent does not acknowledge it. */
   bool Announce(const std::string& aAgent, bool aDraining);
   unsigned StartCount();
+  /** Sets the work of tasks in ms at speed 1. */
+  void SetWork(double aWorkMs);
   /** Ends the runs that are done or whose lease has expired. */
   void Advance();
 
--- a/tests/platform/platform_process_test.cpp
+++ b/tests/platform/platform_process_test.cpp
@@ -120,14 +120,16 @@
     return false;
   }
 
-  HttpReply Submit(std::uint64_t aJob)
+  HttpReply Submit(std::uint64_t aJob, unsigned aEstimateMs = 60)
   {
     return CallHttp(
       Address(callerPort_),
       "POST",
       fmt::format("/p/{:016x}", aJob),
-      R"({"spec":"x","bestEffort":true,"steps":[{"count":4,"cpu":1000,
-          "memMb":64,"estimateMs":60}]})",
+      fmt::format(
+        R"({{"spec":"x","bestEffort":true,"steps":[{{"count":4,"cpu":1000,
+          "memMb":64,"estimateMs":{}}}]}})",
+        aEstimateMs),
       10s);
   }
 
@@ -182,6 +184,42 @@
   EXPECT_TRUE(agent_->EndsCleanly(6s)) << agent_->Output();
 }
 
+// Guards against a job that runs on after its cancel was acknowledged: the
+// cancel reached another entry than the one that runs the job.
+TEST_F(PlatformProcessTest, CancelAtAnotherEntryEndsTheJob)
+{
+  store_.Publish(Configuration(3, ""));
+  StartEntry();
+  StartAgent();
+  ASSERT_TRUE(AwaitReady()) << entry_->Output();
+  unsigned otherPort = FreePort();
+  ChildProcess other(
+    "greengage-platform-entry",
+    { "--settings",
+      WriteSettings(
+        fmt::format(R"("front":"{}","readyAddr":"{}","control":"{}")",
+                    Address(otherPort),
+                    Address(FreePort()),
+                    Address(FreePort())),
+        "") });
+  ASSERT_NE(other.AwaitWord("name=configuration_applied"), "none")
+    << other.Output();
+  // The entries exchange news as soon as they have found each other.
+  std::this_thread::sleep_for(1500ms);
+  constexpr unsigned kLongWorkMs = 4000;
+  server_.SetWork(kLongWorkMs);
+  auto job =
+    std::async(std::launch::async, [this] { return Submit(7, kLongWorkMs); });
+  std::this_thread::sleep_for(300ms);
+  HttpReply cancelled = CallHttp(
+    Address(otherPort), "DELETE", fmt::format("/p/{:016x}", 7), "", 1s);
+  EXPECT_EQ(cancelled.status, 410);
+  auto cancelledAt = std::chrono::steady_clock::now();
+  HttpReply reply = job.get();
+  EXPECT_LT(std::chrono::steady_clock::now() - cancelledAt, 3s);
+  EXPECT_EQ(reply.body, R"({"state":"cancelled"})");
+}
+
 // Guards against a status page that does not show the entry's view of the
 // configuration and the servers.
 TEST_F(PlatformProcessTest, StatusShowsConfigurationAndServers)
--- a/tests/subset/crash_relay_test.cpp
+++ b/tests/subset/news_relay_test.cpp
@@ -1,4 +1,4 @@
-#include "coordination/subset/crash_relay.h"
+#include "coordination/subset/news_relay.h"
 
 #include <memory>
 #include <random>
@@ -32,8 +32,8 @@
   ProcessId Add()
   {
     ProcessId id{ random_(), random_() };
-    auto relay = std::make_unique<CrashRelay>(
-      clock_, [this](const ProcessId& aEntry, const CrashNews& aNews) {
+    auto relay = std::make_unique<NewsRelay>(
+      clock_, [this](const ProcessId& aEntry, const EntryNews& aNews) {
         ++messages_;
         bool lost =
           std::uniform_real_distribution<>(0, 1)(random_) < lossShare_;
@@ -58,6 +58,21 @@
     Receive(ids_[aEntry], { kAgent, crash });
   }
 
+  void Cancel(unsigned aEntry, std::uint64_t aJob)
+  {
+    Cancel(ids_[aEntry], CancelledJob{ aJob, 0 });
+  }
+
+  /** Returns the number of entries that know of the cancelled job. */
+  std::size_t InformedOfJob(std::uint64_t aJob) const
+  {
+    std::size_t count = 0;
+    for (const auto& [id, node] : nodes_) {
+      count += node.cancelled.contains(aJob) ? 1 : 0;
+    }
+    return count;
+  }
+
   void RunFor(milliseconds aTime)
   {
     for (auto end = time_ + aTime; time_ < end;) {
@@ -68,8 +83,12 @@
           inFlight_.push_back(message);
           continue;
         }
-        for (const CrashNewsItem& item : message.second.second.items) {
-          Receive(message.second.first, item);
+        const auto& [entry, news] = message.second;
+        for (const ReportedCrash& item : news.crashes) {
+          Receive(entry, item);
+        }
+        for (const CancelledJob& job : news.cancelledJobs) {
+          Cancel(entry, job);
         }
       }
       if (time_ % milliseconds(25) == milliseconds(0)) {
@@ -101,11 +120,19 @@
 
   struct Node
   {
-    std::unique_ptr<CrashRelay> relay;
+    std::unique_ptr<NewsRelay> relay;
     std::set<std::uint64_t> known;
+    std::set<std::uint64_t> cancelled;
   };
 
-  void Receive(const ProcessId& aEntry, const CrashNewsItem& aItem)
+  void Cancel(const ProcessId& aEntry, const CancelledJob& aJob)
+  {
+    Node& node = nodes_.at(aEntry);
+    node.cancelled.insert(aJob.job);
+    node.relay->OnCancelled(aJob);
+  }
+
+  void Receive(const ProcessId& aEntry, const ReportedCrash& aItem)
   {
     Node& node = nodes_.at(aEntry);
     node.known.insert(aItem.crash.number);
@@ -118,13 +145,13 @@
   simulation::VirtualClock clock_{ time_, {} };
   std::map<ProcessId, Node> nodes_;
   std::vector<ProcessId> ids_;
-  std::vector<std::pair<milliseconds, std::pair<ProcessId, CrashNews>>>
+  std::vector<std::pair<milliseconds, std::pair<ProcessId, EntryNews>>>
     inFlight_;
   std::size_t messages_ = 0;
 };
 
 // Callers submit a job again 1.3 s after a broken attempt, at any entry.
-TEST(CrashRelayTest, EveryEntryKnowsACrashBeforeItsJobsReturn)
+TEST(NewsRelayTest, EveryEntryKnowsACrashBeforeItsJobsReturn)
 {
   for (unsigned entries : { 13u, 55u, 190u }) {
     RelayFleet fleet(entries, 0, 1);
@@ -137,7 +164,7 @@
 }
 
 // Guards against entries that miss a crash because one connection is lost.
-TEST(CrashRelayTest, LostMessagesDoNotHideACrash)
+TEST(NewsRelayTest, LostMessagesDoNotHideACrash)
 {
   for (std::uint64_t seed = 1; seed <= 50; ++seed) {
     RelayFleet fleet(55, 0.1, seed);
@@ -151,7 +178,7 @@
 }
 
 // Guards against a restarted entry that does not know the last crashes.
-TEST(CrashRelayTest, NewEntriesGetRecentCrashes)
+TEST(NewsRelayTest, NewEntriesGetRecentCrashes)
 {
   RelayFleet fleet(20, 0, 1);
   for (std::uint64_t number = 1; number <= 100; ++number) {
@@ -170,7 +197,7 @@
 
 // Guards against news that circulate without end, and against messages in a
 // fleet in which every agent reports to every entry.
-TEST(CrashRelayTest, NewsEnd)
+TEST(NewsRelayTest, NewsEnd)
 {
   RelayFleet small(kMaxEntriesPerServer, 0, 1);
   small.Report(0, 1);
@@ -184,5 +211,37 @@
   EXPECT_EQ(large.Messages(), messages);
 }
 
+// Guards against a job that runs on, or again, at an entry that did not get its
+// cancel: a cancelled job must not start 3 s later, and callers submit a broken
+// job again after 1.3 s.
+TEST(NewsRelayTest, EveryEntryKnowsACancelledJob)
+{
+  for (unsigned entries :
+       { 2u, static_cast<unsigned>(kMaxEntriesPerServer), 55u }) {
+    RelayFleet fleet(entries, 0, 1);
+    for (std::uint64_t job = 1; job <= 1000; ++job) {
+      fleet.Cancel(0, job);
+    }
+    fleet.RunFor(milliseconds(1000));
+    EXPECT_EQ(fleet.InformedOfJob(1), entries);
+    EXPECT_EQ(fleet.InformedOfJob(1000), entries);
+    std::size_t messages = fleet.Messages();
+    fleet.RunFor(milliseconds(100'000));
+    EXPECT_EQ(fleet.Messages(), messages);
+  }
+}
+
+// Guards against a restarted entry that runs a job again that was cancelled
+// before its start.
+TEST(NewsRelayTest, NewEntriesKnowCancelledJobs)
+{
+  RelayFleet fleet(3, 0, 1);
+  fleet.Cancel(0, 1);
+  fleet.RunFor(milliseconds(10'000));
+  fleet.Add();
+  fleet.RunFor(milliseconds(1000));
+  EXPECT_EQ(fleet.InformedOfJob(1), 4u);
+}
+
 }
 }
