Offer the configuration to an agent that has just joined at once

PlatformProcessTest.ConfigurationIsReadFromAPeerWithoutTheStore failed in 12 of 25 runs: the entry was killed 7 ms after the agent's first connection, before its next tick of 25 ms offered the document, and no copy was left while the store was away.

An entry now offers the document as soon as it knows that an agent of its data centre takes part. DocumentExchangeTest.OffersTheDocumentToANewAgentAtOnce fails without the change.

--- a/src/coordination/document/document_exchange.cpp
+++ b/src/coordination/document/document_exchange.cpp
@@ -70,6 +70,9 @@
     peer->second = aPeer;
     peersChanged_ = true;
   }
+  if (isNew && TakesPart(aPeer.id)) {
+    OnNewTaker(aPeer.id);
+  }
 }
 
 void
@@ -86,8 +89,25 @@
 void
 DocumentExchange::OnPeerVersion(const ProcessId& aPeer, std::uint64_t aVersion)
 {
-  mayOffer_ = mayOffer_ || !TakesPart(aPeer);
+  bool isNew = !TakesPart(aPeer) && aVersion > 0;
   advertised_[aPeer] = aVersion;
+  if (isNew) {
+    OnNewTaker(aPeer);
+  }
+}
+
+void
+DocumentExchange::OnNewTaker(const ProcessId& aPeer)
+{
+  mayOffer_ = true;
+  auto peer = peers_.find(aPeer);
+  if (peer != peers_.end() && peer->second.role == ProcessRole::eAgent &&
+      peer->second.dataCentre == self_.dataCentre) {
+    // If this is the only entry and ends soon, the copy of the agent is the
+    // only one while the store is unavailable.
+    UpdatePeers();
+    OfferDocument();
+  }
 }
 
 void
@@ -267,8 +287,11 @@
 }
 
 void
-DocumentExchange::OnPeersChanged()
+DocumentExchange::UpdatePeers()
 {
+  if (!std::exchange(peersChanged_, false)) {
+    return;
+  }
   ForgetFormerPeers();
   keepsDocument_ = KeepsDocument(self_, peers_);
   sources_ = DocumentSources(self_, peers_);
@@ -343,9 +366,7 @@
 DocumentExchange::Tick()
 {
   auto now = clock_.MonotonicNow();
-  if (std::exchange(peersChanged_, false)) {
-    OnPeersChanged();
-  }
+  UpdatePeers();
   OfferDocument();
   if (fetch_) {
     TickFetch();
--- a/src/coordination/document/document_exchange.h
+++ b/src/coordination/document/document_exchange.h
@@ -104,7 +104,10 @@
   std::chrono::milliseconds CheckPeriod() const;
   /** Returns the time that the store has to provide a newer document. */
   std::chrono::milliseconds StoreHeadStart(std::uint32_t aBytes) const;
-  void OnPeersChanged();
+  /** Offers the document to a peer that has begun to take part. */
+  void OnNewTaker(const state::ProcessId& aPeer);
+  /** Updates what depends on peers_ if these have changed. */
+  void UpdatePeers();
   void ForgetFormerPeers();
   /** Offers the version in force to the peers that were not offered it yet. */
   void OfferDocument();
--- a/tests/document/document_exchange_test.cpp
+++ b/tests/document/document_exchange_test.cpp
@@ -258,6 +258,28 @@
   EXPECT_EQ(answers_.size(), 1u);
 }
 
+// Guards against an entry that starts without a configuration while the store
+// is unavailable: the only other entry ended before its next tick, in which it
+// would have offered the document to the agent that keeps a copy.
+TEST_F(DocumentExchangeTest, OffersTheDocumentToANewAgentAtOnce)
+{
+  constexpr ProcessId kAgent{ 3, 3 };
+  constexpr ProcessId kOtherAgent{ 4, 4 };
+  exchange_.SetDocument(7, "seven");
+  exchange_.Tick();
+  answers_.clear();
+  exchange_.OnPeer(Describe(kAgent, ProcessRole::eAgent));
+  EXPECT_TRUE(answers_.empty());
+  exchange_.OnPeerVersion(kAgent, 1);
+  ASSERT_EQ(answers_.size(), 1u);
+  EXPECT_EQ(answers_[0].version, 7u);
+  // Each data centre has one agent that keeps a copy.
+  exchange_.OnPeerVersion(kOtherAgent, 1);
+  exchange_.OnPeer(Describe(kOtherAgent, ProcessRole::eAgent));
+  exchange_.Tick();
+  EXPECT_EQ(answers_.size(), 1u);
+}
+
 // Guards against agents of one data centre that all keep a copy, or none.
 TEST(DocumentSourcesTest, SomeAgentsOfEachDataCentreKeepACopy)
 {
