Bound the messages about cancelled jobs and the stops of unknown runs

In fleets of up to 12 entries each entry passed on every cancel that it received, although the first one had sent it to all: entries x entries messages for each.

An agent whose server had gone while it had unknown runs ordered to stop them in each tick for as long as it lived.

--- a/src/coordination/dispatch/run_controller.cpp
+++ b/src/coordination/dispatch/run_controller.cpp
@@ -196,8 +196,11 @@
       Stop(key, run);
     }
   }
-  for (const auto& [key, number] : unknownRuns_) {
-    StopUnknownRun(key);
+  if (reachable_) {
+    // At an unreachable server, they end with their leases.
+    for (const auto& [key, number] : unknownRuns_) {
+      StopUnknownRun(key);
+    }
   }
   ReleaseExpiredRuns();
   RenewLeases();
--- a/src/coordination/subset/news_relay.cpp
+++ b/src/coordination/subset/news_relay.cpp
@@ -61,10 +61,18 @@
 }
 
 void
-NewsRelay::OnCancelled(const CancelledJob& aJob)
+NewsRelay::OnCancelled(std::uint64_t aJob)
 {
-  cancelled_.Add(
-    aJob.job, aJob.job, milliseconds(aJob.ageMs), clock_.MonotonicNow());
+  cancelled_.Add(aJob, { aJob, true }, milliseconds(0), clock_.MonotonicNow());
+}
+
+void
+NewsRelay::OnCancelledElsewhere(const CancelledJob& aJob)
+{
+  cancelled_.Add(aJob.job,
+                 { aJob.job, false },
+                 milliseconds(aJob.ageMs),
+                 clock_.MonotonicNow());
 }
 
 bool
@@ -111,9 +119,11 @@
       news.crashes.back().crash.ageMs = static_cast<std::uint32_t>(age.count());
     }
   }
-  for (const auto& [job, age] : cancelled_.After(aSent.cancelled, now)) {
-    news.cancelledJobs.push_back(
-      { job, static_cast<std::uint32_t>(age.count()) });
+  for (const auto& [cancel, age] : cancelled_.After(aSent.cancelled, now)) {
+    if (cancel.isOwn || IsLargeFleet()) {
+      news.cancelledJobs.push_back(
+        { cancel.job, static_cast<std::uint32_t>(age.count()) });
+    }
   }
   if (!news.crashes.empty() || !news.cancelledJobs.empty()) {
     send_(aContact, news);
--- a/src/coordination/subset/news_relay.h
+++ b/src/coordination/subset/news_relay.h
@@ -45,8 +45,10 @@
   /** Records a crash that was reported or passed on; repetitions are ignored.
    */
   void OnCrash(const state::ProcessId& aAgent, const ServerCrash& aCrash);
-  /** Records a job that was cancelled here or at another entry. */
-  void OnCancelled(const CancelledJob& aJob);
+  /** Records a job whose caller has cancelled it at this entry. */
+  void OnCancelled(std::uint64_t aJob);
+  /** Records a job that another entry has passed on as cancelled. */
+  void OnCancelledElsewhere(const CancelledJob& aJob);
   /** Sends what is new to each contact; call at least every 50 ms. */
   void Tick();
 
@@ -60,7 +62,17 @@
     std::uint64_t cancelled = 0;
   };
 
-  /** In smaller fleets every agent reports to every entry. */
+  struct Cancel
+  {
+    std::uint64_t job = 0;
+    /** True if the caller cancelled the job at this entry. */
+    bool isOwn = false;
+  };
+
+  /**
+   * In smaller fleets every agent reports to every entry, and every entry sends
+   * its news to all others.
+   */
   bool IsLargeFleet() const;
   void OnContactsChanged();
   void SendNews(const state::ProcessId& aContact, Sent& aSent) const;
@@ -72,7 +84,7 @@
   std::map<state::ProcessId, Sent> sent_;
   bool contactsChanged_ = false;
   NewsList<CrashId, ReportedCrash> crashes_;
-  NewsList<std::uint64_t, std::uint64_t> cancelled_;
+  NewsList<std::uint64_t, Cancel> cancelled_;
 };
 
 }
--- a/src/daemon/dispatch/dispatch_entry_process.cpp
+++ b/src/daemon/dispatch/dispatch_entry_process.cpp
@@ -200,8 +200,7 @@
                                const ServerCrash& aCrash) {
     newsRelay_.OnCrash(aAgent, aCrash);
   };
-  hooks.jobCancelled = [this](const CancelledJob& aJob, bool aIsKnown) {
-    newsRelay_.OnCancelled(aJob);
+  hooks.jobCancelled = [](const CancelledJob& aJob, bool aIsKnown) {
     LogEvent(events::kJobCancelled,
              "job={:016x} known={} age_ms={}",
              aJob.job,
@@ -380,6 +379,7 @@
       aRespond(callerHooks_.encodeState(dispatcher_.IsKnown(*id)));
       return;
     case CallerRequest::Kind::eCancel:
+      newsRelay_.OnCancelled(*id);
       aRespond(callerHooks_.encodeCancelled(dispatcher_.Cancel(*id)));
       return;
     case CallerRequest::Kind::eSubmit:
@@ -522,6 +522,9 @@
     dispatcher_.OnReport(aFrom.id, *report);
     UpdateReady();
   } else if (const auto* news = std::get_if<EntryNews>(&aMessage)) {
+    for (const CancelledJob& cancelled : news->cancelledJobs) {
+      newsRelay_.OnCancelledElsewhere(cancelled);
+    }
     dispatcher_.OnEntryNews(*news);
   } else if (const auto* copy = std::get_if<ConfigurationCopy>(&aMessage)) {
     // Entries of the previous version send whole documents.
--- a/tests/dispatch/run_controller_test.cpp
+++ b/tests/dispatch/run_controller_test.cpp
@@ -610,6 +610,18 @@
   EXPECT_EQ(stops_.size(), 2u);
 }
 
+// Guards against stop orders and log lines without end for the runs of a server
+// that has gone; they end with their leases.
+TEST_F(RestartedAgentTest, UnknownRunsOfAnUnreachableServerAreNotStopped)
+{
+  Wait(150);
+  AnswerList(kBorn);
+  FailRenewals(RenewFailure::eConnectionRefused, 100);
+  auto sent = stops_.size();
+  FailRenewals(RenewFailure::eConnectionRefused, 1000);
+  EXPECT_EQ(stops_.size(), sent);
+}
+
 // Guards against entries that place jobs at a server whose capacity is unknown,
 // and that learn late that it is free.
 TEST_F(RestartedAgentTest, CapacityIsReportedOnceItIsKnown)
--- a/tests/subset/news_relay_test.cpp
+++ b/tests/subset/news_relay_test.cpp
@@ -60,7 +60,9 @@
 
   void Cancel(unsigned aEntry, std::uint64_t aJob)
   {
-    Cancel(ids_[aEntry], CancelledJob{ aJob, 0 });
+    Node& node = nodes_.at(ids_[aEntry]);
+    node.cancelled.insert(aJob);
+    node.relay->OnCancelled(aJob);
   }
 
   /** Returns the number of entries that know of the cancelled job. */
@@ -88,7 +90,7 @@
           Receive(entry, item);
         }
         for (const CancelledJob& job : news.cancelledJobs) {
-          Cancel(entry, job);
+          ReceiveCancelled(entry, job);
         }
       }
       if (time_ % milliseconds(25) == milliseconds(0)) {
@@ -125,11 +127,11 @@
     std::set<std::uint64_t> cancelled;
   };
 
-  void Cancel(const ProcessId& aEntry, const CancelledJob& aJob)
+  void ReceiveCancelled(const ProcessId& aEntry, const CancelledJob& aJob)
   {
     Node& node = nodes_.at(aEntry);
     node.cancelled.insert(aJob.job);
-    node.relay->OnCancelled(aJob);
+    node.relay->OnCancelledElsewhere(aJob);
   }
 
   void Receive(const ProcessId& aEntry, const ReportedCrash& aItem)
@@ -226,6 +228,10 @@
     EXPECT_EQ(fleet.InformedOfJob(1), entries);
     EXPECT_EQ(fleet.InformedOfJob(1000), entries);
     std::size_t messages = fleet.Messages();
+    if (entries <= kMaxEntriesPerServer) {
+      // Four messages of up to 256 jobs to each other entry.
+      EXPECT_EQ(messages, (entries - 1) * 4u);
+    }
     fleet.RunFor(milliseconds(100'000));
     EXPECT_EQ(fleet.Messages(), messages);
   }
