--- a/fuzz/peer_frame_fuzz.cpp
+++ b/fuzz/peer_frame_fuzz.cpp
@@ -49,7 +49,8 @@
         { { { { 5, 1, 3 }, 2 }, RunEndKind::eFailed, 77 } },
         { { { { 5, 1, 4 }, 2 }, 900 } } },
       ConfigurationCopy{ 9, "{}" },
-      CrashNews{ { { { 8, 9 }, { 3, 40, { { { 5, 1, 3 }, "q" } } } } } },
+      EntryNews{ { { { 8, 9 }, { 3, 40, { { { 5, 1, 3 }, "q" } } } } },
+                 { { 17, 250 } } },
       DocumentRequest{ 9, 2 },
       DocumentPart{ 9, 4, 2, "{}" } });
 }
