Build the start orders of the agent's tests in one place

DocumentOutageTest had a parameter that never varied and a branch for an empty log that no test reached.

Change: StartOrder() returns the order; the parameter and the branch are gone, and the comment of UnknownRunsOfAnUnreachableServerAreNotStopped says what ends with the leases. Tests only; all assertions stay.

--- a/tests/dispatch/run_controller_test.cpp
+++ b/tests/dispatch/run_controller_test.cpp
@@ -58,13 +58,19 @@
     }
   }
 
-  void Order(const RunKey& aRun)
+  /** Returns the order of one run that needs a quarter of the server. */
+  static DispatchOrders StartOrder(const RunKey& aRun)
   {
-    Wait(150);
     DispatchOrders orders;
     orders.starts.push_back(
       { aRun.task.job, 0, { 1000, 64, 0 }, 0, "", { { 0, aRun.run } } });
-    controller_.OnOrders(kEntry, orders);
+    return orders;
+  }
+
+  void Order(const RunKey& aRun)
+  {
+    Wait(150);
+    controller_.OnOrders(kEntry, StartOrder(aRun));
     ASSERT_FALSE(starts_.empty());
     ASSERT_EQ(starts_.back().run, aRun);
   }
@@ -74,10 +80,7 @@
   {
     controller_.OnEntry(kSilentEntry, true);
     Wait(150);
-    DispatchOrders orders;
-    orders.starts.push_back(
-      { aRun.task.job, 0, { 1000, 64, 0 }, 0, "", { { 0, aRun.run } } });
-    controller_.OnOrders(kSilentEntry, orders);
+    controller_.OnOrders(kSilentEntry, StartOrder(aRun));
     time_ += milliseconds(2);
     controller_.OnStartAnswer(aRun, StartAnswer::eStarted);
     running_.push_back({ aRun, 1 });
@@ -408,10 +411,7 @@
   OrderForSilentEntry(kOtherRun);
   WaitWithRenewals(650);
   auto starts = starts_.size();
-  DispatchOrders orders;
-  orders.starts.push_back(
-    { kRun.task.job, 0, { 1000, 64, 0 }, 0, "", { { 0, kRun.run } } });
-  controller_.OnOrders(kEntry, orders);
+  controller_.OnOrders(kEntry, StartOrder(kRun));
   EXPECT_EQ(starts_.size(), starts);
   ASSERT_FALSE(ends_.empty());
   EXPECT_EQ(ends_.back(), (RunEnd{ kRun, RunEndKind::eRefused, 0 }));
@@ -492,10 +492,7 @@
   EXPECT_EQ(controller_.Condition(), ServerCondition::eUnreachable);
   EXPECT_EQ(lastReport_.condition, ServerCondition::eUnreachable);
   Wait(150);
-  DispatchOrders orders;
-  orders.starts.push_back(
-    { kRun.task.job, 0, { 1000, 64, 0 }, 0, "", { { 0, 1 } } });
-  controller_.OnOrders(kEntry, orders);
+  controller_.OnOrders(kEntry, StartOrder(kRun));
   EXPECT_TRUE(starts_.empty());
   ASSERT_EQ(ends_.size(), 1u);
   EXPECT_EQ(ends_[0].kind, RunEndKind::eRefused);
@@ -535,9 +532,7 @@
   bool TryOrder(std::uint64_t aJob)
   {
     auto before = starts_.size();
-    DispatchOrders orders;
-    orders.starts.push_back({ aJob, 0, { 1000, 64, 0 }, 0, "", { { 0, 1 } } });
-    controller_.OnOrders(kEntry, orders);
+    controller_.OnOrders(kEntry, StartOrder({ { aJob, 0, 0 }, 1 }));
     return starts_.size() > before;
   }
 };
@@ -610,8 +605,8 @@
   EXPECT_EQ(stops_.size(), 2u);
 }
 
-// Guards against stop orders and log lines without end for the runs of a server
-// that has gone; they end with their leases.
+// Guards against endless stop orders and log lines for the runs of a server
+// that has gone, which end with their leases.
 TEST_F(RestartedAgentTest, UnknownRunsOfAnUnreachableServerAreNotStopped)
 {
   Wait(150);
--- a/tests/document/document_outage_test.cpp
+++ b/tests/document/document_outage_test.cpp
@@ -37,14 +37,12 @@
       [this](milliseconds aTimeout,
              const std::function<void(DocumentFollowerHooks::Newest)>& aDone) {
         ++reads_;
-        Answer(aTimeout, kLogLatency, [this, aDone](bool aAnswered) {
+        Answer(aTimeout, [this, aDone](bool aAnswered) {
           if (!aAnswered) {
             aDone(tl::unexpected(DocumentReadError::eUnavailable));
             return;
           }
-          auto newest =
-            end_ == 0 ? std::nullopt : std::optional(std::to_string(end_));
-          aDone(NewestDocument{ newest, end_ });
+          aDone(NewestDocument{ std::to_string(end_), end_ });
         });
       };
     hooks.readSince =
@@ -102,12 +100,10 @@
   bool IsOut() const { return now_ >= outageBegin_ && now_ < outageEnd_; }
 
   /** Calls aDone after the latency, or with false after the timeout. */
-  void Answer(milliseconds aTimeout,
-              milliseconds aLatency,
-              const std::function<void(bool)>& aDone)
+  void Answer(milliseconds aTimeout, const std::function<void(bool)>& aDone)
   {
     bool answers = !IsOut();
-    pending_.emplace(now_ + (answers ? aLatency : aTimeout),
+    pending_.emplace(now_ + (answers ? kLogLatency : aTimeout),
                      [answers, aDone] { aDone(answers); });
   }
 
@@ -115,7 +111,7 @@
                   milliseconds aTimeout,
                   const std::function<void(DocumentFollowerHooks::Page)>& aDone)
   {
-    Answer(aTimeout, kLogLatency, [this, aFrom, aDone](bool aAnswered) {
+    Answer(aTimeout, [this, aFrom, aDone](bool aAnswered) {
       if (!aAnswered) {
         aDone(tl::unexpected(DocumentReadError::eUnavailable));
         return;
