Reserve the ports of the processes that tests start

ReservedPort keeps a bound socket that does not listen, so that the port is given to nobody else, also while a process restarts. The soak uses it too in place of ports chosen by process number. AwaitReady now reports the output of both processes and the state it waited for.

--- a/tests/platform/backend_server_client_test.cpp
+++ b/tests/platform/backend_server_client_test.cpp
@@ -6,6 +6,7 @@
 
 #include "platform/platform_fakes.h"
 #include "support/full_backlog.h"
+#include "support/reserved_port.h"
 #include "transport/endpoint.h"
 
 namespace greengage::platform {
@@ -66,8 +67,9 @@
 // Guards against an unknown state of a server whose host refuses connections.
 TEST_F(BackendServerClientTest, RefusedConnectionIsReported)
 {
-  auto unused = *transport::ParseEndpoint(
-    "127.0.0.1:" + std::to_string(testing_support::FreePort()));
+  testing_support::ReservedPort port;
+  auto unused =
+    *transport::ParseEndpoint("127.0.0.1:" + std::to_string(port.Number()));
   EXPECT_EQ(Start(unused), StartAnswer::eConnectionRefused);
   EXPECT_EQ(Renew(unused), RenewFailure::eConnectionRefused);
 }
--- a/tests/platform/early_signal_test.cpp
+++ b/tests/platform/early_signal_test.cpp
@@ -1,3 +1,4 @@
+#include <array>
 #include <csignal>
 #include <cstdio>
 #include <fstream>
@@ -8,7 +9,8 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
-#include "platform/platform_fakes.h"
+#include "support/process_fleet.h"
+#include "support/reserved_port.h"
 
 namespace greengage::testing_support {
 namespace {
@@ -22,6 +24,7 @@
 // the platform sends SIGHUP before the process has installed its handler.
 TEST(EarlySignalTest, ReloadDuringTheStartDoesNotEndTheProcess)
 {
+  std::array<ReservedPort, 4> ports;
   std::string path =
     fmt::format("/tmp/greengage_early_signal_{}.json", ::getpid());
   std::ofstream(path) << fmt::format(
@@ -31,10 +34,10 @@
          "internalPortRange":[{3},{3}],"seeds":[],
          "bounds":{{"maxHoldMs":1000}},"app":"",
          "platform":{{"address":"127.0.0.1:1"}}}})",
-    FreePort(),
-    FreePort(),
-    FreePort(),
-    FreePort());
+    ports[0].Number(),
+    ports[1].Number(),
+    ports[2].Number(),
+    ports[3].Number());
   {
     ChildProcess entry("greengage-platform-entry", { "--settings", path });
     entry.Signal(SIGHUP);
--- a/tests/platform/platform_fakes.cpp
+++ b/tests/platform/platform_fakes.cpp
@@ -112,15 +112,6 @@
 
 }
 
-unsigned
-FreePort()
-{
-  asio::io_context context;
-  asio::ip::tcp::acceptor acceptor(context,
-                                   { asio::ip::make_address("127.0.0.1"), 0 });
-  return acceptor.local_endpoint().port();
-}
-
 FakeStore::FakeStore(transport::TrafficPool& aTraffic)
   : traffic_(aTraffic)
   , http_(aTraffic,
--- a/tests/platform/platform_fakes.h
+++ b/tests/platform/platform_fakes.h
@@ -14,10 +14,6 @@
 
 namespace greengage::testing_support {
 
-/** Returns a loopback port that is free at the time of the call. */
-unsigned
-FreePort();
-
 /** The part of the platform's store that the programs read. */
 class FakeStore
 {
--- a/tests/platform/platform_process_test.cpp
+++ b/tests/platform/platform_process_test.cpp
@@ -1,4 +1,5 @@
 #include <csignal>
+#include <deque>
 #include <fstream>
 #include <future>
 #include <thread>
@@ -7,6 +8,7 @@
 #include <gtest/gtest.h>
 
 #include "platform/platform_fakes.h"
+#include "support/reserved_port.h"
 
 namespace greengage::testing_support {
 namespace {
@@ -41,6 +43,8 @@
     }
   }
 
+  unsigned ReservePort() { return ports_.emplace_back().Number(); }
+
   std::string Address(unsigned aPort)
   {
     return fmt::format("127.0.0.1:{}", aPort);
@@ -107,17 +111,27 @@
                                 WriteSettings(AgentListen(), serverAddress_) });
   }
 
-  bool AwaitReady()
+  /** Announces the server until the entry is ready; reports why it is not. */
+  ::testing::AssertionResult AwaitReady()
   {
+    bool isAnnounced = false;
+    unsigned status = 0;
     for (int i = 0; i < 300; ++i) {
-      server_.Announce(Address(announcePort_), false);
-      if (CallHttp(Address(readyPort_), "GET", "/-/ready", "", 1s).status ==
-          200) {
-        return true;
+      isAnnounced = server_.Announce(Address(announcePort_), false);
+      status = CallHttp(Address(readyPort_), "GET", "/-/ready", "", 1s).status;
+      if (status == 200) {
+        return ::testing::AssertionSuccess();
       }
       std::this_thread::sleep_for(50ms);
     }
-    return false;
+    return ::testing::AssertionFailure()
+           << "last announcement accepted: " << isAnnounced
+           << ", readiness status: " << status
+           << "\nentry (ended: " << entry_->HasEnded() << "):\n"
+           << entry_->Output() << "agent (ended: " << agent_->HasEnded()
+           << "):\n"
+           << agent_->Output() << "status page: "
+           << CallHttp(Address(metricsPort_), "GET", "/v1/status", "", 1s).body;
   }
 
   HttpReply Submit(std::uint64_t aJob, unsigned aEstimateMs = 60)
@@ -138,13 +152,14 @@
   FakeServerProcess server_{ traffic_, {} };
   std::string storeAddress_ = store_.Start();
   std::string serverAddress_ = server_.Start();
-  unsigned callerPort_ = FreePort();
-  unsigned readyPort_ = FreePort();
-  unsigned controlPort_ = FreePort();
+  std::deque<ReservedPort> ports_;
+  unsigned callerPort_ = ReservePort();
+  unsigned readyPort_ = ReservePort();
+  unsigned controlPort_ = ReservePort();
   unsigned seedPort_ = controlPort_;
-  unsigned announcePort_ = FreePort();
-  unsigned internalPort_ = FreePort();
-  unsigned metricsPort_ = FreePort();
+  unsigned announcePort_ = ReservePort();
+  unsigned internalPort_ = ReservePort();
+  unsigned metricsPort_ = ReservePort();
   std::vector<std::string> files_;
   std::unique_ptr<ChildProcess> entry_;
   std::unique_ptr<ChildProcess> agent_;
@@ -157,7 +172,7 @@
   store_.Publish(Configuration(3, ""));
   StartEntry();
   StartAgent();
-  ASSERT_TRUE(AwaitReady()) << entry_->Output() << agent_->Output();
+  ASSERT_TRUE(AwaitReady());
   for (std::uint64_t job = 1; job <= 5; ++job) {
     HttpReply reply = Submit(job);
     EXPECT_EQ(reply.status, 200) << reply.body;
@@ -191,16 +206,16 @@
   store_.Publish(Configuration(3, ""));
   StartEntry();
   StartAgent();
-  ASSERT_TRUE(AwaitReady()) << entry_->Output();
-  unsigned otherPort = FreePort();
+  ASSERT_TRUE(AwaitReady());
+  unsigned otherPort = ReservePort();
   ChildProcess other(
     "greengage-platform-entry",
     { "--settings",
       WriteSettings(
         fmt::format(R"("front":"{}","readyAddr":"{}","control":"{}")",
                     Address(otherPort),
-                    Address(FreePort()),
-                    Address(FreePort())),
+                    Address(ReservePort()),
+                    Address(ReservePort())),
         "") });
   ASSERT_NE(other.AwaitWord("name=configuration_applied"), "none")
     << other.Output();
@@ -227,7 +242,7 @@
   store_.Publish(Configuration(3, ""));
   StartEntry();
   StartAgent();
-  ASSERT_TRUE(AwaitReady()) << entry_->Output();
+  ASSERT_TRUE(AwaitReady());
   std::string status =
     CallHttp(Address(metricsPort_), "GET", "/v1/status", "", 1s).body;
   for (const char* part : { R"("ready":true)",
@@ -250,7 +265,7 @@
   store_.Publish(Configuration(3, ""));
   StartEntry();
   StartAgent();
-  ASSERT_TRUE(AwaitReady()) << entry_->Output();
+  ASSERT_TRUE(AwaitReady());
   auto announce = [&](const std::string& aBody) {
     return CallHttp(Address(announcePort_),
                     "POST",
@@ -280,7 +295,7 @@
   store_.Publish(Configuration(3, "elsewhere"));
   StartEntry();
   StartAgent();
-  ASSERT_TRUE(AwaitReady()) << entry_->Output();
+  ASSERT_TRUE(AwaitReady());
   EXPECT_EQ(Submit(1).status, 404);
   store_.Publish(Configuration(9, ""));
   int status = 404;
@@ -298,7 +313,7 @@
   store_.Publish(Configuration(3, "elsewhere"));
   StartEntry();
   StartAgent();
-  ASSERT_TRUE(AwaitReady()) << entry_->Output();
+  ASSERT_TRUE(AwaitReady());
   store_.AppendRecord("");
   store_.AppendRecord("\xff{}");
   store_.Publish(R"({"version":18446744073709551615,"routes":[]})");
@@ -321,7 +336,7 @@
   store_.Publish(Configuration(3, ""));
   StartEntry();
   StartAgent();
-  ASSERT_TRUE(AwaitReady()) << entry_->Output();
+  ASSERT_TRUE(AwaitReady());
   EXPECT_EQ(Submit(1).status, 200);
 }
 
@@ -332,11 +347,14 @@
   store_.Publish(Configuration(3, ""));
   StartEntry();
   StartAgent();
-  ASSERT_TRUE(AwaitReady()) << entry_->Output();
+  ASSERT_TRUE(AwaitReady());
+  // An entry that is killed before a peer holds a copy takes the only one with
+  // it; DocumentExchangeTest covers how soon an agent is offered the document.
+  ASSERT_EQ(agent_->AwaitWord(" outcome="), "complete") << agent_->Output();
   store_.SetAvailable(false);
   entry_.reset();
   StartEntry();
-  ASSERT_TRUE(AwaitReady()) << entry_->Output() << agent_->Output();
+  ASSERT_TRUE(AwaitReady());
   EXPECT_EQ(Submit(100).status, 200);
 }
 
@@ -345,9 +363,9 @@
 TEST_F(PlatformProcessTest, ChangedSettingsApplyWithoutASignal)
 {
   store_.Publish(Configuration(3, ""));
-  std::string store = std::exchange(storeAddress_, Address(FreePort()));
+  std::string store = std::exchange(storeAddress_, Address(ReservePort()));
   StartEntry();
-  seedPort_ = FreePort();
+  seedPort_ = ReservePort();
   StartAgent();
   ASSERT_EQ(entry_->AwaitWord("name=process_started"), "");
   std::this_thread::sleep_for(500ms);
@@ -357,7 +375,7 @@
   seedPort_ = controlPort_;
   WriteSettingsTo(files_[0], EntryListen(), "");
   WriteSettingsTo(files_[1], AgentListen(), serverAddress_);
-  ASSERT_TRUE(AwaitReady()) << entry_->Output() << agent_->Output();
+  ASSERT_TRUE(AwaitReady());
   EXPECT_EQ(Submit(1).status, 200);
   // An invalid file leaves the current settings in force.
   WriteSettingsTo(files_[0], R"("control":7)", "");
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -20,10 +20,6 @@
 constexpr unsigned kDeadlineMs = 1500;
 constexpr std::chrono::milliseconds kRetryDelay{ 1300 };
 constexpr unsigned kAttempts = 3;
-/** Ports below the system's range of ephemeral ports. */
-constexpr unsigned kFirstPort = 12'000;
-constexpr unsigned kEphemeralPorts = 32'000;
-constexpr unsigned kPortsPerSoak = 32;
 /** The platform sends SIGKILL 6 s after its stop signal. */
 constexpr std::chrono::milliseconds kStopTimeout{ 6000 };
 
@@ -59,15 +55,15 @@
   store_.Publish(Configuration(configurationVersion_));
   std::string store = store_.Start();
   for (unsigned i = 0; i < kEntries; ++i) {
-    controlPorts_.push_back(NextPort());
+    controlPorts_.push_back(ReservePort());
   }
   for (unsigned i = 0; i < kEntries; ++i) {
     proxies_.push_back(std::make_unique<LoopbackProxy>(traffic_, store));
-    unsigned callerPort = NextPort();
+    unsigned callerPort = ReservePort();
     std::string listen =
       fmt::format(R"("front":"{}","readyAddr":"{}","control":"{}")",
                   Address(callerPort),
-                  Address(NextPort()),
+                  Address(ReservePort()),
                   Address(controlPorts_[i]));
     std::string path = WriteSettings(listen, "", proxies_.back()->Start());
     proxies_.push_back(
@@ -93,7 +89,7 @@
       std::make_unique<FakeServerProcess>(traffic_, std::move(options)));
     proxies_.push_back(
       std::make_unique<LoopbackProxy>(traffic_, servers_.back()->Start()));
-    announceAddresses_.push_back(Address(NextPort()));
+    announceAddresses_.push_back(Address(ReservePort()));
     std::string path =
       WriteSettings(fmt::format(R"("control":"{}")", announceAddresses_.back()),
                     proxies_.back()->Start(),
@@ -133,7 +129,7 @@
   std::string path =
     fmt::format("/tmp/greengage_soak_{}_{}.json", ::getpid(), files_.size());
   files_.push_back(path);
-  unsigned internalPort = NextPort();
+  unsigned internalPort = ReservePort();
   std::ofstream(path) << fmt::format(
     R"({{"zone":"bole","ip":"127.0.0.1","listen":{{{}}},
         "internalPortRange":[{},{}],"seeds":["{}","{}"],
@@ -224,14 +220,9 @@
 }
 
 unsigned
-SoakFleet::NextPort()
+SoakFleet::ReservePort()
 {
-  // While a process is down, a concurrent soak could take its port if it were
-  // an ephemeral one.
-  constexpr unsigned ranges = (kEphemeralPorts - kFirstPort) / kPortsPerSoak;
-  return kFirstPort +
-         kPortsPerSoak * (static_cast<unsigned>(::getpid()) % ranges) +
-         usedPorts_++ % kPortsPerSoak;
+  return ports_.emplace_back().Number();
 }
 
 void
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <random>
@@ -11,6 +12,7 @@
 #include "platform/platform_fakes.h"
 #include "soak/loopback_proxy.h"
 #include "soak/soak_checker.h"
+#include "support/reserved_port.h"
 
 namespace greengage::testing_support {
 
@@ -61,10 +63,10 @@
   /** Submits a job once; returns the HTTP status, 0 if there was no answer. */
   int Submit(unsigned aEntry, std::uint64_t aJob, unsigned aTasks);
   /**
-   * Returns a port that no concurrent soak and no outgoing connection uses,
+   * Returns a port that no concurrent test and no outgoing connection uses,
    * even while no process listens on it.
    */
-  unsigned NextPort();
+  unsigned ReservePort();
   void SleepRandomly(std::mt19937_64& aRandom,
                      unsigned aFromMs,
                      unsigned aToMs);
@@ -84,7 +86,7 @@
   std::atomic<bool> isCalling_{ true };
   std::atomic<bool> isAnnouncing_{ true };
   std::atomic<std::uint64_t> nextJob_;
-  unsigned usedPorts_ = 0;
+  std::deque<ReservedPort> ports_;
   std::atomic<unsigned> configurationVersion_{ 1 };
   std::vector<std::thread> announcers_;
 };
