Count unanswered renewals by the time at which they were sent

A trace shows three causes. Two lost calls timed out after two later calls had been answered, and still counted as failures in a row. A lost long poll is known as lost only 300 ms after its wait, and the ends that it listed are unknown meanwhile. Each timeout delayed the next call by 100 ms, though the call itself was older than that.

A failure now counts only if its call was sent after the latest answered one. A call without an answer 50 ms after its wait is followed by one without a wait, every 100 ms until one is answered. The delay counts from the last call that was sent, not from failures.

--- a/src/coordination/dispatch/lease_renewals.cpp
+++ b/src/coordination/dispatch/lease_renewals.cpp
@@ -6,8 +6,10 @@
 
 namespace {
 
-/** Delay of the next periodic renewal after a call started or failed. */
+/** Shortest time between a call and the next periodic renewal. */
 constexpr std::chrono::milliseconds kRetryDelay{ 100 };
+/** Time in which a healthy server answers, after the wait of a long poll. */
+constexpr std::chrono::milliseconds kAnswerTime{ 50 };
 
 }
 
@@ -27,9 +29,7 @@
   call.lastSeen = lastSeen_;
   call.wait = aWait;
   call.fencingToken = aFencingToken;
-  pending_[call.number] = {
-    call.number, now, lastSeen_, aWait.count() > 0, aFencingToken
-  };
+  pending_[call.number] = { call.number, now, lastSeen_, aWait, aFencingToken };
   requestedUntil_ = now + aLease;
   nextAt_ = now + kRetryDelay;
   return call;
@@ -43,6 +43,7 @@
     return std::nullopt;
   }
   unanswered_ = 0;
+  answeredSentAt_ = std::max(answeredSentAt_, found.mapped().sentAt);
   return found.mapped();
 }
 
@@ -53,10 +54,18 @@
   if (found.empty()) {
     return std::nullopt;
   }
-  nextAt_ = clock_.MonotonicNow() + kRetryDelay;
   return found.mapped();
 }
 
+unsigned
+LeaseRenewals::OnNoAnswer(const PendingRenewal& aSent)
+{
+  if (aSent.sentAt > answeredSentAt_) {
+    ++unanswered_;
+  }
+  return unanswered_;
+}
+
 void
 LeaseRenewals::ResetNumbers()
 {
@@ -96,7 +105,18 @@
 LeaseRenewals::HasLongPoll() const
 {
   return std::any_of(pending_.begin(), pending_.end(), [](const auto& aItem) {
-    return aItem.second.isLongPoll;
+    return aItem.second.wait.count() > 0;
+  });
+}
+
+bool
+LeaseRenewals::HasOverdueCall() const
+{
+  auto now = clock_.MonotonicNow();
+  return std::any_of(pending_.begin(), pending_.end(), [&](const auto& aItem) {
+    const PendingRenewal& call = aItem.second;
+    return call.sentAt > answeredSentAt_ &&
+           now - call.sentAt >= call.wait + kAnswerTime;
   });
 }
 
--- a/src/coordination/dispatch/lease_renewals.h
+++ b/src/coordination/dispatch/lease_renewals.h
@@ -19,7 +19,8 @@
   /** The call acknowledges the ends up to this number. */
   std::uint64_t lastSeen = 0;
   /** The server may delay the answer until a run ends. */
-  bool isLongPoll = false;
+  /** Time for which the server may delay its answer until a run ends. */
+  std::chrono::milliseconds wait{ 0 };
   std::uint64_t fencingToken = 0;
 
   auto operator<=>(const PendingRenewal&) const = default;
@@ -77,8 +78,18 @@
   bool CanStart() const;
   /** Returns true while a long poll is in flight. */
   bool HasLongPoll() const;
-  /** Returns the number of consecutive unanswered calls. */
-  unsigned OnNoAnswer() { return ++unanswered_; }
+  /**
+   * Returns true if an answer was expected some time ago and a later call has
+   * not been answered either: the answer is probably lost, and with it the ends
+   * of runs that it listed.
+   */
+  bool HasOverdueCall() const;
+  /**
+   * Returns the number of calls without an answer that were sent since the
+   * latest answered one. An earlier call that times out after that answer does
+   * not show that the server has become unreachable.
+   */
+  unsigned OnNoAnswer(const PendingRenewal& aSent);
 
 private:
   const state::Clock& clock_;
@@ -87,6 +98,8 @@
   std::uint64_t lastSeen_ = 0;
   std::uint64_t acknowledged_ = 0;
   unsigned unanswered_ = 0;
+  /** Time at which the latest answered call was sent. */
+  state::MonotonicTime answeredSentAt_;
   state::MonotonicTime requestedUntil_;
   state::MonotonicTime nextAt_;
 };
--- a/src/coordination/dispatch/run_controller_renewals.cpp
+++ b/src/coordination/dispatch/run_controller_renewals.cpp
@@ -81,7 +81,7 @@
     // This list may be older than the start of a run in the new incarnation.
     Renew(milliseconds(0));
   }
-  if (sent->isLongPoll || HasUnacknowledgedEnds()) {
+  if (sent->wait.count() > 0 || HasUnacknowledgedEnds()) {
     if (!renewals_.HasLongPoll() && KnowsAllRuns()) {
       Renew(runs_.empty() ? kIdlePollTimeout : kBusyPollTimeout);
     }
@@ -241,14 +241,14 @@
       SetReachable(false, "connection refused");
       break;
     case RenewFailure::eNotSent:
-      if (renewals_.OnNoAnswer() >= kMaxFailedRenewals) {
+      if (renewals_.OnNoAnswer(*sent) >= kMaxFailedRenewals) {
         SetReachable(false, "calls cannot be sent");
       }
       break;
     case RenewFailure::eNoAnswer:
       RecordAnswer(false);
       crashDetector_.OnNoAnswer(sent->sentAt);
-      if (renewals_.OnNoAnswer() >= kMaxFailedRenewals) {
+      if (renewals_.OnNoAnswer(*sent) >= kMaxFailedRenewals) {
         SetReachable(false, "no answer");
       }
       break;
@@ -283,8 +283,9 @@
   // Renewals without a wait show when an unreliable server answers again,
   // without placing a run on it.
   bool isUnreliable = !answerMonitor_.IsReliable();
-  if (renewals_.CanStart() && (isRenewalDue || stopAnswered || isUnreliable ||
-                               !KnowsAllRuns() || IsProgressCheckDue())) {
+  if (renewals_.CanStart() &&
+      (isRenewalDue || stopAnswered || isUnreliable || !KnowsAllRuns() ||
+       renewals_.HasOverdueCall() || IsProgressCheckDue())) {
     Renew(milliseconds(0));
   }
 }
