Report a crash when the leases end on the clock of its incarnation

The run had not been listed, so the agent waited for the longest lease of any clock, and an idle long poll of 2 s was in flight, which the next incarnation might still have received. By then the caller had submitted the job to another entry.

That bound protects against a second run. For the crash itself it is enough that the server refuses connections and that all leases have ended on its own clock, whether or not the start was confirmed. The runs are released as before.

ServerCrashTest.CallInFlightDoesNotDelayTheCrash fails with the former bound.

--- a/src/coordination/dispatch/run_controller.h
+++ b/src/coordination/dispatch/run_controller.h
@@ -247,8 +247,11 @@
   bool HasSuspectRun() const;
   /** Records a crash of the present incarnation if this shows one. */
   void RecordCrash(CrashEvidence aEvidence);
-  /** Records a crash if the leases of runs at a refusing server expired. */
-  void RecordCrashOfExpiredRuns(const ServerKnowledge& aServer);
+  /**
+   * Records a crash if the leases of all runs at a refusing server expired. The
+   * runs may be released later: calls in flight may reach the next incarnation.
+   */
+  void RecordCrashAfterLeaseEnd(const LeaseBounds& aLeases);
   /** Returns the tasks whose runs may have crashed the incarnation. */
   std::vector<CrashSuspect> CrashSuspects() const;
   /** Returns true if the present incarnation may have started the run. */
--- a/src/coordination/dispatch/run_controller_calls.cpp
+++ b/src/coordination/dispatch/run_controller_calls.cpp
@@ -188,7 +188,7 @@
   }
   ServerKnowledge server{ {}, leases_.Bounds(), refusedAt_ };
   // The entries must count the crash before they place its runs again.
-  RecordCrashOfExpiredRuns(server);
+  RecordCrashAfterLeaseEnd(*server.leases);
   for (auto next = runs_.begin(); next != runs_.end();) {
     auto run = next++;
     if (!ReleaseIfEnded(run, server, KindOfUnlistedEnd(run->second))) {
--- a/src/coordination/dispatch/run_controller_crashes.cpp
+++ b/src/coordination/dispatch/run_controller_crashes.cpp
@@ -56,13 +56,11 @@
 }
 
 void
-RunController::RecordCrashOfExpiredRuns(const ServerKnowledge& aServer)
+RunController::RecordCrashAfterLeaseEnd(const LeaseBounds& aLeases)
 {
-  auto now = clock_.MonotonicNow();
-  bool isExpired = std::any_of(runs_.begin(), runs_.end(), [&](auto& aItem) {
-    return FindReleaseEvidence(aItem.second.knowledge, aServer, now);
-  });
-  if (isExpired) {
+  // The leases on the clock of this incarnation suffice: a later one that has
+  // received a call in flight does not change that this one has crashed.
+  if (clock_.MonotonicNow() > aLeases.knownClock) {
     RecordCrash(CrashEvidence::eRefusedUntilLeaseEnd);
   }
 }
--- a/tests/dispatch/dispatch_crash_property_test.cpp
+++ b/tests/dispatch/dispatch_crash_property_test.cpp
@@ -9,7 +9,7 @@
 constexpr std::uint64_t kFirstDeadlyJob = 9001;
 constexpr unsigned kDeadlyJobs = 3;
 constexpr unsigned kOtherJobs = 80;
-constexpr unsigned kSeeds = 30;
+constexpr unsigned kSeeds = 200;
 
 void
 PlayDay(std::uint64_t aSeed)
--- a/tests/dispatch/server_crash_test.cpp
+++ b/tests/dispatch/server_crash_test.cpp
@@ -225,6 +225,22 @@
   EXPECT_EQ(records_.size(), 1u);
 }
 
+// Guards against a crash that is counted after the next attempts of the task: a
+// long poll of the idle server was in flight, and the next incarnation might
+// still have received it.
+TEST_F(ServerCrashTest, CallInFlightDoesNotDelayTheCrash)
+{
+  Order(kEntry, kRun);
+  ASSERT_GT(renewals_.back().wait, milliseconds(1000));
+  controller_.OnStartAnswer(kRun, StartAnswer::eStarted);
+  failedUpTo_ = renewals_.size();
+  FailRenewals(RenewFailure::eConnectionRefused, 800);
+  EXPECT_EQ(controller_.RunCount(), 1u);
+  ASSERT_EQ(records_.size(), 1u);
+  EXPECT_EQ(records_[0].suspects, std::vector{ SuspectOf(kRun) });
+  EXPECT_EQ(crashes_[kOtherEntry].size(), 1u);
+}
+
 // Guards against innocent tasks that fail because a cut, or an agent that gets
 // no answers, is counted as a crash of the server.
 TEST_F(ServerCrashTest, CallsWithoutAnswerAreNoCrash)
