Serve the connections that a stopping entry has accepted

A stopping entry refused new requests before its listening socket was closed: ProcessTakeoverTest StoppedWithLog saw one job of 308 refused with shutting_down in 2 of about 60 runs beside load (KNOWN-RED), though another entry could have served it.

ProcessFleetTest.StoppingEntryServesAcceptedConnections got shutting_down before.

--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -22,6 +22,11 @@
 
 constexpr std::chrono::milliseconds kTickPeriod{ 50 };
 constexpr std::chrono::milliseconds kLeaveDelay{ 500 };
+/**
+ * Time after the stop request in which new requests are still served. Their
+ * connections may have been accepted before the listening socket was closed.
+ */
+constexpr std::chrono::milliseconds kMinServingTime{ 200 };
 constexpr std::chrono::milliseconds kReportPeriod{ 1000 };
 constexpr std::chrono::milliseconds kConnectPeriod{ 500 };
 
@@ -171,6 +176,7 @@
                         "pending_requests={}",
                         router_.PendingCount());
     stopping_ = true;
+    stopRequestedAt_ = clock_.MonotonicNow();
     onStopped_ = done;
     http_.StopAccepting();
     ReleaseShards();
@@ -221,7 +227,7 @@
 void
 EntryProcess::OnHttpRequest(HttpRequest aRequest, const HttpResponder& aRespond)
 {
-  if (stopping_) {
+  if (isRefusing_) {
     callerMetrics_.OnRefused(RefusalCode::eShuttingDown);
     aRespond(RefusalResponse(
       503, RefusalCode::eShuttingDown, "", "this entry is shutting down"));
@@ -297,17 +303,27 @@
   }
   router_.Tick();
   membership_.Tick(configuration_.Follower().Version());
-  if (stopping_) {
-    ReleaseShards();
+  if (!stopping_) {
+    return;
+  }
+  ReleaseShards();
+  if (IsServingAfterStop() || router_.PendingCount() > 0) {
+    return;
   }
+  isRefusing_ = true;
   // A request stays in progress until its response is written, so no response
   // is truncated.
-  if (stopping_ && router_.PendingCount() == 0 &&
-      http_.RequestsInProgress() == 0) {
+  if (http_.RequestsInProgress() == 0) {
     FinishStop();
   }
 }
 
+bool
+EntryProcess::IsServingAfterStop() const
+{
+  return clock_.MonotonicNow() - stopRequestedAt_ < kMinServingTime;
+}
+
 void
 EntryProcess::ReleaseShards()
 {
@@ -316,9 +332,13 @@
       return aEntry.second.role == ProcessRole::eEntry;
     });
   // The last entry keeps its shards until its own callers are answered.
-  if (shardsReleased_ || (!hasOtherEntry && router_.PendingCount() > 0)) {
+  bool isBusy = IsServingAfterStop() || router_.PendingCount() > 0;
+  if (shardsReleased_ || (!hasOtherEntry && isBusy)) {
     return;
   }
+  if (!hasOtherEntry) {
+    isRefusing_ = true;
+  }
   shardsReleased_ = true;
   for (const auto& shard : shards_) {
     shard->Lease().Release();
--- a/src/daemon/entry_process.h
+++ b/src/daemon/entry_process.h
@@ -89,6 +89,8 @@
    * Releases the shards so that another entry can take them over. Does nothing
    * while this is the only entry and its own callers wait for answers.
    */
+  /** Returns true shortly after a stop request. */
+  bool IsServingAfterStop() const;
   void ReleaseShards();
   void FinishStop();
 
@@ -127,6 +129,12 @@
   std::map<state::ProcessId, state::MonotonicTime> unreachableSince_;
   std::map<std::uint64_t, transport::HttpResponder> responders_;
   std::atomic<bool> stopping_{ false };
+  state::MonotonicTime stopRequestedAt_;
+  /**
+   * True once this process can serve no further requests: it is about to end,
+   * or no other entry takes over the shards that it has released.
+   */
+  std::atomic<bool> isRefusing_{ false };
   bool shardsReleased_ = false;
   std::function<void()> onStopped_;
 };
--- a/tests/daemon/process_fleet_test.cpp
+++ b/tests/daemon/process_fleet_test.cpp
@@ -1,8 +1,12 @@
 #include <csignal>
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include "daemon/process_identity.h"
 #include "support/fleet_load.h"
+#include "support/raw_client.h"
+#include "transport/endpoint.h"
 
 namespace greengage::daemon {
 namespace {
@@ -97,6 +101,32 @@
   ExpectInvariants(fleet, jobs, options);
 }
 
+// Guards against a request that is refused because its entry was stopped after
+// it had accepted the connection and before it had read the request.
+TEST(ProcessFleetTest, StoppingEntryServesAcceptedConnections)
+{
+  FleetOptions options;
+  options.entries = 2;
+  ProcessFleet fleet(options);
+  fleet.Publish("quote", "org");
+  FleetEntry& entry = fleet.Entries()[0];
+  RawClient caller(*transport::ParseEndpoint(entry.httpAddress));
+  entry.process->Signal(SIGTERM);
+  ASSERT_EQ(entry.process->AwaitWord("name=process_stopping"), "");
+  const std::string body = fmt::format(
+    R"({{"organisation":"org","template":"quote","job_id":"{}",
+        "deadline_ms":5000,"tasks":[{{"run_time_ms":20}}]}})",
+    CreateJobId(std::chrono::system_clock::now()).ToString());
+  caller.Send(fmt::format("POST /v1/jobs HTTP/1.1\r\nHost: entry\r\n"
+                          "Content-Length: {}\r\n\r\n{}",
+                          body.size(),
+                          body));
+  std::string reply = caller.ReadAll(10s);
+  EXPECT_NE(reply.find("200 OK"), std::string::npos) << reply;
+  EXPECT_TRUE(caller.IsClosed());
+  EXPECT_TRUE(entry.process->EndsCleanly(kExitTimeout));
+}
+
 // Guards against tasks that run twice and against wrong answers to callers when
 // an agent is killed with tasks in progress.
 TEST(ProcessFleetTest, AgentIsKilledUnderLoad)
