Handle signals from the first statement of each program on

SignalWait registers the handlers in its constructor, the first statement of each main(), and keeps the signals until Wait().

--- a/src/daemon/programs/greengage_agent.cpp
+++ b/src/daemon/programs/greengage_agent.cpp
@@ -5,5 +5,7 @@
 main(int aCount, char** aArguments)
 {
   using namespace greengage::daemon;
-  return RunDaemon<AgentProcess>(ParseAgentSettings(aCount, aArguments));
+  SignalWait signals;
+  return RunDaemon<AgentProcess>(signals,
+                                 ParseAgentSettings(aCount, aArguments));
 }
--- a/src/daemon/programs/greengage_entry.cpp
+++ b/src/daemon/programs/greengage_entry.cpp
@@ -5,5 +5,7 @@
 main(int aCount, char** aArguments)
 {
   using namespace greengage::daemon;
-  return RunDaemon<EntryProcess>(ParseEntrySettings(aCount, aArguments));
+  SignalWait signals;
+  return RunDaemon<EntryProcess>(signals,
+                                 ParseEntrySettings(aCount, aArguments));
 }
--- a/src/daemon/run_daemon.h
+++ b/src/daemon/run_daemon.h
@@ -8,11 +8,14 @@
 
 /**
  * Starts a process and waits for a stop signal; returns the exit code.
+ * @param aSignals handles signals since the start of the program
  * @param aReload called on each SIGHUP
  */
 template<class Process>
 int
-RunProcess(Process& aProcess, const std::function<void()>& aReload = nullptr)
+RunProcess(Process& aProcess,
+           SignalWait& aSignals,
+           const std::function<void()>& aReload = nullptr)
 {
   auto started = aProcess.Start();
   if (!started) {
@@ -21,7 +24,7 @@
                         transport::QuoteValue(started.error().message));
     return 1;
   }
-  WaitForStopSignal(
+  aSignals.Wait(
     [&](std::function<void()> aStopped) { aProcess.Stop(std::move(aStopped)); },
     aReload);
   return 0;
@@ -30,7 +33,7 @@
 /** Runs greengage-entry or greengage-agent; returns the exit code. */
 template<class Process, class Settings>
 int
-RunDaemon(const ParsedSettings<Settings>& aParsed)
+RunDaemon(SignalWait& aSignals, const ParsedSettings<Settings>& aParsed)
 {
   if (aParsed.exitCode) {
     return *aParsed.exitCode;
@@ -38,7 +41,7 @@
   transport::SetLogNonBlocking();
   transport::SetLogLevel(aParsed.settings.common.logLevel);
   Process process(aParsed.settings);
-  return RunProcess(process);
+  return RunProcess(process, aSignals);
 }
 
 }
--- a/src/daemon/signal_wait.cpp
+++ b/src/daemon/signal_wait.cpp
@@ -3,51 +3,46 @@
 #include <csignal>
 
 #include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
-#include <boost/asio/signal_set.hpp>
 
 namespace greengage::daemon {
 
-namespace {
+SignalWait::SignalWait()
+  : reloadSignals_(context_, SIGHUP)
+  , stopSignals_(context_, SIGTERM, SIGINT)
+{
+}
 
 void
-WaitForReload(boost::asio::signal_set& aSignals,
-              const std::function<void()>& aReload)
+SignalWait::AwaitReload(const std::function<void()>& aReload)
 {
-  aSignals.async_wait(
-    [&aSignals, &aReload](const boost::system::error_code& aError, int) {
+  reloadSignals_.async_wait(
+    [this, &aReload](const boost::system::error_code& aError, int) {
       if (aError) {
         return;
       }
       if (aReload) {
         aReload();
       }
-      WaitForReload(aSignals, aReload);
+      AwaitReload(aReload);
     });
 }
 
-}
-
 void
-WaitForStopSignal(
+SignalWait::Wait(
   const std::function<void(std::function<void()> aStopped)>& aStop,
   const std::function<void()>& aReload)
 {
-  boost::asio::io_context context;
-  boost::asio::signal_set reload(context, SIGHUP);
-  WaitForReload(reload, aReload);
-  boost::asio::signal_set signals(context, SIGTERM, SIGINT);
-  signals.async_wait([&](const boost::system::error_code&, int) {
-    signals.async_wait([&](const boost::system::error_code& aError, int) {
+  AwaitReload(aReload);
+  stopSignals_.async_wait([&](const boost::system::error_code&, int) {
+    stopSignals_.async_wait([&](const boost::system::error_code& aError, int) {
       if (!aError) {
-        context.stop();
+        context_.stop();
       }
     });
-    aStop([&context] { context.stop(); });
+    aStop([this] { context_.stop(); });
   });
-  auto work = boost::asio::make_work_guard(context);
-  context.run();
+  auto work = boost::asio::make_work_guard(context_);
+  context_.run();
 }
 
 }
--- a/src/tools/programs/fake_backend.cpp
+++ b/src/tools/programs/fake_backend.cpp
@@ -9,6 +9,7 @@
 main(int aCount, char** aArguments)
 {
   using namespace greengage;
+  daemon::SignalWait signals;
   tools::FakeBackendSettings settings;
   CLI::App app{ "Fake backend server for tests and demos.", "fake-backend" };
   app.add_option("--address", settings.address, "Address to listen on")
@@ -66,7 +67,7 @@
   fmt::print("listening on {}\n", transport::ToString(*endpoint));
   std::fflush(stdout);
   traffic.Start();
-  daemon::WaitForStopSignal([](std::function<void()> aStopped) { aStopped(); });
+  signals.Wait([](std::function<void()> aStopped) { aStopped(); });
   traffic.Stop();
   return 0;
 }
--- a/src/tools/programs/fake_log.cpp
+++ b/src/tools/programs/fake_log.cpp
@@ -9,6 +9,7 @@
 main(int aCount, char** aArguments)
 {
   using namespace greengage;
+  daemon::SignalWait signals;
   std::string address = "127.0.0.1:7000";
   tools::FakeLogBehaviour behaviour;
   CLI::App app{ "Fake of the platform's log for tests and demos. It keeps "
@@ -47,7 +48,7 @@
   fmt::print("listening on {}\n", transport::ToString(*endpoint));
   std::fflush(stdout);
   traffic.Start();
-  daemon::WaitForStopSignal([](std::function<void()> aStopped) { aStopped(); });
+  signals.Wait([](std::function<void()> aStopped) { aStopped(); });
   traffic.Stop();
   return 0;
 }
