Keep one table of unknown runs, and find news by their numbers

RunController kept two maps of the same runs, one with the call that listed them and one with the time of the last stop; one entry per run now holds both. RecordAnswer() and StartDraining() reported a changed condition with code of their own; they use ReportConditionChange() now, so a change that another condition hides is no longer logged as one.

NewsList::After() looked at all items, up to 8,192, for each contact. Their numbers are consecutive, so it begins at the first one that was not sent.

--- a/src/coordination/dispatch/run_controller.cpp
+++ b/src/coordination/dispatch/run_controller.cpp
@@ -159,24 +159,23 @@
 }
 
 void
-RunController::StopUnknownRun(const RunKey& aRun)
+RunController::StopUnknownRun(const RunKey& aKey, UnknownRun& aRun)
 {
   auto now = clock_.MonotonicNow();
-  auto [stop, isNew] = unknownStops_.try_emplace(aRun, now);
-  if (!isNew && now - stop->second < kStopRetryDelay) {
+  if (aRun.stopSentAt && now - *aRun.stopSentAt < kStopRetryDelay) {
     return;
   }
-  stop->second = now;
-  RecordDecision("stop", aRun, {}, "not_ordered_here");
-  SendStop(aRun);
+  aRun.stopSentAt = now;
+  RecordDecision("stop", aKey, {}, "not_ordered_here");
+  SendStop(aKey);
 }
 
 void
 RunController::StartDraining()
 {
+  auto before = Condition();
   draining_ = true;
-  reporter_.MarkChanged();
-  reporter_.Send();
+  ReportConditionChange(before, "the agent stops");
 }
 
 void
@@ -198,20 +197,18 @@
   }
   if (reachable_) {
     // At an unreachable server, they end with their leases.
-    for (const auto& [key, number] : unknownRuns_) {
-      StopUnknownRun(key);
+    for (auto& [key, run] : unknownRuns_) {
+      StopUnknownRun(key, run);
     }
   }
   ReleaseExpiredRuns();
   RenewLeases();
-  auto expired = [now](const auto& aItem) {
-    return now - aItem.second >= kWithdrawnRetention;
-  };
   std::erase_if(released_, [now](const auto& aRun) {
     return now - aRun.second >= kReleasedRetention;
   });
-  std::erase_if(withdrawn_, expired);
-  std::erase_if(unknownStops_, expired);
+  std::erase_if(withdrawn_, [now](const auto& aRun) {
+    return now - aRun.second >= kWithdrawnRetention;
+  });
   reporter_.Send();
   ReleaseEntries();
 }
@@ -219,14 +216,11 @@
 void
 RunController::RecordAnswer(bool aAnswered)
 {
-  bool before = answerMonitor_.IsReliable();
+  auto before = Condition();
   aAnswered ? answerMonitor_.OnAnswer() : answerMonitor_.OnNoAnswer();
-  if (answerMonitor_.IsReliable() != before) {
-    reporter_.MarkChanged();
-    hooks_.condition(Condition(),
-                     before ? "calls are not answered" : "answers again");
-    reporter_.Send();
-  }
+  ReportConditionChange(before,
+                        answerMonitor_.IsReliable() ? "answers again"
+                                                    : "calls are not answered");
 }
 
 void
--- a/src/coordination/dispatch/run_controller.h
+++ b/src/coordination/dispatch/run_controller.h
@@ -193,6 +193,15 @@
   };
   using Runs = std::map<state::RunKey, Run>;
 
+  /** A listed run that an earlier agent or incarnation left. */
+  struct UnknownRun
+  {
+    /** Number of the latest renewal whose answer listed the run. */
+    std::uint64_t listedInCall = 0;
+    /** Time of the last stop order, unless that was not answered. */
+    std::optional<state::MonotonicTime> stopSentAt;
+  };
+
   void HandleStart(const state::ProcessId& aEntry,
                    const OrderContact& aContact,
                    const RunBatch& aBatch,
@@ -305,7 +314,7 @@
   /** Reports the capacity after a change of KnowsAllRuns(). */
   void ReportCapacityChange(bool aKnewAllRuns);
   void SendStop(const state::RunKey& aRun);
-  void StopUnknownRun(const state::RunKey& aRun);
+  void StopUnknownRun(const state::RunKey& aKey, UnknownRun& aRun);
   void Renew(std::chrono::milliseconds aWait);
   void RenewLeases();
   void StopRunsOfTimedOutEntries();
@@ -378,11 +387,8 @@
    * present fencing token, with which it refuses all earlier start orders.
    */
   bool isListed_ = false;
-  /**
-   * Runs on the server that this agent did not order, with the number of the
-   * latest renewal whose answer listed the run.
-   */
-  std::map<state::RunKey, std::uint64_t> unknownRuns_;
+  /** Runs on the server that this agent did not order. */
+  std::map<state::RunKey, UnknownRun> unknownRuns_;
   /** Released runs and the time of their release. */
   std::map<state::RunKey, state::MonotonicTime> released_;
   /**
@@ -392,8 +398,6 @@
    */
   std::map<std::pair<state::ProcessId, state::RunKey>, state::MonotonicTime>
     withdrawn_;
-  /** Unknown runs and the time of the last stop order sent for each. */
-  std::map<state::RunKey, state::MonotonicTime> unknownStops_;
 };
 
 }
--- a/src/coordination/dispatch/run_controller_calls.cpp
+++ b/src/coordination/dispatch/run_controller_calls.cpp
@@ -151,7 +151,9 @@
   RecordAnswer(aAnswered);
   if (!aAnswered) {
     // The stop is repeated without a delay.
-    unknownStops_.erase(aRun);
+    if (auto unknown = unknownRuns_.find(aRun); unknown != unknownRuns_.end()) {
+      unknown->second.stopSentAt.reset();
+    }
   }
   auto found = runs_.find(aRun);
   if (found == runs_.end() || found->second.openStops == 0) {
--- a/src/coordination/dispatch/run_controller_renewals.cpp
+++ b/src/coordination/dispatch/run_controller_renewals.cpp
@@ -131,14 +131,15 @@
   for (const ListedRun& run : aAnswer.running) {
     if (IsUnknown(run.run, aSent)) {
       listed.insert(run.run);
-      auto& lastNumber = unknownRuns_[run.run];
-      lastNumber = std::max(lastNumber, aSent.number);
-      StopUnknownRun(run.run);
+      UnknownRun& unknown = unknownRuns_[run.run];
+      unknown.listedInCall = std::max(unknown.listedInCall, aSent.number);
+      StopUnknownRun(run.run, unknown);
     }
   }
   // The answer to an earlier call does not show that a run has ended.
   std::erase_if(unknownRuns_, [&](const auto& aRun) {
-    return !listed.contains(aRun.first) && aRun.second < aSent.number;
+    return !listed.contains(aRun.first) &&
+           aRun.second.listedInCall < aSent.number;
   });
   for (const ListedEnd& end : aAnswer.ended) {
     unknownRuns_.erase(end.run);
--- a/src/coordination/subset/news_list.h
+++ b/src/coordination/subset/news_list.h
@@ -50,8 +50,8 @@
     if (items_.size() >= limits_.maxItems) {
       RemoveOldest();
     }
-    items_.push_back(
-      { ++newest_, aNow - aAge, std::move(aKey), std::move(aContent) });
+    items_.push_back({ aNow - aAge, std::move(aKey), std::move(aContent) });
+    ++newest_;
     return true;
   }
 
@@ -77,17 +77,22 @@
     if (aSequence == newest_) {
       return news;
     }
-    for (const Item& item : items_) {
+    // The numbers of the items are consecutive and end with newest_.
+    std::uint64_t oldest = newest_ + 1 - items_.size();
+    for (std::size_t i = aSequence < oldest ? 0 : aSequence + 1 - oldest;
+         i < items_.size();
+         ++i) {
+      const Item& item = items_[i];
       auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
         aNow - item.since);
-      if (item.sequence <= aSequence || age > limits_.retention) {
+      if (age > limits_.retention) {
         continue;
       }
       if (news.size() == limits_.maxItemsPerMessage) {
         return news;
       }
       news.emplace_back(item.content, age);
-      aSequence = item.sequence;
+      aSequence = oldest + i;
     }
     aSequence = newest_;
     return news;
@@ -96,7 +101,6 @@
 private:
   struct Item
   {
-    std::uint64_t sequence = 0;
     state::MonotonicTime since;
     Key key;
     Content content;
@@ -109,6 +113,7 @@
   }
 
   NewsLimits limits_;
+  /** Number of the newest item; the first one has the number 1. */
   std::uint64_t newest_ = 0;
   std::deque<Item> items_;
   std::set<Key> known_;
