--- a/src/coordination/dispatch/lease_renewals.h
+++ b/src/coordination/dispatch/lease_renewals.h
@@ -18,7 +18,6 @@
   state::MonotonicTime sentAt;
   /** The call acknowledges the ends up to this number. */
   std::uint64_t lastSeen = 0;
-  /** The server may delay the answer until a run ends. */
   /** Time for which the server may delay its answer until a run ends. */
   std::chrono::milliseconds wait{ 0 };
   std::uint64_t fencingToken = 0;
@@ -79,9 +78,9 @@
   /** Returns true while a long poll is in flight. */
   bool HasLongPoll() const;
   /**
-   * Returns true if an answer was expected some time ago and a later call has
-   * not been answered either: the answer is probably lost, and with it the ends
-   * of runs that it listed.
+   * Returns true if a call that was sent after the latest answered one should
+   * have been answered by now: its answer is probably lost, and with it the
+   * ends of runs that it listed.
    */
   bool HasOverdueCall() const;
   /**
--- a/src/daemon/entry_process.h
+++ b/src/daemon/entry_process.h
@@ -85,12 +85,13 @@
   void OnPeerMessage(const coordination::ProcessInfo& aFrom,
                      const coordination::PeerMessage& aMessage);
   void OnTick();
+  /** Returns true shortly after a stop request. */
+  bool IsServingAfterStop() const;
   /**
    * Releases the shards so that another entry can take them over. Does nothing
-   * while this is the only entry and its own callers wait for answers.
+   * while this is the only entry and its own callers wait for answers or may
+   * still send requests.
    */
-  /** Returns true shortly after a stop request. */
-  bool IsServingAfterStop() const;
   void ReleaseShards();
   void FinishStop();
 
