Make the test of a stopping entry independent of time

StoppingEntryServesAcceptedConnections depended on a request within 200 ms after the stop, and on a connection that the entry had accepted by then. A pending job now keeps the entry from ending, and the connection has served a request before.

--- a/tests/daemon/process_fleet_test.cpp
+++ b/tests/daemon/process_fleet_test.cpp
@@ -1,4 +1,5 @@
 #include <csignal>
+#include <future>
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
@@ -101,29 +102,40 @@
   ExpectInvariants(fleet, jobs, options);
 }
 
-// Guards against a request that is refused because its entry was stopped after
-// it had accepted the connection and before it had read the request.
+// Guards against a request that is refused because its entry was stopped before
+// it had read the request, on a connection that it had accepted before.
 TEST(ProcessFleetTest, StoppingEntryServesAcceptedConnections)
 {
-  FleetOptions options;
-  options.entries = 2;
-  ProcessFleet fleet(options);
+  ProcessFleet fleet({});
   fleet.Publish("quote", "org");
   FleetEntry& entry = fleet.Entries()[0];
+  auto body = [](unsigned aRunTimeMs) {
+    return fmt::format(
+      R"({{"organisation":"org","template":"quote","job_id":"{}",
+          "deadline_ms":20000,"tasks":[{{"run_time_ms":{}}}]}})",
+      CreateJobId(std::chrono::system_clock::now()).ToString(),
+      aRunTimeMs);
+  };
+  // The answer shows that the connection was accepted.
   RawClient caller(*transport::ParseEndpoint(entry.httpAddress));
+  caller.Send("GET /v1/status HTTP/1.1\r\nHost: entry\r\n\r\n");
+  ASSERT_NE(caller.ReadUntil("200 OK", 1, 10s), "");
+  // The entry does not end while this job is pending.
+  auto pending = std::async(std::launch::async, [&] {
+    return CallHttp(entry.httpAddress, "POST", "/v1/jobs", body(5000), 20s);
+  });
+  ASSERT_TRUE(WaitUntil([&] { return CountStarts(fleet).size() == 1; }, 20s));
   entry.process->Signal(SIGTERM);
   ASSERT_EQ(entry.process->AwaitWord("name=process_stopping"), "");
-  const std::string body = fmt::format(
-    R"({{"organisation":"org","template":"quote","job_id":"{}",
-        "deadline_ms":5000,"tasks":[{{"run_time_ms":20}}]}})",
-    CreateJobId(std::chrono::system_clock::now()).ToString());
+  const std::string request = body(20);
   caller.Send(fmt::format("POST /v1/jobs HTTP/1.1\r\nHost: entry\r\n"
                           "Content-Length: {}\r\n\r\n{}",
-                          body.size(),
-                          body));
-  std::string reply = caller.ReadAll(10s);
-  EXPECT_NE(reply.find("200 OK"), std::string::npos) << reply;
+                          request.size(),
+                          request));
+  std::string replies = caller.ReadAll(20s);
+  EXPECT_EQ(CountOccurrences(replies, "200 OK"), 2u) << replies;
   EXPECT_TRUE(caller.IsClosed());
+  EXPECT_EQ(pending.get().status, 200);
   EXPECT_TRUE(entry.process->EndsCleanly(kExitTimeout));
 }
 
