Derive which unknown runs have ended from their last listing

UpdateUnknownRuns() built a set of the unknown runs that an answer lists, to keep those. Each of them has just got the number of that answer's call, so the comparison with the number decides alone; the set is gone. The incarnation in which a run is known to be was worked out in two places, now in RunKnowledge::LastIncarnation().

--- a/src/coordination/dispatch/run_controller_crashes.cpp
+++ b/src/coordination/dispatch/run_controller_crashes.cpp
@@ -47,9 +47,7 @@
 RunController::MayHaveRun(const Run& aRun) const
 {
   // A run that an earlier incarnation listed ended with that one.
-  auto incarnation =
-    aRun.knowledge.listedBy.value_or(aRun.knowledge.incarnation);
-  if (incarnation != incarnation_) {
+  if (aRun.knowledge.LastIncarnation() != incarnation_) {
     return false;
   }
   return aRun.IsConfirmed() || crashDetector_.MayHaveReceived(aRun.orderedAt);
--- a/src/coordination/dispatch/run_controller_renewals.cpp
+++ b/src/coordination/dispatch/run_controller_renewals.cpp
@@ -127,19 +127,17 @@
 RunController::UpdateUnknownRuns(const RenewAnswer& aAnswer,
                                  const PendingRenewal& aSent)
 {
-  std::set<RunKey> listed;
   for (const ListedRun& run : aAnswer.running) {
     if (IsUnknown(run.run, aSent)) {
-      listed.insert(run.run);
       UnknownRun& unknown = unknownRuns_[run.run];
       unknown.listedInCall = std::max(unknown.listedInCall, aSent.number);
       StopUnknownRun(run.run, unknown);
     }
   }
-  // The answer to an earlier call does not show that a run has ended.
+  // A run that this answer does not list has ended, unless a later call listed
+  // it.
   std::erase_if(unknownRuns_, [&](const auto& aRun) {
-    return !listed.contains(aRun.first) &&
-           aRun.second.listedInCall < aSent.number;
+    return aRun.second.listedInCall < aSent.number;
   });
   for (const ListedEnd& end : aAnswer.ended) {
     unknownRuns_.erase(end.run);
@@ -331,8 +329,7 @@
 RunController::HasRunOfIncarnation() const
 {
   return std::any_of(runs_.begin(), runs_.end(), [this](const auto& aItem) {
-    const RunKnowledge& run = aItem.second.knowledge;
-    return run.listedBy.value_or(run.incarnation) == incarnation_;
+    return aItem.second.knowledge.LastIncarnation() == incarnation_;
   });
 }
 
--- a/src/coordination/dispatch/run_release.h
+++ b/src/coordination/dispatch/run_release.h
@@ -54,6 +54,15 @@
   /** First answered stop order. */
   std::optional<StopAnswer> stop;
 
+  /**
+   * Returns the incarnation that listed the run, or the one that its start was
+   * sent to if none did.
+   */
+  std::uint64_t LastIncarnation() const
+  {
+    return listedBy.value_or(incarnation);
+  }
+
   auto operator<=>(const RunKnowledge&) const = default;
 };
 
