Decide in one place whether a stopping entry still serves

OnTick() and ReleaseShards() both combined the time since the stop with the pending requests, and ReleaseShards() set isRefusing_ for the last entry just before OnTick() set it for every entry under the same condition. IsServingAfterStop() now holds the whole condition, and only OnTick() sets the flag.

--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -307,7 +307,7 @@
     return;
   }
   ReleaseShards();
-  if (IsServingAfterStop() || router_.PendingCount() > 0) {
+  if (IsServingAfterStop()) {
     return;
   }
   isRefusing_ = true;
@@ -321,7 +321,8 @@
 bool
 EntryProcess::IsServingAfterStop() const
 {
-  return clock_.MonotonicNow() - stopRequestedAt_ < kMinServingTime;
+  return router_.PendingCount() > 0 ||
+         clock_.MonotonicNow() - stopRequestedAt_ < kMinServingTime;
 }
 
 void
@@ -332,13 +333,9 @@
       return aEntry.second.role == ProcessRole::eEntry;
     });
   // The last entry keeps its shards until its own callers are answered.
-  bool isBusy = IsServingAfterStop() || router_.PendingCount() > 0;
-  if (shardsReleased_ || (!hasOtherEntry && isBusy)) {
+  if (shardsReleased_ || (!hasOtherEntry && IsServingAfterStop())) {
     return;
   }
-  if (!hasOtherEntry) {
-    isRefusing_ = true;
-  }
   shardsReleased_ = true;
   for (const auto& shard : shards_) {
     shard->Lease().Release();
--- a/src/daemon/entry_process.h
+++ b/src/daemon/entry_process.h
@@ -85,12 +85,14 @@
   void OnPeerMessage(const coordination::ProcessInfo& aFrom,
                      const coordination::PeerMessage& aMessage);
   void OnTick();
-  /** Returns true shortly after a stop request. */
+  /**
+   * Returns true while callers wait for answers after a stop request, and
+   * shortly after it, when they may still send requests.
+   */
   bool IsServingAfterStop() const;
   /**
    * Releases the shards so that another entry can take them over. Does nothing
-   * while this is the only entry and its own callers wait for answers or may
-   * still send requests.
+   * while this is the only entry and still serves its own callers.
    */
   void ReleaseShards();
   void FinishStop();
@@ -131,10 +133,7 @@
   std::map<std::uint64_t, transport::HttpResponder> responders_;
   std::atomic<bool> stopping_{ false };
   state::MonotonicTime stopRequestedAt_;
-  /**
-   * True once this process can serve no further requests: it is about to end,
-   * or no other entry takes over the shards that it has released.
-   */
+  /** True once the process is about to end and serves no further requests. */
   std::atomic<bool> isRefusing_{ false };
   bool shardsReleased_ = false;
   std::function<void()> onStopped_;
