--- a/review/stand_ins_2/harness.py
+++ b/review/stand_ins_2/harness.py
@@ -3,6 +3,7 @@
 cases; each case has its own events and its own check."""
 
 import base64
+import heapq
 import http.client
 import json
 import os
@@ -86,6 +87,28 @@
     allow_reuse_address = True
     request_queue_size = 64
 
+    def __init__(self, *arguments):
+        self.connections = set()
+        super().__init__(*arguments)
+
+    def process_request(self, request, address):
+        self.connections.add(request)
+        super().process_request(request, address)
+
+    def shutdown_request(self, request):
+        self.connections.discard(request)
+        super().shutdown_request(request)
+
+    def vanish(self):
+        """Ends the listener and all connections, as the end of the process does."""
+        self.shutdown()
+        self.server_close()
+        for connection in list(self.connections):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
     def handle_error(self, request, address):
         pass
 
@@ -145,6 +168,30 @@
             return body
 
 
+class Schedule:
+    """Calls functions later, in one thread."""
+
+    def __init__(self):
+        self.due = []
+        self.number = 0
+        self.changed = threading.Condition()
+        threading.Thread(target=self.run, daemon=True).start()
+
+    def add(self, seconds, function):
+        with self.changed:
+            self.number += 1
+            heapq.heappush(self.due, (time.monotonic() + seconds, self.number, function))
+            self.changed.notify()
+
+    def run(self):
+        while True:
+            with self.changed:
+                while not self.due or self.due[0][0] > time.monotonic():
+                    self.changed.wait(self.due[0][0] - time.monotonic() if self.due else None)
+                function = heapq.heappop(self.due)[2]
+            function()
+
+
 class Worker:
     """A worker as PROTOCOL.md describes it. The spec of a task is its work in
     ms; a task ends 'done' after it. Capacity is guarded."""
@@ -159,16 +206,22 @@
         self.specs = {}    # (task, run) -> spec of its start
         self.on_start = None
         self.intercept = None  # (path, body) -> seconds to hold the call, or None
+        self.is_up = True
+        self.schedule = Schedule()
+        self.overdue = []  # late calls that came due while the worker was down
         self.begin_incarnation()
         worker = self
 
         class WorkerHandler(Handler):
             def do_POST(self):
                 body = json.loads(self.read_body() or b"{}")
+                if not worker.is_up:
+                    self.close_connection = True
+                    return
                 held = worker.intercept(self.path, body) if worker.intercept else None
                 if held is not None:
                     worker.hold_back(self.path, body, self.headers, held)
-                    time.sleep(5)
+                    time.sleep(0.3)  # longer than any caller waits for an order
                     self.close_connection = True
                     return
                 status, answer = worker.call(self.path, body, self.headers)
@@ -252,7 +305,8 @@
         if run <= self.highest.get(task, 0) or any(t == task for t, _ in self.running):
             return 409, dict(base, reason="old")
         used = sum(self.needs.values())
-        need = 1600
+        need = next((int(word[4:]) for word in body["spec"].split()
+                     if word.startswith("cpu=")), 1600)
         if used + need > self.capacity[0]:
             return 409, dict(base, reason="room")
         work_ms = float(body["spec"].split()[0])
@@ -287,21 +341,51 @@
                      "finished": self.finished[:500]}
 
     def hold_back(self, path, body, headers, seconds):
-        """Carries a call out later, without an answer."""
+        """Carries a call out later, without an answer. A call that comes due
+        while the worker is down is carried out as soon as it is back."""
         kept = dict(headers.items())
 
         def later():
+            with self.lock:
+                if not self.is_up:
+                    self.overdue.append(later)
+                    return
             status, answer = self.call(path, body, kept)
-            self.record.write("worker %s: %s of %s run %s carried out %.1f s late: %d %s"
-                              % (self.name, path, body.get("task"), body.get("run"), seconds,
+            self.record.write("worker %s: %s of %s run %s, sent at %.3f s, carried out late: %d %s"
+                              % (self.name, path, body.get("task"), body.get("run"), sent,
                                  status, answer.get("reason", "")))
+        sent = self.record.now()
         self.record.write("worker %s: %s of %s run %s gets no answer"
                           % (self.name, path, body.get("task"), body.get("run")))
-        threading.Timer(seconds, later).start()
+        self.schedule.add(seconds, later)
+
+    def crash(self, seconds):
+        """Ends the worker's process, and starts it again under the same id."""
+        address, handler = self.server.server_address, self.server.RequestHandlerClass
+        with self.lock:
+            self.is_up = False
+            for (task, run), (started, _, _) in self.running.items():
+                self.history.append((task, run, started - self.record.start,
+                                     self.record.now(), "crash"))
+            self.running = {}
+        self.server.vanish()
+        self.record.write("worker %s has crashed" % self.name)
+        time.sleep(seconds)
+        self.begin_incarnation()
+        self.server = serve(address, handler)
+        with self.lock:
+            self.is_up = True
+            overdue, self.overdue = self.overdue, []
+        self.record.write("worker %s is back" % self.name)
+        for late_call in overdue:
+            late_call()
 
     def beat(self):
         while True:
+            while not self.is_up:
+                time.sleep(0.01)
             with self.lock:
+                born = self.born
                 self.seq += 1
                 body = {"service": self.service, "address": self.address, "zone": self.zone,
                         "version": "v1", "slots": 8, "state": self.state, "coldLeftMs": 0,
@@ -310,7 +394,9 @@
                         "born": self.born}
             reply = call(self.agent_control, "POST", "/-/instances/%s/heartbeat" % self.name,
                          body, timeout=1)
-            time.sleep(1.5 if reply and reply[0] == 200 else 0.1)
+            until = time.monotonic() + (1.5 if reply and reply[0] == 200 else 0.1)
+            while time.monotonic() < until and self.born == born:
+                time.sleep(0.02)
 
 
 def call(address, method, path, body=None, headers=None, timeout=2.0):
@@ -515,6 +601,7 @@
     """Plays the case and exits: 1 if play() returns a broken rule, 0 if the
     rule held, 2 if the case could not run."""
     fleet = None
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         fleet = Fleet(case_folder, **options)
         fleet.start()
