Keep all bytes of texts in dispatch messages

Cause: the codec of the dispatch messages used the implicit conversion of a Cap'n Proto text to std::string, which goes through its C string and ends at the first NUL. It also cut the queue of a start and of a crash's suspects, the id, service and labels of a server, and the copy of the configuration. The JSON decoder and writer were ruled out: they copy by size and escape U+0000.

Change: one pair of functions, ToText() and ToString() in protocol/wire_text.h, converts all bytes, in place of five copies and the conversions. The other codecs already used such functions.

--- a/fuzz/platform_codec_fuzz.cpp
+++ b/fuzz/platform_codec_fuzz.cpp
@@ -1,5 +1,6 @@
 #include <cmath>
 #include <cstdlib>
+#include <span>
 #include <string>
 
 #include "coordination/dispatch/dispatched_job.h"
@@ -10,6 +11,7 @@
 #include "platform/server_codec.h"
 #include "platform/store_client.h"
 #include "platform/task_name.h"
+#include "protocol/peer_codec.h"
 #include "transport/endpoint.h"
 
 namespace {
@@ -59,7 +61,35 @@
   }
 }
 
-/** Numbers that only increase leave room for later ones. */
+/** Returns the message as another process receives it. */
+template<class Message>
+Message
+Transfer(const Message& aMessage)
+{
+  std::string frame = protocol::EncodeFrame({ aMessage });
+  auto messages = protocol::DecodeFrame(std::as_bytes(std::span(frame)));
+  Require(messages && messages->size() == 1);
+  return std::get<Message>(messages->front());
+}
+
+/** The server is told to start tasks with the spec of their job. */
+void
+CheckSpec(const daemon::CallerRequest& aRequest)
+{
+  coordination::RunBatch batch;
+  batch.payload = aRequest.job.payload;
+  auto orders = Transfer(coordination::DispatchOrders{ { batch } });
+  coordination::StartRunCall call;
+  call.payload = orders.starts.at(0).payload;
+  auto body = platform::ParseObject(platform::EncodeStart(call).body);
+  Require(body &&
+          platform::FieldReader(*body).String("spec") == aRequest.job.payload);
+}
+
+/**
+ * Numbers that only increase leave room for later ones, and entries learn the
+ * id, the service and the labels unchanged.
+ */
 void
 CheckNotice(const daemon::ServerNotice& aNotice)
 {
@@ -72,6 +102,9 @@
   Require(!announcement->description.service.empty());
   Require(announcement->sequence <= platform::kMaxCount);
   Require(announcement->born <= platform::kMaxCount);
+  coordination::ServerReport report;
+  report.description = announcement->description;
+  Require(Transfer(report) == report);
 }
 
 void
@@ -103,8 +136,8 @@
 }
 
 // Decodes untrusted bytes with the decoders of the platform's interfaces.
-// Aborts if a decoded value breaks one of the rules above, or if a decoded task
-// name or address changes when it is encoded and decoded again.
+// Aborts if a decoded value breaks one of the rules above, or if a decoded
+// text, task name or address changes when it is encoded and decoded again.
 extern "C" int
 LLVMFuzzerTestOneInput(const unsigned char* aData, std::size_t aSize)
 {
@@ -114,6 +147,7 @@
   auto request = platform::DecodeCallerRequest(submission);
   if (request) {
     CheckJob(*request, queues);
+    CheckSpec(*request);
   }
   transport::HttpRequest notice{ "POST", "/-/instances/i-1/heartbeat", text };
   if (auto decoded = platform::DecodeNotice(notice)) {
--- a/src/protocol/dispatch_codec.cpp
+++ b/src/protocol/dispatch_codec.cpp
@@ -1,5 +1,7 @@
 #include "protocol/dispatch_codec.h"
 
+#include "protocol/wire_text.h"
+
 namespace greengage::protocol {
 
 using namespace coordination;
@@ -15,12 +17,6 @@
 /** Maximum number of suspects of a crash; an agent reports at most 256. */
 constexpr unsigned kMaxSuspects = 1024;
 
-::capnp::Text::Reader
-ToText(const std::string& aText)
-{
-  return { aText.c_str(), aText.size() };
-}
-
 void
 Encode(const ResourceAmount& aAmount, wire::ResourceAmount::Builder aBuilder)
 {
@@ -103,11 +99,11 @@
   batch.step = aReader.getStep();
   batch.need = Decode(aReader.getNeed());
   batch.limitMs = aReader.getLimitMs();
-  batch.payload = aReader.getPayload();
+  batch.payload = ToString(aReader.getPayload());
   for (auto run : aReader.getRuns()) {
     batch.runs.push_back({ run.getIndex(), run.getRun(), run.getCrashes() });
   }
-  batch.queue = aReader.getQueue();
+  batch.queue = ToString(aReader.getQueue());
   return batch;
 }
 
@@ -139,7 +135,7 @@
     auto task = suspect.getTask();
     crash.suspects.push_back(
       { TaskKey{ task.getJob(), task.getStep(), task.getIndex() },
-        suspect.getQueue() });
+        ToString(suspect.getQueue()) });
   }
   return crash;
 }
@@ -161,11 +157,12 @@
 ServerDescription
 Decode(wire::ServerDescription::Reader aReader)
 {
-  ServerDescription description{
-    aReader.getId(), aReader.getService(), {}, Decode(aReader.getCapacity())
-  };
+  ServerDescription description{ ToString(aReader.getId()),
+                                 ToString(aReader.getService()),
+                                 {},
+                                 Decode(aReader.getCapacity()) };
   for (auto label : aReader.getLabels()) {
-    description.labels.push_back(label);
+    description.labels.push_back(ToString(label));
   }
   return description;
 }
--- a/src/protocol/membership_codec.cpp
+++ b/src/protocol/membership_codec.cpp
@@ -8,6 +8,7 @@
 #include <kj/exception.h>
 
 #include "protocol/membership.capnp.h"
+#include "protocol/wire_text.h"
 
 namespace greengage::protocol {
 
@@ -36,21 +37,17 @@
   ProtocolError error;
 };
 
-::capnp::Text::Reader
-ToText(const std::string& aText)
-{
-  return { aText.c_str(), aText.size() };
-}
-
 std::string
-ToString(::capnp::Text::Reader aText, std::size_t aMaxBytes, const char* aField)
+ToBoundedString(::capnp::Text::Reader aText,
+                std::size_t aMaxBytes,
+                const char* aField)
 {
   if (aText.size() > aMaxBytes) {
     throw InvalidPacket{ { aField,
                            "text of " + std::to_string(aText.size()) +
                              " bytes is too long" } };
   }
-  return { aText.begin(), aText.size() };
+  return ToString(aText);
 }
 
 /** Converts milliseconds since 1970; throws if WallTime cannot hold them. */
@@ -118,10 +115,10 @@
     ToEnum(aReader.getMemberState(), MemberState::eLeft, "memberState");
   process.draining = aReader.getDraining();
   process.peerAddress =
-    ToString(aReader.getPeerAddress(), kMaxAddressBytes, "peerAddress");
+    ToBoundedString(aReader.getPeerAddress(), kMaxAddressBytes, "peerAddress");
   process.dataCentre =
-    ToString(aReader.getDataCentre(), kMaxPlaceNameBytes, "dataCentre");
-  process.rack = ToString(aReader.getRack(), kMaxPlaceNameBytes, "rack");
+    ToBoundedString(aReader.getDataCentre(), kMaxPlaceNameBytes, "dataCentre");
+  process.rack = ToBoundedString(aReader.getRack(), kMaxPlaceNameBytes, "rack");
   if (process.peerAddress.empty()) {
     throw InvalidPacket{ { "peerAddress", "is empty" } };
   }
@@ -171,11 +168,11 @@
     }
     case wire::MembershipPacket::Body::PING_REQUEST: {
       auto request = aReader.getPingRequest();
-      return PingRequest{
-        request.getSequence(),
-        { request.getTargetHigh(), request.getTargetLow() },
-        ToString(request.getTargetAddress(), kMaxAddressBytes, "targetAddress")
-      };
+      return PingRequest{ request.getSequence(),
+                          { request.getTargetHigh(), request.getTargetLow() },
+                          ToBoundedString(request.getTargetAddress(),
+                                          kMaxAddressBytes,
+                                          "targetAddress") };
     }
     case wire::MembershipPacket::Body::GOSSIP:
       return Gossip{};
--- a/src/protocol/peer_decode.cpp
+++ b/src/protocol/peer_decode.cpp
@@ -1,6 +1,7 @@
 #include "protocol/peer_decode.h"
 
 #include "protocol/dispatch_codec.h"
+#include "protocol/wire_text.h"
 
 namespace greengage::protocol {
 
@@ -34,12 +35,6 @@
   throw InvalidValue{ { std::move(aField), std::move(aMessage) } };
 }
 
-std::string
-ToString(::capnp::Text::Reader aText)
-{
-  return { aText.begin(), aText.size() };
-}
-
 template<class Enum>
 Enum
 ToEnum(unsigned aValue, Enum aLast, const char* aField)
@@ -333,7 +328,8 @@
     }
     case wire::Message::CONFIGURATION_COPY: {
       auto copy = aReader.getConfigurationCopy();
-      return ConfigurationCopy{ copy.getVersion(), copy.getDocument() };
+      return ConfigurationCopy{ copy.getVersion(),
+                                ToString(copy.getDocument()) };
     }
     case wire::Message::ENTRY_NEWS: {
       auto news = DecodeEntryNews(aReader.getEntryNews());
--- a/src/protocol/peer_encode.cpp
+++ b/src/protocol/peer_encode.cpp
@@ -1,6 +1,7 @@
 #include "protocol/peer_encode.h"
 
 #include "protocol/dispatch_codec.h"
+#include "protocol/wire_text.h"
 
 namespace greengage::protocol {
 
@@ -14,12 +15,6 @@
 using state::ProcessId;
 using state::TaskRecord;
 
-::capnp::Text::Reader
-ToText(const std::string& aText)
-{
-  return { aText.c_str(), aText.size() };
-}
-
 template<class Duration>
 std::uint32_t
 ToMilliseconds(Duration aDuration)
--- a/tests/platform/platform_fakes.cpp
+++ b/tests/platform/platform_fakes.cpp
@@ -282,6 +282,13 @@
   return startCount_;
 }
 
+std::map<state::TaskKey, std::string>
+FakeServerProcess::Specs()
+{
+  std::lock_guard lock(mutex_);
+  return specs_;
+}
+
 bool
 FakeServerProcess::Announce(const std::string& aAgent, bool aDraining)
 {
@@ -348,6 +355,7 @@
     aRespond(Respond(done ? 200 : 409, R"({"clockMs":1,"reason":"fence"})"));
     return;
   }
+  specs_[run.task] = std::string(body["spec"].as_string());
   aRespond(EncodeStartAnswer(server_.Start(
     { id, run, "", token, std::chrono::milliseconds(number("deadlineMs")) },
     Now())));
--- a/tests/platform/platform_process_test.cpp
+++ b/tests/platform/platform_process_test.cpp
@@ -199,6 +199,40 @@
   EXPECT_TRUE(agent_->EndsCleanly(6s)) << agent_->Output();
 }
 
+// Guards against a server that starts a task with another spec than the caller
+// sent: U+0000, which JSON strings may contain, cut the spec on its way to the
+// agent.
+TEST_F(PlatformProcessTest, ServerGetsTheSpecThatTheCallerSent)
+{
+  store_.Publish(Configuration(3, ""));
+  StartEntry();
+  StartAgent();
+  ASSERT_TRUE(AwaitReady());
+  const std::map<std::uint64_t, std::pair<const char*, std::string>> jobs{
+    { 1, { R"(\u0000)", std::string(1, '\0') } },
+    { 2, { R"(a\u0000b)", std::string("a\0b", 3) } },
+    { 3, { R"(\"\\\n\u007f)", "\"\\\n\x7f" } },
+    { 4, { R"(\ud83d\ude00 \u00e4)", "\xf0\x9f\x98\x80 \xc3\xa4" } },
+    { 5, { "", "" } },
+  };
+  for (const auto& [job, spec] : jobs) {
+    HttpReply reply = CallHttp(Address(callerPort_),
+                               "POST",
+                               fmt::format("/p/{:016x}", job),
+                               fmt::format(R"({{"spec":"{}","bestEffort":true,
+                             "steps":[{{"count":2,"cpu":1000,"memMb":64,
+                             "estimateMs":60}}]}})",
+                                           spec.first),
+                               10s);
+    ASSERT_EQ(reply.status, 200) << reply.body;
+  }
+  auto specs = server_.Specs();
+  EXPECT_EQ(specs.size(), 2 * jobs.size());
+  for (const auto& [task, spec] : specs) {
+    EXPECT_EQ(spec, jobs.at(task.job).second) << "job " << task.job;
+  }
+}
+
 // Guards against a job that runs on after its cancel was acknowledged: the
 // cancel reached another entry than the one that runs the job.
 TEST_F(PlatformProcessTest, CancelAtAnotherEntryEndsTheJob)
