Keep the case of job IDs

What callers saw: a job submitted with upper-case letters in its ID ran under the lower-case ID, so that a worker was told to start tasks of a job that nobody had sent (UNASKED), and two IDs that differ in case only counted as one job.

Cause: the adapter decoded IDs into a number and encoded the number again.

Change: DispatchJobId holds the number and the case of the letters, in all tables and messages. The new field of the messages is 0 in frames of older processes, which means lower case.

--- a/src/coordination/dispatch/cancelled_jobs.cpp
+++ b/src/coordination/dispatch/cancelled_jobs.cpp
@@ -14,7 +14,7 @@
 }
 
 bool
-CancelledJobs::Add(std::uint64_t aJob, milliseconds aAge)
+CancelledJobs::Add(state::DispatchJobId aJob, milliseconds aAge)
 {
   auto now = clock_.MonotonicNow();
   while (!order_.empty() &&
@@ -31,7 +31,7 @@
 }
 
 bool
-CancelledJobs::Contains(std::uint64_t aJob) const
+CancelledJobs::Contains(state::DispatchJobId aJob) const
 {
   auto cancelled = cancelledAt_.find(aJob);
   return cancelled != cancelledAt_.end() &&
--- a/src/coordination/dispatch/cancelled_jobs.h
+++ b/src/coordination/dispatch/cancelled_jobs.h
@@ -6,6 +6,7 @@
 #include <map>
 
 #include "state/clock.h"
+#include "state/dispatch/dispatch_job_id.h"
 
 namespace greengage::coordination {
 
@@ -25,15 +26,15 @@
    * Records a job. Returns false if it is known already.
    * @param aAge time since it was cancelled
    */
-  bool Add(std::uint64_t aJob, std::chrono::milliseconds aAge);
-  bool Contains(std::uint64_t aJob) const;
+  bool Add(state::DispatchJobId aJob, std::chrono::milliseconds aAge);
+  bool Contains(state::DispatchJobId aJob) const;
   std::size_t Count() const { return cancelledAt_.size(); }
 
 private:
   const state::Clock& clock_;
-  std::map<std::uint64_t, state::MonotonicTime> cancelledAt_;
+  std::map<state::DispatchJobId, state::MonotonicTime> cancelledAt_;
   /** The jobs of cancelledAt_ in the order in which they were recorded. */
-  std::deque<std::uint64_t> order_;
+  std::deque<state::DispatchJobId> order_;
 };
 
 }
--- a/src/coordination/dispatch/crash_history.cpp
+++ b/src/coordination/dispatch/crash_history.cpp
@@ -159,7 +159,7 @@
 }
 
 bool
-CrashHistory::HasGivenUpTask(std::uint64_t aJob) const
+CrashHistory::HasGivenUpTask(state::DispatchJobId aJob) const
 {
   auto first = givenUp_.lower_bound({ aJob, 0, 0 });
   return first != givenUp_.end() && first->first.job == aJob;
--- a/src/coordination/dispatch/crash_history.h
+++ b/src/coordination/dispatch/crash_history.h
@@ -56,7 +56,7 @@
     return givenUp_.contains(aTask);
   }
   /** Returns true if a task of the job must not be started again. */
-  bool HasGivenUpTask(std::uint64_t aJob) const;
+  bool HasGivenUpTask(state::DispatchJobId aJob) const;
 
 private:
   struct Crash
--- a/src/coordination/dispatch/dispatch_messages.h
+++ b/src/coordination/dispatch/dispatch_messages.h
@@ -27,7 +27,7 @@
 /** Runs of one step for one agent; all runs share the payload. */
 struct RunBatch
 {
-  std::uint64_t job = 0;
+  state::DispatchJobId job;
   std::uint32_t step = 0;
   state::ResourceAmount need;
   /** The agent sends a forecast for a run expected to exceed this run time. */
@@ -224,7 +224,7 @@
 /** A job that its caller has cancelled, at any entry. */
 struct CancelledJob
 {
-  std::uint64_t job = 0;
+  state::DispatchJobId job;
   /** Time since it was cancelled. */
   std::uint32_t ageMs = 0;
 
--- a/src/coordination/dispatch/dispatch_records.h
+++ b/src/coordination/dispatch/dispatch_records.h
@@ -12,7 +12,7 @@
 /** Record of an ended job and its outcome, for the log and metrics. */
 struct JobRecord
 {
-  std::uint64_t job = 0;
+  state::DispatchJobId job;
   std::string queue;
   std::uint64_t configurationVersion = 0;
   std::uint32_t tasks = 0;
@@ -43,7 +43,7 @@
 /** A submission that was accepted, or that joined a job in progress. */
 struct SubmissionRecord
 {
-  std::uint64_t job = 0;
+  state::DispatchJobId job;
   /** Time since the request was read from its connection. */
   std::chrono::milliseconds age{ 0 };
   /** Number of submissions of the job that wait for its answer. */
@@ -82,7 +82,7 @@
 struct PlacementRecord
 {
   state::ProcessId agent;
-  std::uint64_t job = 0;
+  state::DispatchJobId job;
   std::uint32_t step = 0;
   std::uint32_t tasks = 0;
   double workMs = 0;
--- a/src/coordination/dispatch/dispatched_job.h
+++ b/src/coordination/dispatch/dispatched_job.h
@@ -63,7 +63,7 @@
  * latest start, job id.
  */
 using WaitingKey =
-  std::tuple<std::uint32_t, bool, state::MonotonicTime, std::uint64_t>;
+  std::tuple<std::uint32_t, bool, state::MonotonicTime, state::DispatchJobId>;
 
 /** A job that an entry has accepted, and its progress. */
 struct DispatchedJob
--- a/src/coordination/dispatch/job_dispatcher.cpp
+++ b/src/coordination/dispatch/job_dispatcher.cpp
@@ -98,7 +98,7 @@
                       milliseconds aTimeout,
                       milliseconds aAge)
 {
-  std::uint64_t id = aJob.id;
+  state::DispatchJobId id = aJob.id;
   auto known = jobs_.find(id);
   if (known != jobs_.end()) {
     known->second->submissions.push_back(aSubmission);
@@ -226,7 +226,7 @@
   if (found == submissions_.end()) {
     return;
   }
-  std::uint64_t id = found->second;
+  state::DispatchJobId id = found->second;
   submissions_.erase(found);
   auto job = jobs_.find(id);
   if (job == jobs_.end()) {
@@ -241,7 +241,7 @@
 }
 
 bool
-JobDispatcher::Cancel(std::uint64_t aJob)
+JobDispatcher::Cancel(state::DispatchJobId aJob)
 {
   bool isKnown = EndCancelled(aJob, milliseconds(0));
   PlaceWaitingJobs();
@@ -250,7 +250,7 @@
 }
 
 bool
-JobDispatcher::EndCancelled(std::uint64_t aJob, milliseconds aAge)
+JobDispatcher::EndCancelled(state::DispatchJobId aJob, milliseconds aAge)
 {
   bool isKnown = jobs_.contains(aJob);
   if (cancelled_.Add(aJob, aAge) && hooks_.jobCancelled) {
@@ -296,7 +296,7 @@
     return;
   }
   auto runs = servers_.OnAgentLost(aAgent);
-  std::set<std::uint64_t> lost;
+  std::set<state::DispatchJobId> lost;
   for (const RunKey& run : runs) {
     lost.insert(run.task.job);
   }
@@ -304,7 +304,7 @@
   for (const RunKey& run : runs) {
     pendingStops_.OnSent(aAgent, run);
   }
-  for (std::uint64_t id : lost) {
+  for (state::DispatchJobId id : lost) {
     // The server may continue the runs until their leases expire, which is too
     // late to start the tasks elsewhere.
     End(id, FailedOutcome(DispatchReason::eServerLost));
@@ -453,7 +453,7 @@
   auto now = clock_.MonotonicNow();
   pauses_.Check();
   MeasureLag();
-  std::vector<std::pair<std::uint64_t, DispatchOutcome>> ended;
+  std::vector<std::pair<state::DispatchJobId, DispatchOutcome>> ended;
   for (auto& [id, job] : jobs_) {
     if (!job->started && now > job->latestStart) {
       ended.emplace_back(id,
@@ -493,7 +493,7 @@
 }
 
 void
-JobDispatcher::End(std::uint64_t aJob, const DispatchOutcome& aOutcome)
+JobDispatcher::End(state::DispatchJobId aJob, const DispatchOutcome& aOutcome)
 {
   auto found = jobs_.find(aJob);
   if (found == jobs_.end()) {
--- a/src/coordination/dispatch/job_dispatcher.h
+++ b/src/coordination/dispatch/job_dispatcher.h
@@ -108,8 +108,8 @@
    * Ends the job, and refuses later submissions of it. Returns false if this
    * entry does not have the job.
    */
-  bool Cancel(std::uint64_t aJob);
-  bool IsKnown(std::uint64_t aJob) const { return jobs_.contains(aJob); }
+  bool Cancel(state::DispatchJobId aJob);
+  bool IsKnown(state::DispatchJobId aJob) const { return jobs_.contains(aJob); }
   /** Returns the number of jobs of a queue without a started task. */
   std::size_t PendingJobs(const std::string& aQueue) const;
 
@@ -174,7 +174,7 @@
                    const ServerCrash& aCrash,
                    const CrashedTask& aTask) const;
   /** Returns false if this entry does not have the job. */
-  bool EndCancelled(std::uint64_t aJob, std::chrono::milliseconds aAge);
+  bool EndCancelled(state::DispatchJobId aJob, std::chrono::milliseconds aAge);
   /** Begins and ends limits of queues whose jobs crash servers. */
   void UpdateIsolation();
   /** Returns true if a limited queue cannot serve the job in time. */
@@ -211,7 +211,7 @@
    * Answers all callers, stops all runs and removes the job. While a start is
    * uncertain, the reason of a broken job states so.
    */
-  void End(std::uint64_t aJob, const state::DispatchOutcome& aOutcome);
+  void End(state::DispatchJobId aJob, const state::DispatchOutcome& aOutcome);
 
   JobDispatcherSettings settings_;
   const state::Clock& clock_;
@@ -228,8 +228,8 @@
   TaskPlacer placer_;
   RunMonitor monitor_;
   CancelledJobs cancelled_;
-  std::map<std::uint64_t, std::unique_ptr<DispatchedJob>> jobs_;
-  std::map<SubmissionId, std::uint64_t> submissions_;
+  std::map<state::DispatchJobId, std::unique_ptr<DispatchedJob>> jobs_;
+  std::map<SubmissionId, state::DispatchJobId> submissions_;
   std::set<WaitingKey> waiting_;
   state::MonotonicTime createdAt_;
 };
--- a/src/coordination/dispatch/order_queue.cpp
+++ b/src/coordination/dispatch/order_queue.cpp
@@ -26,7 +26,7 @@
 
 RunBatch&
 OrderQueue::BatchFor(const ProcessId& aAgent,
-                     std::uint64_t aJob,
+                     state::DispatchJobId aJob,
                      std::uint32_t aStep)
 {
   auto& starts = outgoing_[aAgent].starts;
--- a/src/coordination/dispatch/order_queue.h
+++ b/src/coordination/dispatch/order_queue.h
@@ -27,7 +27,7 @@
    * batch has no runs, and the caller sets its other members.
    */
   RunBatch& BatchFor(const state::ProcessId& aAgent,
-                     std::uint64_t aJob,
+                     state::DispatchJobId aJob,
                      std::uint32_t aStep);
   void AddStop(const state::ProcessId& aAgent, const state::RunKey& aRun);
   void AddChecks(const state::ProcessId& aAgent,
--- a/src/coordination/dispatch/pending_stops.cpp
+++ b/src/coordination/dispatch/pending_stops.cpp
@@ -62,7 +62,7 @@
 }
 
 std::vector<PendingStops::AgentRun>
-PendingStops::RunsOf(std::uint64_t aJob) const
+PendingStops::RunsOf(state::DispatchJobId aJob) const
 {
   std::vector<AgentRun> runs;
   for (const auto& [run, sentAt] : sentAt_) {
--- a/src/coordination/dispatch/pending_stops.h
+++ b/src/coordination/dispatch/pending_stops.h
@@ -35,7 +35,7 @@
   /** Returns true if a stop of any run on the agent is pending. */
   bool HasAgent(const state::ProcessId& aAgent) const;
   /** Returns the runs of a job, of all its submissions. */
-  std::vector<AgentRun> RunsOf(std::uint64_t aJob) const;
+  std::vector<AgentRun> RunsOf(state::DispatchJobId aJob) const;
   /** Returns the runs whose last stop was sent long enough ago to repeat it. */
   std::vector<AgentRun> Due() const;
 
--- a/src/coordination/dispatch/queue_isolation.cpp
+++ b/src/coordination/dispatch/queue_isolation.cpp
@@ -29,7 +29,7 @@
 
 void
 QueueIsolation::OnGivenUp(const std::string& aQueue,
-                          std::uint64_t aJob,
+                          state::DispatchJobId aJob,
                           MonotonicTime aAt)
 {
   GivenUpJobs& jobs = givenUp_[aQueue];
--- a/src/coordination/dispatch/queue_isolation.h
+++ b/src/coordination/dispatch/queue_isolation.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "state/clock.h"
+#include "state/dispatch/dispatch_job_id.h"
 
 namespace greengage::coordination {
 
@@ -40,7 +41,7 @@
 
   /** Records a job that was given up because its tasks crash servers. */
   void OnGivenUp(const std::string& aQueue,
-                 std::uint64_t aJob,
+                 state::DispatchJobId aJob,
                  state::MonotonicTime aAt);
   /** Begins and ends limits; returns what has changed. */
   std::vector<QueueLimitChange> Update(const ServiceByQueue& aQueues);
@@ -55,7 +56,7 @@
 
 private:
   /** The jobs that were given up, and when. */
-  using GivenUpJobs = std::map<std::uint64_t, state::MonotonicTime>;
+  using GivenUpJobs = std::map<state::DispatchJobId, state::MonotonicTime>;
 
   state::MonotonicTime LastOf(const std::string& aQueue) const;
   QueueLimitChange ChangeOf(const std::string& aQueue, bool aIsLimited) const;
--- a/src/coordination/subset/news_relay.cpp
+++ b/src/coordination/subset/news_relay.cpp
@@ -61,7 +61,7 @@
 }
 
 void
-NewsRelay::OnCancelled(std::uint64_t aJob)
+NewsRelay::OnCancelled(state::DispatchJobId aJob)
 {
   cancelled_.Add(aJob, { aJob, true }, milliseconds(0), clock_.MonotonicNow());
 }
--- a/src/coordination/subset/news_relay.h
+++ b/src/coordination/subset/news_relay.h
@@ -46,7 +46,7 @@
    */
   void OnCrash(const state::ProcessId& aAgent, const ServerCrash& aCrash);
   /** Records a job whose caller has cancelled it at this entry. */
-  void OnCancelled(std::uint64_t aJob);
+  void OnCancelled(state::DispatchJobId aJob);
   /** Records a job that another entry has passed on as cancelled. */
   void OnCancelledElsewhere(const CancelledJob& aJob);
   /** Sends what is new to each contact; call at least every 50 ms. */
@@ -64,7 +64,7 @@
 
   struct Cancel
   {
-    std::uint64_t job = 0;
+    state::DispatchJobId job;
     /** True if the caller cancelled the job at this entry. */
     bool isOwn = false;
   };
@@ -84,7 +84,7 @@
   std::map<state::ProcessId, Sent> sent_;
   bool contactsChanged_ = false;
   NewsList<CrashId, ReportedCrash> crashes_;
-  NewsList<std::uint64_t, Cancel> cancelled_;
+  NewsList<state::DispatchJobId, Cancel> cancelled_;
 };
 
 }
--- a/src/daemon/dispatch/dispatch_agent_process.cpp
+++ b/src/daemon/dispatch/dispatch_agent_process.cpp
@@ -44,8 +44,11 @@
   for (std::size_t i = 0; i < std::min(aSuspects.size(), kMaxLoggedSuspects);
        ++i) {
     const state::TaskKey& task = aSuspects[i].task;
-    text += fmt::format(
-      "{}{:016x}.{}.{}", i == 0 ? "" : ",", task.job, task.step, task.index);
+    text += fmt::format("{}{}.{}.{}",
+                        i == 0 ? "" : ",",
+                        task.job.ToString(),
+                        task.step,
+                        task.index);
   }
   return text;
 }
@@ -155,10 +158,10 @@
   hooks.runDecision = [this](const RunDecision& aDecision) {
     dispatchMetrics_.OnRunDecision(aDecision);
     LogEvent(events::kRunDecision,
-             "decision={} job={:016x} step={} task={} run={} entry={} "
+             "decision={} job={} step={} task={} run={} entry={} "
              "reason={} runs={}{}",
              aDecision.decision,
-             aDecision.run.task.job,
+             aDecision.run.task.job.ToString(),
              aDecision.run.task.step,
              aDecision.run.task.index,
              aDecision.run.run,
--- a/src/daemon/dispatch/dispatch_entry_process.cpp
+++ b/src/daemon/dispatch/dispatch_entry_process.cpp
@@ -138,9 +138,9 @@
   };
   hooks.placed = [](const PlacementRecord& aRecord) {
     LogEvent(events::kTasksPlaced,
-             "job={:016x} step={} tasks={} agent={} work_ms={:.0f} "
+             "job={} step={} tasks={} agent={} work_ms={:.0f} "
              "speed={:.2f} objective_ms={:.0f}",
-             aRecord.job,
+             aRecord.job.ToString(),
              aRecord.step,
              aRecord.tasks,
              aRecord.agent.ToString(),
@@ -151,10 +151,10 @@
   hooks.ended = [this](const JobRecord& aRecord) {
     dispatchMetrics_.OnJobEnded(aRecord);
     LogEvent(events::kJobEnded,
-             "job={:016x} queue={} result={} reason={} tasks={} done={} "
+             "job={} queue={} result={} reason={} tasks={} done={} "
              "runs={} waited_ms={} total_ms={} objective_ms={} work_ms={:.0f} "
              "waiting_jobs={} servers={} configuration={}",
-             aRecord.job,
+             aRecord.job.ToString(),
              aRecord.queue,
              ToString(aRecord.outcome.result),
              ToString(aRecord.outcome.reason),
@@ -172,8 +172,8 @@
   hooks.runEnded = [this](const ProcessId& aAgent, const RunEnd& aEnd) {
     dispatchMetrics_.OnRunEnded(aEnd);
     LogEvent(events::kRunEnded,
-             "job={:016x} step={} task={} run={} agent={} kind={} ran_ms={}",
-             aEnd.run.task.job,
+             "job={} step={} task={} run={} agent={} kind={} ran_ms={}",
+             aEnd.run.task.job.ToString(),
              aEnd.run.task.step,
              aEnd.run.task.index,
              aEnd.run.run,
@@ -186,8 +186,8 @@
       return;
     }
     LogEvent(events::kJobSubmitted,
-             "job={:016x} age_ms={} submissions={}",
-             aRecord.job,
+             "job={} age_ms={} submissions={}",
+             aRecord.job.ToString(),
              aRecord.age.count(),
              aRecord.submissions);
   };
@@ -202,8 +202,8 @@
   };
   hooks.jobCancelled = [](const CancelledJob& aJob, bool aIsKnown) {
     LogEvent(events::kJobCancelled,
-             "job={:016x} known={} age_ms={}",
-             aJob.job,
+             "job={} known={} age_ms={}",
+             aJob.job.ToString(),
              aIsKnown,
              aJob.ageMs);
   };
--- a/src/daemon/dispatch/dispatch_entry_process.h
+++ b/src/daemon/dispatch/dispatch_entry_process.h
@@ -78,7 +78,8 @@
     const transport::HttpRequest&)>
     decode;
   /** Returns the job ID in the rest of a path; empty if malformed. */
-  std::function<std::optional<std::uint64_t>(const std::string&)> decodeJobId;
+  std::function<std::optional<state::DispatchJobId>(const std::string&)>
+    decodeJobId;
   std::function<transport::HttpResponse(const state::DispatchOutcome&)>
     encodeOutcome;
   /** Answers a read of one job. */
--- a/src/daemon/dispatch/log_crashes.cpp
+++ b/src/daemon/dispatch/log_crashes.cpp
@@ -12,9 +12,9 @@
 {
   const coordination::CrashedTask& task = aRecord.task;
   LogEvent(events::kTaskCrashCounted,
-           "job={:016x} step={} task={} agent={} crash={} age_ms={} tasks={} "
+           "job={} step={} task={} agent={} crash={} age_ms={} tasks={} "
            "crashes={} attributed={}",
-           task.task.job,
+           task.task.job.ToString(),
            task.task.step,
            task.task.index,
            aRecord.agent.ToString(),
@@ -25,8 +25,8 @@
            task.attributed);
   if (task.isGivenUp) {
     LogEvent(events::kJobGivenUp,
-             "job={:016x} queue={} step={} task={} crashes={} attributed={}",
-             task.task.job,
+             "job={} queue={} step={} task={} crashes={} attributed={}",
+             task.task.job.ToString(),
              transport::QuoteValue(task.queue),
              task.task.step,
              task.task.index,
--- a/src/protocol/dispatch_codec.cpp
+++ b/src/protocol/dispatch_codec.cpp
@@ -5,6 +5,7 @@
 namespace greengage::protocol {
 
 using namespace coordination;
+using state::DispatchJobId;
 using state::ResourceAmount;
 using state::RunKey;
 using state::TaskKey;
@@ -33,10 +34,40 @@
            aReader.getGpus() };
 }
 
+/** Sets the ID of a message that has it in two fields. */
+template<class Builder>
+void
+EncodeJobId(const DispatchJobId& aJob, Builder aBuilder)
+{
+  aBuilder.setJob(aJob.Number());
+  aBuilder.setJobUpperCase(aJob.UpperCase());
+}
+
+template<class Reader>
+DispatchJobId
+DecodeJobId(Reader aReader)
+{
+  return { aReader.getJob(), aReader.getJobUpperCase() };
+}
+
+void
+Encode(const TaskKey& aTask, wire::TaskKey::Builder aBuilder)
+{
+  EncodeJobId(aTask.job, aBuilder);
+  aBuilder.setStep(aTask.step);
+  aBuilder.setIndex(aTask.index);
+}
+
+TaskKey
+Decode(wire::TaskKey::Reader aReader)
+{
+  return { DecodeJobId(aReader), aReader.getStep(), aReader.getIndex() };
+}
+
 void
 Encode(const RunKey& aKey, wire::RunKey::Builder aBuilder)
 {
-  aBuilder.setJob(aKey.task.job);
+  EncodeJobId(aKey.task.job, aBuilder);
   aBuilder.setStep(aKey.task.step);
   aBuilder.setIndex(aKey.task.index);
   aBuilder.setRun(aKey.run);
@@ -45,7 +76,7 @@
 RunKey
 Decode(wire::RunKey::Reader aReader)
 {
-  return { { aReader.getJob(), aReader.getStep(), aReader.getIndex() },
+  return { { DecodeJobId(aReader), aReader.getStep(), aReader.getIndex() },
            aReader.getRun() };
 }
 
@@ -75,7 +106,7 @@
 void
 Encode(const RunBatch& aBatch, wire::RunBatch::Builder aBuilder)
 {
-  aBuilder.setJob(aBatch.job);
+  EncodeJobId(aBatch.job, aBuilder);
   aBuilder.setStep(aBatch.step);
   Encode(aBatch.need, aBuilder.initNeed());
   aBuilder.setLimitMs(aBatch.limitMs);
@@ -95,7 +126,7 @@
 Decode(wire::RunBatch::Reader aReader)
 {
   RunBatch batch;
-  batch.job = aReader.getJob();
+  batch.job = DecodeJobId(aReader);
   batch.step = aReader.getStep();
   batch.need = Decode(aReader.getNeed());
   batch.limitMs = aReader.getLimitMs();
@@ -116,10 +147,7 @@
     aBuilder.initSuspects(static_cast<unsigned>(aCrash.suspects.size()));
   for (unsigned i = 0; i < aCrash.suspects.size(); ++i) {
     const CrashSuspect& suspect = aCrash.suspects[i];
-    auto task = suspects[i].initTask();
-    task.setJob(suspect.task.job);
-    task.setStep(suspect.task.step);
-    task.setIndex(suspect.task.index);
+    Encode(suspect.task, suspects[i].initTask());
     suspects[i].setQueue(ToText(suspect.queue));
   }
 }
@@ -132,10 +160,8 @@
   }
   ServerCrash crash{ aReader.getNumber(), aReader.getAgeMs(), {} };
   for (auto suspect : aReader.getSuspects()) {
-    auto task = suspect.getTask();
     crash.suspects.push_back(
-      { TaskKey{ task.getJob(), task.getStep(), task.getIndex() },
-        ToString(suspect.getQueue()) });
+      { Decode(suspect.getTask()), ToString(suspect.getQueue()) });
   }
   return crash;
 }
@@ -306,7 +332,7 @@
   auto jobs = aBuilder.initCancelledJobs(
     static_cast<unsigned>(aNews.cancelledJobs.size()));
   for (unsigned i = 0; i < aNews.cancelledJobs.size(); ++i) {
-    jobs[i].setJob(aNews.cancelledJobs[i].job);
+    EncodeJobId(aNews.cancelledJobs[i].job, jobs[i]);
     jobs[i].setAgeMs(aNews.cancelledJobs[i].ageMs);
   }
 }
@@ -322,7 +348,7 @@
   }
   EntryNews news;
   for (auto job : aReader.getCancelledJobs()) {
-    news.cancelledJobs.push_back({ job.getJob(), job.getAgeMs() });
+    news.cancelledJobs.push_back({ DecodeJobId(job), job.getAgeMs() });
   }
   for (auto item : aReader.getCrashes()) {
     auto crash = Decode(item.getCrash());
--- a/src/protocol/peer.capnp
+++ b/src/protocol/peer.capnp
@@ -103,7 +103,7 @@
 struct ConfigurationRecords { version @0 :UInt64; records @1 :List(ConfigurationRecord); }
 
 struct ResourceAmount { cpuMillicores @0 :UInt32; memoryMb @1 :UInt32; gpus @2 :UInt32; }
-struct RunKey { job @0 :UInt64; step @1 :UInt32; index @2 :UInt32; run @3 :UInt32; }
+struct RunKey { job @0 :UInt64; step @1 :UInt32; index @2 :UInt32; run @3 :UInt32; jobUpperCase @4 :UInt16; }
 struct RunOrder { index @0 :UInt32; run @1 :UInt32; crashes @2 :UInt32; }
 
 struct RunBatch {
@@ -114,6 +114,7 @@
   runs @4 :List(RunOrder);
   limitMs @5 :UInt32;
   queue @6 :Text;
+  jobUpperCase @7 :UInt16;
 }
 
 struct DispatchOrders {
@@ -134,7 +135,7 @@
   capacity @3 :ResourceAmount;
 }
 
-struct TaskKey { job @0 :UInt64; step @1 :UInt32; index @2 :UInt32; }
+struct TaskKey { job @0 :UInt64; step @1 :UInt32; index @2 :UInt32; jobUpperCase @3 :UInt16; }
 struct CrashSuspect { task @0 :TaskKey; queue @1 :Text; }
 struct ServerCrash { number @0 :UInt64; ageMs @1 :UInt32; suspects @2 :List(CrashSuspect); }
 
@@ -151,7 +152,7 @@
 }
 
 struct ReportedCrash { agent @0 :ProcessId; crash @1 :ServerCrash; }
-struct CancelledJob { job @0 :UInt64; ageMs @1 :UInt32; }
+struct CancelledJob { job @0 :UInt64; ageMs @1 :UInt32; jobUpperCase @2 :UInt16; }
 struct EntryNews { crashes @0 :List(ReportedCrash); cancelledJobs @1 :List(CancelledJob); }
 
 struct ConfigurationCopy { version @0 :UInt64; document @1 :Text; }
--- a/src/protocol/peer.capnp.h
+++ b/src/protocol/peer.capnp.h
@@ -514,7 +514,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(89a00dba17279571, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(89a00dba17279571, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -604,7 +604,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9528904d5d86d510, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(9528904d5d86d510, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3548,6 +3548,8 @@
 
   inline  ::uint32_t getRun() const;
 
+  inline  ::uint16_t getJobUpperCase() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3588,6 +3590,9 @@
   inline  ::uint32_t getRun();
   inline void setRun( ::uint32_t value);
 
+  inline  ::uint16_t getJobUpperCase();
+  inline void setJobUpperCase( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3735,6 +3740,8 @@
   inline bool hasQueue() const;
   inline  ::capnp::Text::Reader getQueue() const;
 
+  inline  ::uint16_t getJobUpperCase() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3800,6 +3807,9 @@
   inline void adoptQueue(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownQueue();
 
+  inline  ::uint16_t getJobUpperCase();
+  inline void setJobUpperCase( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4340,6 +4350,8 @@
 
   inline  ::uint32_t getIndex() const;
 
+  inline  ::uint16_t getJobUpperCase() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4377,6 +4389,9 @@
   inline  ::uint32_t getIndex();
   inline void setIndex( ::uint32_t value);
 
+  inline  ::uint16_t getJobUpperCase();
+  inline void setJobUpperCase( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4848,6 +4863,8 @@
 
   inline  ::uint32_t getAgeMs() const;
 
+  inline  ::uint16_t getJobUpperCase() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4882,6 +4899,9 @@
   inline  ::uint32_t getAgeMs();
   inline void setAgeMs( ::uint32_t value);
 
+  inline  ::uint16_t getJobUpperCase();
+  inline void setJobUpperCase( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8377,6 +8397,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t RunKey::Reader::getJobUpperCase() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t RunKey::Builder::getJobUpperCase() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void RunKey::Builder::setJobUpperCase( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t RunOrder::Reader::getIndex() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -8602,6 +8636,20 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint16_t RunBatch::Reader::getJobUpperCase() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t RunBatch::Builder::getJobUpperCase() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void RunBatch::Builder::setJobUpperCase( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool DispatchOrders::Reader::hasStarts() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -9092,6 +9140,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t TaskKey::Reader::getJobUpperCase() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t TaskKey::Builder::getJobUpperCase() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void TaskKey::Builder::setJobUpperCase( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool CrashSuspect::Reader::hasTask() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -9589,6 +9651,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t CancelledJob::Reader::getJobUpperCase() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t CancelledJob::Builder::getJobUpperCase() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void CancelledJob::Builder::setJobUpperCase( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool EntryNews::Reader::hasCrashes() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/state/dispatch/dispatch_job.h
+++ b/src/state/dispatch/dispatch_job.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "state/dispatch/dispatch_job_id.h"
 #include "state/dispatch/resource_amount.h"
 
 namespace greengage::state {
@@ -36,7 +37,7 @@
  */
 struct DispatchJob
 {
-  std::uint64_t id = 0;
+  DispatchJobId id;
   /** Passed to the backend server with every task. */
   std::string payload;
   std::vector<DispatchStep> steps;
@@ -47,7 +48,7 @@
 /** Identifies one task of a job. */
 struct TaskKey
 {
-  std::uint64_t job = 0;
+  DispatchJobId job;
   std::uint32_t step = 0;
   std::uint32_t index = 0;
 
--- a/tests/dispatch/crash_fixture.h
+++ b/tests/dispatch/crash_fixture.h
@@ -192,7 +192,7 @@
 
   std::string QueueOf(const state::TaskKey& aTask) const
   {
-    auto queue = queueOfJob_.find(aTask.job);
+    auto queue = queueOfJob_.find(aTask.job.Number());
     return queue == queueOfJob_.end() ? "queue" : queue->second;
   }
 
--- a/tests/dispatch/dispatch_simulation.cpp
+++ b/tests/dispatch/dispatch_simulation.cpp
@@ -128,7 +128,7 @@
     OnRunEnded(aServer, aRun, aKind);
   };
   hooks.workMs = [this](const TaskKey& aTask) {
-    return workMsOfJob_[aTask.job];
+    return workMsOfJob_[aTask.job.Number()];
   };
   hooks.runFails = [this, aServer](const TaskKey& aTask) {
     return failurePredicate_(aTask, aServer);
@@ -205,7 +205,7 @@
     OnAnswer(aEntry, aSubmission, aOutcome);
   };
   hooks.runEnded = [this, aEntry](const ProcessId&, const RunEnd& aEnd) {
-    Trace(aEnd.run.task.job,
+    Trace(aEnd.run.task.job.Number(),
           fmt::format("entry {}: {} run {} ended: {}",
                       aEntry,
                       aEnd.run.task.index,
--- a/tests/dispatch/dispatch_simulation_callers.cpp
+++ b/tests/dispatch/dispatch_simulation_callers.cpp
@@ -59,11 +59,12 @@
   SubmissionRecord& record = submissions_[aNumber];
   // HttpSession drops a request whose caller has disconnected before the read.
   if (record.isDisconnected) {
-    Trace(aJob.id, fmt::format("entry {} drops {}", aEntry, aNumber));
+    Trace(aJob.id.Number(), fmt::format("entry {} drops {}", aEntry, aNumber));
     return;
   }
   record.readAt = now_;
-  Trace(aJob.id, fmt::format("entry {} reads submission {}", aEntry, aNumber));
+  Trace(aJob.id.Number(),
+        fmt::format("entry {} reads submission {}", aEntry, aNumber));
   RunOnEntry(aEntry, [this, aEntry, aNumber, aQueue, aJob, readAt = now_] {
     entries_[aEntry].submissions[aNumber] = aNumber;
     entries_[aEntry].dispatcher->Submit(
--- a/tests/dispatch/dispatch_simulation_calls.cpp
+++ b/tests/dispatch/dispatch_simulation_calls.cpp
@@ -40,7 +40,7 @@
     SendToEntry(aServer, aEntry, aReport);
   };
   hooks.runDecision = [this, aServer](const RunDecision& aDecision) {
-    Trace(aDecision.run.task.job,
+    Trace(aDecision.run.task.job.Number(),
           fmt::format("agent {}: {} {} run {}: {}",
                       aServer,
                       aDecision.decision,
@@ -267,18 +267,18 @@
 {
   ++servers_[aServer].startCount;
   Trace(
-    aRun.task.job,
+    aRun.task.job.Number(),
     fmt::format("{} run {} starts on {}", aRun.task.index, aRun.run, aServer));
   startedTasks_.insert(aRun.task);
   CrashAfterStart(aServer, aRun.task);
   auto running = servers_[aServer].server->RunCount();
   if (running > FakeServer::kSlots) {
-    AddViolation(aRun.task.job,
+    AddViolation(aRun.task.job.Number(),
                  fmt::format("server {} starts run {} of task {:x}.{} beyond "
                              "its capacity: {} of {} slots",
                              aServer,
                              aRun.run,
-                             aRun.task.job,
+                             aRun.task.job.Number(),
                              aRun.task.index,
                              running,
                              FakeServer::kSlots));
@@ -287,9 +287,9 @@
   servers.insert(aServer);
   if (servers.size() > 1) {
     AddViolation(
-      aRun.task.job,
+      aRun.task.job.Number(),
       fmt::format("task {:x}.{} has {} runs at the same time (run {} on {})",
-                  aRun.task.job,
+                  aRun.task.job.Number(),
                   aRun.task.index,
                   servers.size(),
                   aRun.run,
@@ -302,7 +302,7 @@
                                const RunKey& aRun,
                                RunEndKind aKind)
 {
-  Trace(aRun.task.job,
+  Trace(aRun.task.job.Number(),
         fmt::format("{} run {} ends on {}: {}",
                     aRun.task.index,
                     aRun.run,
--- a/tests/dispatch/dispatch_simulation_links.cpp
+++ b/tests/dispatch/dispatch_simulation_links.cpp
@@ -86,7 +86,7 @@
                                 Milliseconds aArrival)
 {
   for (const RunBatch& batch : aOrders.starts) {
-    Trace(batch.job,
+    Trace(batch.job.Number(),
           fmt::format("entry {} orders {} starts on {}, which arrive at {} ms",
                       aEntry,
                       batch.runs.size(),
@@ -94,7 +94,7 @@
                       aArrival));
   }
   for (const state::RunKey& run : aOrders.stops) {
-    Trace(run.task.job,
+    Trace(run.task.job.Number(),
           fmt::format("entry {} orders to stop {} run {} on {}, arrives at {} "
                       "ms",
                       aEntry,
--- a/tests/dispatch/dispatch_simulation_servers.cpp
+++ b/tests/dispatch/dispatch_simulation_servers.cpp
@@ -37,9 +37,9 @@
     return;
   }
   if (CrashesUnder(aTask) >= 3) {
-    AddViolation(aTask.job,
+    AddViolation(aTask.job.Number(),
                  fmt::format("task {:x}.{} starts on {} after three crashes",
-                             aTask.job,
+                             aTask.job.Number(),
                              aTask.index,
                              aServer));
   }
@@ -111,12 +111,12 @@
     const ServerPool& pool = entries_[i].dispatcher->Servers();
     for (const state::ProcessId& agent : pool.AgentsInUse()) {
       for (const state::RunKey& run : pool.RunsOn(agent)) {
-        AddViolation(run.task.job,
+        AddViolation(run.task.job.Number(),
                      fmt::format("entry {} has run {} of task {:x}.{} "
                                  "registered on server {}",
                                  i,
                                  run.run,
-                                 run.task.job,
+                                 run.task.job.Number(),
                                  run.task.index,
                                  FindServer(agent)));
       }
--- a/tests/dispatch/job_dispatcher_test.cpp
+++ b/tests/dispatch/job_dispatcher_test.cpp
@@ -89,7 +89,7 @@
   {
     JobDispatcherHooks hooks;
     hooks.jobCancelled = [this](const CancelledJob& aJob, bool) {
-      cancelled_.push_back(aJob.job);
+      cancelled_.push_back(aJob.job.Number());
     };
     hooks.answer = [this](SubmissionId,
                           const state::DispatchOutcome& aOutcome) {
--- a/tests/dispatch/run_release_property_test.cpp
+++ b/tests/dispatch/run_release_property_test.cpp
@@ -121,8 +121,8 @@
   {
     if (violation_.empty() && server_ && server_->IsRunning(aRun) &&
         released_.contains(aRun)) {
-      violation_ = "released run " + std::to_string(aRun.task.job) +
-                   " runs at " + std::to_string(now_) + " ms";
+      violation_ = "released run " + aRun.task.job.ToString() + " runs at " +
+                   std::to_string(now_) + " ms";
     }
   }
 
--- a/tests/dispatch/server_crash_test.cpp
+++ b/tests/dispatch/server_crash_test.cpp
@@ -74,7 +74,7 @@
                               0,
                               "",
                               { { 0, aRun.run, aCrashes } },
-                              "queue" + std::to_string(aRun.task.job) });
+                              "queue" + aRun.task.job.ToString() });
     controller_.OnOrders(aEntry, orders);
   }
 
@@ -121,7 +121,7 @@
 
   static CrashSuspect SuspectOf(const RunKey& aRun)
   {
-    return { aRun.task, "queue" + std::to_string(aRun.task.job) };
+    return { aRun.task, "queue" + aRun.task.job.ToString() };
   }
 
   RunControllerHooks MakeHooks()
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -40,6 +40,13 @@
 {
   EXPECT_EQ(EncodeTaskName(ExampleRun().task), "5c0e7a21d94b36f8.0.1.17");
   EXPECT_EQ(DecodeTaskName("5c0e7a21d94b36f8.0.1.17"), ExampleRun().task);
+  for (const char* name :
+       { "5C0e7A21d94b36F8.0.1.17", "5C0E7A21D94B36F8.0.1.17" }) {
+    auto task = DecodeTaskName(name);
+    ASSERT_TRUE(task);
+    EXPECT_NE(task, ExampleRun().task);
+    EXPECT_EQ(EncodeTaskName(*task), name);
+  }
   for (const char* bad : { "",
                            "5c0e7a21d94b36f8",
                            "5c0e7a21d94b36f8.0.1",
--- a/tests/platform/platform_fakes.cpp
+++ b/tests/platform/platform_fakes.cpp
@@ -282,7 +282,7 @@
   return startCount_;
 }
 
-std::map<state::TaskKey, std::string>
+std::map<std::string, std::string>
 FakeServerProcess::Specs()
 {
   std::lock_guard lock(mutex_);
@@ -355,7 +355,8 @@
     aRespond(Respond(done ? 200 : 409, R"({"clockMs":1,"reason":"fence"})"));
     return;
   }
-  specs_[run.task] = std::string(body["spec"].as_string());
+  specs_[std::string(body["task"].as_string())] =
+    std::string(body["spec"].as_string());
   aRespond(EncodeStartAnswer(server_.Start(
     { id, run, "", token, std::chrono::milliseconds(number("deadlineMs")) },
     Now())));
--- a/tests/platform/platform_fakes.h
+++ b/tests/platform/platform_fakes.h
@@ -77,8 +77,8 @@
   /** Sends one announcement; false if the agent does not acknowledge it. */
   bool Announce(const std::string& aAgent, bool aDraining);
   unsigned StartCount();
-  /** Returns the specs of the starts that the server was told, by task. */
-  std::map<state::TaskKey, std::string> Specs();
+  /** Returns the specs that the server was told to start, by task name. */
+  std::map<std::string, std::string> Specs();
   /** Sets the work of tasks in ms at speed 1. */
   void SetWork(double aWorkMs);
   /** Ends the runs that are done or whose lease has expired. */
@@ -99,7 +99,7 @@
   std::chrono::steady_clock::time_point clockStart_;
   testing::FakeServer server_;
   unsigned startCount_ = 0;
-  std::map<state::TaskKey, std::string> specs_;
+  std::map<std::string, std::string> specs_;
   std::uint64_t sequence_ = 0;
   std::string address_;
 };
--- a/tests/platform/platform_process_test.cpp
+++ b/tests/platform/platform_process_test.cpp
@@ -147,6 +147,18 @@
       10s);
   }
 
+  /** Submits a job of two tasks; the spec is given as the text in its JSON. */
+  HttpReply SubmitSpec(const std::string& aJob, const std::string& aSpec)
+  {
+    return CallHttp(Address(callerPort_),
+                    "POST",
+                    "/p/" + aJob,
+                    fmt::format(R"({{"spec":"{}","bestEffort":true,"steps":[{{
+                      "count":2,"cpu":1000,"memMb":64,"estimateMs":60}}]}})",
+                                aSpec),
+                    10s);
+  }
+
   transport::TrafficPool traffic_{ 1 };
   FakeStore store_{ traffic_ };
   FakeServerProcess server_{ traffic_, {} };
@@ -208,31 +220,51 @@
   StartEntry();
   StartAgent();
   ASSERT_TRUE(AwaitReady());
-  const std::map<std::uint64_t, std::pair<const char*, std::string>> jobs{
-    { 1, { R"(\u0000)", std::string(1, '\0') } },
-    { 2, { R"(a\u0000b)", std::string("a\0b", 3) } },
-    { 3, { R"(\"\\\n\u007f)", "\"\\\n\x7f" } },
-    { 4, { R"(\ud83d\ude00 \u00e4)", "\xf0\x9f\x98\x80 \xc3\xa4" } },
-    { 5, { "", "" } },
+  const std::map<std::string, std::pair<const char*, std::string>> jobs{
+    { "0000000000000001", { R"(\u0000)", std::string(1, '\0') } },
+    { "0000000000000002", { R"(a\u0000b)", std::string("a\0b", 3) } },
+    { "0000000000000003", { R"(\"\\\n\u007f)", "\"\\\n\x7f" } },
+    { "0000000000000004",
+      { R"(\ud83d\ude00 \u00e4)", "\xf0\x9f\x98\x80 \xc3\xa4" } },
+    { "0000000000000005", { "", "" } },
   };
   for (const auto& [job, spec] : jobs) {
-    HttpReply reply = CallHttp(Address(callerPort_),
-                               "POST",
-                               fmt::format("/p/{:016x}", job),
-                               fmt::format(R"({{"spec":"{}","bestEffort":true,
-                             "steps":[{{"count":2,"cpu":1000,"memMb":64,
-                             "estimateMs":60}}]}})",
-                                           spec.first),
-                               10s);
-    ASSERT_EQ(reply.status, 200) << reply.body;
+    ASSERT_EQ(SubmitSpec(job, spec.first).status, 200) << job;
   }
   auto specs = server_.Specs();
   EXPECT_EQ(specs.size(), 2 * jobs.size());
   for (const auto& [task, spec] : specs) {
-    EXPECT_EQ(spec, jobs.at(task.job).second) << "job " << task.job;
+    EXPECT_EQ(spec, jobs.at(task.substr(0, 16)).second) << task;
   }
 }
 
+// Guards against a server that starts tasks of a job that no caller sent: the
+// letters of an ID reached it in lower case.
+TEST_F(PlatformProcessTest, ServerGetsTheJobIdThatTheCallerSent)
+{
+  store_.Publish(Configuration(3, ""));
+  StartEntry();
+  StartAgent();
+  ASSERT_TRUE(AwaitReady());
+  for (const char* job :
+       { "00AbCdEf90000001", "00abcdef90000001", "00ABCDEF90000001" }) {
+    ASSERT_EQ(SubmitSpec(job, job).status, 200) << job;
+    EXPECT_EQ(server_.Specs()[std::string(job) + ".0.0.1"], job);
+  }
+  EXPECT_EQ(server_.Specs().size(), 6u);
+  server_.SetWork(2000);
+  auto job = std::async(std::launch::async,
+                        [this] { return SubmitSpec("00AbCdEf90000002", ""); });
+  std::this_thread::sleep_for(300ms);
+  auto cancel = [this](const std::string& aJob) {
+    return CallHttp(Address(callerPort_), "DELETE", "/p/" + aJob, "", 1s)
+      .status;
+  };
+  EXPECT_EQ(cancel("00abcdef90000002"), 410);
+  EXPECT_EQ(cancel("00AbCdEf90000002"), 200);
+  EXPECT_EQ(job.get().body, R"({"state":"cancelled"})");
+}
+
 // Guards against a job that runs on after its cancel was acknowledged: the
 // cancel reached another entry than the one that runs the job.
 TEST_F(PlatformProcessTest, CancelAtAnotherEntryEndsTheJob)
--- a/tests/protocol/wire_fields_test.cpp
+++ b/tests/protocol/wire_fields_test.cpp
@@ -67,7 +67,7 @@
         aStruct.set(aField, 1);
         return;
       default:
-        aStruct.set(aField, ++counter_);
+        aStruct.set(aField, NextNumber());
     }
   }
 
@@ -102,6 +102,12 @@
                   : number + std::string("\0\"\\\n\xc3\xa4\0", 7) + number;
   }
 
+  /**
+   * Ends in the hexadecimal digit b, so that a job ID with this number has a
+   * letter, whose case is another field.
+   */
+  std::uint32_t NextNumber() { return ++counter_ << 4 | 0xb; }
+
   std::uint32_t counter_ = 10;
 };
 
--- a/tests/soak/soak_checker.cpp
+++ b/tests/soak/soak_checker.cpp
@@ -13,9 +13,9 @@
   servers.insert(aServer);
   if (servers.size() > 1) {
     violations_.push_back(fmt::format(
-      "job {:016x} task {}: run {} starts on server {} while another run is "
+      "job {} task {}: run {} starts on server {} while another run is "
       "active on server {}",
-      aRun.task.job,
+      aRun.task.job.ToString(),
       aRun.task.index,
       aRun.run,
       aServer,
@@ -40,25 +40,27 @@
 }
 
 void
-SoakChecker::OnCompleted(std::uint64_t aJob, unsigned aTasks)
+SoakChecker::OnCompleted(const state::DispatchJobId& aJob, unsigned aTasks)
 {
   std::lock_guard lock(mutex_);
   ++completed_;
   for (std::uint32_t task = 0; task < aTasks; ++task) {
     if (!completedTasks_.contains({ aJob, 0, task })) {
-      violations_.push_back(fmt::format(
-        "job {:016x} was completed, but its task {} was not done", aJob, task));
+      violations_.push_back(
+        fmt::format("job {} was completed, but its task {} was not done",
+                    aJob.ToString(),
+                    task));
     }
   }
 }
 
 void
-SoakChecker::OnRejected(std::uint64_t aJob)
+SoakChecker::OnRejected(const state::DispatchJobId& aJob)
 {
   std::lock_guard lock(mutex_);
   if (startedJobs_.contains(aJob)) {
     violations_.push_back(fmt::format(
-      "job {:016x} was rejected, but a run of it was started", aJob));
+      "job {} was rejected, but a run of it was started", aJob.ToString()));
   }
 }
 
--- a/tests/soak/soak_checker.h
+++ b/tests/soak/soak_checker.h
@@ -22,9 +22,9 @@
                   const state::RunKey& aRun,
                   coordination::RunEndKind aKind);
   /** A caller received the answer that all tasks of the job are done. */
-  void OnCompleted(std::uint64_t aJob, unsigned aTasks);
+  void OnCompleted(const state::DispatchJobId& aJob, unsigned aTasks);
   /** The only attempt to submit the job was rejected as not run. */
-  void OnRejected(std::uint64_t aJob);
+  void OnRejected(const state::DispatchJobId& aJob);
   void AddViolation(const std::string& aMessage);
 
   std::vector<std::string> Violations() const;
@@ -33,7 +33,7 @@
 private:
   mutable std::mutex mutex_;
   std::map<state::TaskKey, std::multiset<unsigned>> runningServers_;
-  std::set<std::uint64_t> startedJobs_;
+  std::set<state::DispatchJobId> startedJobs_;
   std::set<state::TaskKey> completedTasks_;
   std::vector<std::string> violations_;
   unsigned completed_ = 0;
--- a/tests/subset/news_relay_test.cpp
+++ b/tests/subset/news_relay_test.cpp
@@ -130,7 +130,7 @@
   void ReceiveCancelled(const ProcessId& aEntry, const CancelledJob& aJob)
   {
     Node& node = nodes_.at(aEntry);
-    node.cancelled.insert(aJob.job);
+    node.cancelled.insert(aJob.job.Number());
     node.relay->OnCancelledElsewhere(aJob);
   }
 
