Check the IDs and specs of starts in the soak

The soak submitted lower-case IDs and the spec "x", so it could not show a spec or an ID that changes between a caller and a server. Callers now send IDs with letters in both cases and specs with U+0000 and escaped characters, and the checker reports a start with a name or a spec that no caller sent.

--- a/tests/platform/platform_fakes.cpp
+++ b/tests/platform/platform_fakes.cpp
@@ -342,12 +342,14 @@
       call, std::move(aRespond), std::chrono::steady_clock::now() + call.wait);
     return;
   }
-  state::RunKey run{ *platform::DecodeTaskName(
-                       std::string(body["task"].as_string())),
+  std::string task(body["task"].as_string());
+  state::RunKey run{ *platform::DecodeTaskName(task),
                      body["run"].to_number<std::uint32_t>() };
   std::string id(transport::FindHeader(aRequest.headers, "X-Expect-Instance"));
-  if (aRequest.target != "/-/run-stop" && options_.beforeStart) {
-    options_.beforeStart();
+  std::string spec(
+    body.contains("spec") ? std::string_view(body["spec"].as_string()) : "");
+  if (aRequest.target != "/-/run-stop" && options_.startOrdered) {
+    options_.startOrdered(task, spec);
   }
   std::lock_guard lock(mutex_);
   if (aRequest.target == "/-/run-stop") {
@@ -355,8 +357,7 @@
     aRespond(Respond(done ? 200 : 409, R"({"clockMs":1,"reason":"fence"})"));
     return;
   }
-  specs_[std::string(body["task"].as_string())] =
-    std::string(body["spec"].as_string());
+  specs_[task] = std::move(spec);
   aRespond(EncodeStartAnswer(server_.Start(
     { id, run, "", token, std::chrono::milliseconds(number("deadlineMs")) },
     Now())));
--- a/tests/platform/platform_fakes.h
+++ b/tests/platform/platform_fakes.h
@@ -62,8 +62,12 @@
   /** Called with the server locked when a run has started or ended. */
   std::function<void(const state::RunKey&)> runStarted;
   std::function<void(const state::RunKey&, coordination::RunEndKind)> runEnded;
-  /** Called before each start, with the server unlocked. */
-  std::function<void()> beforeStart;
+  /**
+   * Called for each order to start a run, before it is carried out, with the
+   * task name and the spec of the order and the server unlocked.
+   */
+  std::function<void(const std::string& aTask, const std::string& aSpec)>
+    startOrdered;
 };
 
 /** A FakeServer that serves the platform's HTTP calls. */
--- a/tests/soak/soak_checker.cpp
+++ b/tests/soak/soak_checker.cpp
@@ -39,6 +39,31 @@
   }
 }
 
+void
+SoakChecker::OnSubmitted(const state::DispatchJobId& aJob, std::string aSpec)
+{
+  std::lock_guard lock(mutex_);
+  submittedSpecs_[aJob.ToString()] = std::move(aSpec);
+}
+
+void
+SoakChecker::OnStartOrdered(const std::string& aTask, const std::string& aSpec)
+{
+  std::lock_guard lock(mutex_);
+  auto submitted = submittedSpecs_.find(aTask.substr(0, aTask.find('.')));
+  if (submitted == submittedSpecs_.end()) {
+    violations_.push_back(
+      fmt::format("task {} was started, but no caller sent its job", aTask));
+  } else if (submitted->second != aSpec) {
+    violations_.push_back(
+      fmt::format("task {} was started with a spec of {} bytes in place of the "
+                  "caller's {} bytes",
+                  aTask,
+                  aSpec.size(),
+                  submitted->second.size()));
+  }
+}
+
 void
 SoakChecker::OnCompleted(const state::DispatchJobId& aJob, unsigned aTasks)
 {
--- a/tests/soak/soak_checker.h
+++ b/tests/soak/soak_checker.h
@@ -21,6 +21,10 @@
   void OnRunEnded(unsigned aServer,
                   const state::RunKey& aRun,
                   coordination::RunEndKind aKind);
+  /** A caller is about to submit the job, perhaps once more. */
+  void OnSubmitted(const state::DispatchJobId& aJob, std::string aSpec);
+  /** A server was told to start a task with this name and spec. */
+  void OnStartOrdered(const std::string& aTask, const std::string& aSpec);
   /** A caller received the answer that all tasks of the job are done. */
   void OnCompleted(const state::DispatchJobId& aJob, unsigned aTasks);
   /** The only attempt to submit the job was rejected as not run. */
@@ -33,6 +37,8 @@
 private:
   mutable std::mutex mutex_;
   std::map<state::TaskKey, std::multiset<unsigned>> runningServers_;
+  /** Specs by the ID of their job. */
+  std::map<std::string, std::string> submittedSpecs_;
   std::set<state::DispatchJobId> startedJobs_;
   std::set<state::TaskKey> completedTasks_;
   std::vector<std::string> violations_;
--- a/tests/soak/soak_checker_test.cpp
+++ b/tests/soak/soak_checker_test.cpp
@@ -49,5 +49,17 @@
   EXPECT_EQ(checker.Violations().size(), 1u);
 }
 
+TEST(SoakCheckerTest, ReportsStartsThatNoCallerAskedFor)
+{
+  SoakChecker checker;
+  checker.OnSubmitted({ 0xab, 1 }, std::string("a\0b", 3));
+  checker.OnStartOrdered("00000000000000aB.0.0.1", std::string("a\0b", 3));
+  EXPECT_TRUE(checker.Violations().empty());
+  checker.OnStartOrdered("00000000000000aB.0.0.1", "a");
+  EXPECT_EQ(checker.Violations().size(), 1u);
+  checker.OnStartOrdered("00000000000000ab.0.0.1", std::string("a\0b", 3));
+  EXPECT_EQ(checker.Violations().size(), 2u);
+}
+
 }
 }
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -3,6 +3,8 @@
 #include <csignal>
 #include <fstream>
 
+#include <boost/json/serialize.hpp>
+#include <boost/json/string.hpp>
 #include <fmt/format.h>
 
 namespace greengage::testing_support {
@@ -83,8 +85,12 @@
                                  coordination::RunEndKind aKind) {
       checker_.OnRunEnded(i, aRun, aKind);
     };
-    // Expired leases on other servers must not be counted as running runs.
-    options.beforeStart = [this] { AdvanceServers(); };
+    options.startOrdered = [this](const std::string& aTask,
+                                  const std::string& aSpec) {
+      checker_.OnStartOrdered(aTask, aSpec);
+      // Expired leases on other servers must not be counted as running runs.
+      AdvanceServers();
+    };
     servers_.push_back(
       std::make_unique<FakeServerProcess>(traffic_, std::move(options)));
     proxies_.push_back(
@@ -175,25 +181,40 @@
 }
 
 int
-SoakFleet::Submit(unsigned aEntry, std::uint64_t aJob, unsigned aTasks)
+SoakFleet::Submit(unsigned aEntry,
+                  const state::DispatchJobId& aJob,
+                  unsigned aTasks)
 {
+  // U+0000 and characters that JSON escapes must reach the servers too.
+  std::string spec = fmt::format("a{}\"{}\n", '\0', aJob.ToString());
+  checker_.OnSubmitted(aJob, spec);
   return CallHttp(callerAddresses_[aEntry],
                   "POST",
-                  fmt::format("/p/{:016x}", aJob),
-                  fmt::format(R"({{"spec":"x","bestEffort":true,"steps":[{{
+                  "/p/" + aJob.ToString(),
+                  fmt::format(R"({{"spec":{},"bestEffort":true,"steps":[{{
                "count":{},"cpu":1000,"memMb":64,"estimateMs":60}}]}})",
+                              boost::json::serialize(boost::json::string(spec)),
                               aTasks),
                   std::chrono::milliseconds(kDeadlineMs),
                   fmt::format("X-Deadline-Ms: {}\r\n", kDeadlineMs))
     .status;
 }
 
+state::DispatchJobId
+SoakFleet::NextJobId()
+{
+  // Multiplication by an odd number maps different counts to different IDs.
+  constexpr std::uint64_t kSpread = 0x9e3779b97f4a7c15;
+  std::uint64_t number = nextJob_++ * kSpread;
+  return { number, static_cast<std::uint16_t>(number >> 7) };
+}
+
 void
 SoakFleet::RunCaller(std::uint64_t aSeed)
 {
   std::mt19937_64 random(aSeed);
   while (isCalling_) {
-    std::uint64_t job = nextJob_++;
+    state::DispatchJobId job = NextJobId();
     unsigned tasks = 1 + RandomBelow(random, 4);
     bool rejected = false;
     for (unsigned attempt = 0; attempt < kAttempts; ++attempt) {
@@ -356,7 +377,7 @@
 {
   for (unsigned entry = 0; entry < kEntries; ++entry) {
     bool served =
-      WaitUntil([&] { return Submit(entry, nextJob_++, 1) == 200; }, aTimeout);
+      WaitUntil([&] { return Submit(entry, NextJobId(), 1) == 200; }, aTimeout);
     if (!served) {
       return false;
     }
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -61,7 +61,11 @@
   void InjectStoreFaults(std::uint64_t aSeed);
   void RunCaller(std::uint64_t aSeed);
   /** Submits a job once; returns the HTTP status, 0 if there was no answer. */
-  int Submit(unsigned aEntry, std::uint64_t aJob, unsigned aTasks);
+  int Submit(unsigned aEntry,
+             const state::DispatchJobId& aJob,
+             unsigned aTasks);
+  /** Returns a new ID with letters in upper and lower case. */
+  state::DispatchJobId NextJobId();
   /**
    * Returns a port that no concurrent test and no outgoing connection uses,
    * even while no process listens on it.
