--- a/tests/protocol/wire_fields_test.cpp
+++ b/tests/protocol/wire_fields_test.cpp
@@ -19,7 +19,6 @@
 
 using ::capnp::DynamicList;
 using ::capnp::DynamicStruct;
-using ::capnp::DynamicValue;
 using ::capnp::StructSchema;
 
 std::string
