--- a/src/coordination/dispatch/job_dispatcher.cpp
+++ b/src/coordination/dispatch/job_dispatcher.cpp
@@ -83,14 +83,6 @@
   SetReportPeriod();
 }
 
-void
-JobDispatcher::SetReportPeriod()
-{
-  std::size_t local = servers_.CountIn(settings_.dataCentre);
-  orders_.SetReportPeriod(
-    ReportPeriod(settings_.processorCores, local, servers_.Count() - local));
-}
-
 void
 JobDispatcher::Submit(SubmissionId aSubmission,
                       const state::WorkQueue& aQueue,
@@ -273,91 +265,6 @@
   return static_cast<std::size_t>(pending);
 }
 
-void
-JobDispatcher::OnAgent(const ProcessInfo& aAgent)
-{
-  auto older = servers_.OlderOnAddress(aAgent);
-  if (older) {
-    OnAgentLost(*older);
-  }
-  bool isNew = !servers_.Contains(aAgent.id);
-  servers_.OnAgent(aAgent);
-  SetReportPeriod();
-  if (isNew && orders_.ReportPeriod() > kShortestReportPeriod) {
-    // Until it knows the period, the agent reports as often as it can.
-    orders_.AddKeepAlive(aAgent.id);
-  }
-}
-
-void
-JobDispatcher::OnAgentLost(const ProcessId& aAgent)
-{
-  if (!servers_.Contains(aAgent)) {
-    return;
-  }
-  auto runs = servers_.OnAgentLost(aAgent);
-  std::set<state::DispatchJobId> lost;
-  for (const RunKey& run : runs) {
-    lost.insert(run.task.job);
-  }
-  // An agent that was lost by mistake returns with these runs.
-  for (const RunKey& run : runs) {
-    pendingStops_.OnSent(aAgent, run);
-  }
-  for (state::DispatchJobId id : lost) {
-    // The server may continue the runs until their leases expire, which is too
-    // late to start the tasks elsewhere.
-    End(id, FailedOutcome(DispatchReason::eServerLost));
-  }
-  RemoveAgent(aAgent);
-  PlaceWaitingJobs();
-  orders_.Send();
-}
-
-void
-JobDispatcher::RemoveAgent(const ProcessId& aAgent)
-{
-  servers_.OnAgentLost(aAgent);
-  orders_.RemoveAgent(aAgent);
-  reportTimes_.RemoveAgent(aAgent);
-  SetReportPeriod();
-}
-
-void
-JobDispatcher::RemoveReleasedAgents()
-{
-  for (const ProcessId& agent : servers_.ReleasedAgents()) {
-    // A stop is repeated only to a known agent.
-    if (!pendingStops_.HasAgent(agent)) {
-      RemoveAgent(agent);
-      if (hooks_.agentReleased) {
-        hooks_.agentReleased(agent);
-      }
-    }
-  }
-}
-
-void
-JobDispatcher::OnAgentDisconnected(const ProcessId& aAgent)
-{
-  auto runs = servers_.RunsOn(aAgent);
-  if (runs.empty()) {
-    return;
-  }
-  // A check keeps a run that the agent has, so a run whose stop may be lost is
-  // ordered to stop again instead.
-  std::vector<RunKey> checks;
-  for (const RunKey& run : runs) {
-    if (pendingStops_.Contains(aAgent, run)) {
-      StopRun(aAgent, run);
-    } else {
-      checks.push_back(run);
-    }
-  }
-  orders_.AddChecks(aAgent, checks);
-  orders_.Send();
-}
-
 void
 JobDispatcher::Enqueue(DispatchedJob& aJob)
 {
--- a/src/coordination/dispatch/server_pool.cpp
+++ b/src/coordination/dispatch/server_pool.cpp
@@ -32,26 +32,11 @@
  * the cost of using a fast server for a task that a slow one could run.
  */
 constexpr double kRiskCost = 10;
-/** Consecutive failures, of any jobs, that eject a server. */
-constexpr unsigned kFailuresToEject = 3;
-constexpr milliseconds kFirstEjection{ 1000 };
-constexpr unsigned kMaxEjectionDoublings = 4;
-/** Cooldown after a refused start; a new report arrives within this time. */
-constexpr milliseconds kRefusedCooldown{ 50 };
-/**
- * Runs that become overdue within this time have one cause. It covers the delay
- * of the ends after a lost answer to a renewal.
- */
-constexpr milliseconds kOverdueWindow{ 250 };
-/** Limit of the cooldown after refusals for want of capacity. */
-constexpr unsigned kMaxRefusalDoublings = 3;
 /**
  * Cost of a suspect for each run that would be lost with its server, in units
  * of log(speed). It exceeds the other costs.
  */
 constexpr double kLostRunCost = 2;
-/** Cooldown for suspects after an agent refused one; it may have another. */
-constexpr milliseconds kSuspectCooldown{ 100 };
 /**
  * Agents repeat their description every 3 s. One that sends none for this time
  * has released its server, and its last report was lost.
@@ -303,91 +288,6 @@
   return true;
 }
 
-void
-ServerPool::OnCapacityRefused(const ProcessId& aServer,
-                              const ResourceAmount& aNeed)
-{
-  auto found = servers_.find(aServer);
-  if (found == servers_.end() || !found->second.description) {
-    return;
-  }
-  Server& server = found->second;
-  if (!Fits(aNeed,
-            server.description->capacity -
-              (server.usedByOthers + server.usedByEntry))) {
-    return;
-  }
-  server.cooldownUntil =
-    clock_.MonotonicNow() + kRefusedCooldown * (1u << server.capacityRefusals);
-  server.capacityRefusals =
-    std::min(server.capacityRefusals + 1, kMaxRefusalDoublings);
-}
-
-void
-ServerPool::OnRunDone(const ProcessId& aServer)
-{
-  Server& server = servers_[aServer];
-  server.failuresInRow = 0;
-  server.capacityRefusals = 0;
-  server.ejections = 0;
-}
-
-void
-ServerPool::OnRunOverdue(const ProcessId& aServer)
-{
-  auto now = clock_.MonotonicNow();
-  Server& server = servers_[aServer];
-  if (now - server.overdueAt >= kOverdueWindow) {
-    server.overdueAt = now;
-    OnRunFailed(aServer);
-  }
-}
-
-void
-ServerPool::OnRunFailed(const ProcessId& aServer)
-{
-  Server& server = servers_[aServer];
-  if (server.ejections > 0 && clock_.MonotonicNow() < server.cooldownUntil) {
-    return;
-  }
-  ++server.failuresInRow;
-  bool onTrial = server.ejections > 0;
-  if (server.failuresInRow < kFailuresToEject && !onTrial) {
-    return;
-  }
-  auto pause =
-    kFirstEjection * (1 << std::min(server.ejections, kMaxEjectionDoublings));
-  server.cooldownUntil = clock_.MonotonicNow() + pause;
-  server.failuresInRow = 0;
-  ++server.ejections;
-}
-
-void
-ServerPool::OnCrashed(const ProcessId& aServer)
-{
-  auto server = servers_.find(aServer);
-  if (server != servers_.end()) {
-    server->second.failuresInRow = 0;
-    server->second.ejections = 0;
-    server->second.cooldownUntil = {};
-  }
-}
-
-void
-ServerPool::OnRefused(const ProcessId& aServer)
-{
-  Server& server = servers_[aServer];
-  server.cooldownUntil =
-    std::max(server.cooldownUntil, clock_.MonotonicNow() + kRefusedCooldown);
-}
-
-void
-ServerPool::OnSuspectRefused(const ProcessId& aServer)
-{
-  servers_[aServer].suspectCooldownUntil =
-    clock_.MonotonicNow() + kSuspectCooldown;
-}
-
 std::vector<RunKey>
 ServerPool::RunsOn(const ProcessId& aServer) const
 {
