Limit a job by the time that its caller states

Cause: a job had the shorter of its caller's X-Deadline-Ms and its queue's timeoutMs. Callers state 1 to 9 s by the size of their job, the timeout is 1.5 s for all, so each job whose longest task needed more than 1.5 s was failed on idle servers as soon as its progress showed it. Change: what the caller states goes first; the timeout of the queue applies to callers that state nothing. An entry that is stopping limits new jobs to the time that it has left and rejects those that need longer.

--- a/fuzz/platform_codec_fuzz.cpp
+++ b/fuzz/platform_codec_fuzz.cpp
@@ -55,7 +55,11 @@
   auto now = clock.MonotonicNow();
   for (const state::WorkQueue& queue : aQueues) {
     auto job = coordination::MakeDispatchedJob(
-      aRequest.job, queue, model, now, aRequest.callerTimeout);
+      aRequest.job,
+      queue,
+      model,
+      now,
+      coordination::TimeLimit(queue, aRequest.callerTimeout));
     Require(job.deadline >= now && job.objectiveAt >= now &&
             job.usefulUntil >= now && job.latestStart <= job.deadline);
   }
--- a/src/coordination/dispatch/dispatched_job.cpp
+++ b/src/coordination/dispatch/dispatched_job.cpp
@@ -41,6 +41,8 @@
  * upper limit, and sums of times in nanoseconds overflow after 292 years.
  */
 constexpr std::chrono::milliseconds kLongestTime = std::chrono::days(100);
+/** Applies if neither the caller nor the queue states a timeout. */
+constexpr milliseconds kDefaultTimeLimit{ 60'000 };
 /** Answers after this multiple of the objective have no value. */
 constexpr int kUsefulObjectives = 3;
 
@@ -70,6 +72,16 @@
   return std::chrono::duration<double, std::milli>(aTo - aFrom).count();
 }
 
+milliseconds
+TimeLimit(const state::WorkQueue& aQueue,
+          std::optional<milliseconds> aCallerTimeout)
+{
+  if (aCallerTimeout) {
+    return *aCallerTimeout;
+  }
+  return aQueue.timeout.count() > 0 ? aQueue.timeout : kDefaultTimeLimit;
+}
+
 DispatchedJob
 MakeDispatchedJob(state::DispatchJob aSpec,
                   const state::WorkQueue& aQueue,
@@ -94,14 +106,10 @@
     job.workMs = std::max(job.workMs, chain.back());
     job.steps.push_back(std::move(step));
   }
-  milliseconds timeout = aTimeout;
-  if (aQueue.timeout.count() > 0) {
-    timeout = std::min(timeout, aQueue.timeout);
-  }
   auto objective = ToMilliseconds(aQueue.objectiveStretch * job.workMs) +
                    aQueue.objectiveMargin;
   job.submittedAt = aNow;
-  job.deadline = aNow + timeout;
+  job.deadline = aNow + aTimeout;
   job.objectiveAt = aNow + objective;
   job.usefulUntil =
     std::min(job.deadline, aNow + kUsefulObjectives * objective);
--- a/src/coordination/dispatch/dispatched_job.h
+++ b/src/coordination/dispatch/dispatched_job.h
@@ -95,10 +95,20 @@
   std::set<state::ProcessId> failedOn;
 };
 
+/**
+ * Returns the longest time until the answer. What the caller states goes first:
+ * callers state more for larger jobs, and the timeout of the queue is the same
+ * for all of them.
+ * @param aCallerTimeout empty if the caller states none
+ */
+std::chrono::milliseconds
+TimeLimit(const state::WorkQueue& aQueue,
+          std::optional<std::chrono::milliseconds> aCallerTimeout);
+
 /**
  * Creates the state of a newly submitted job, with its objective and the times
  * derived from it.
- * @param aTimeout the time that the caller waits for the answer
+ * @param aTimeout the time until the answer
  */
 DispatchedJob
 MakeDispatchedJob(state::DispatchJob aSpec,
--- a/src/coordination/dispatch/job_dispatcher.cpp
+++ b/src/coordination/dispatch/job_dispatcher.cpp
@@ -87,7 +87,7 @@
 JobDispatcher::Submit(SubmissionId aSubmission,
                       const state::WorkQueue& aQueue,
                       state::DispatchJob aJob,
-                      milliseconds aTimeout,
+                      std::optional<milliseconds> aCallerTimeout,
                       milliseconds aAge)
 {
   state::DispatchJobId id = aJob.id;
@@ -100,12 +100,13 @@
   }
   // The caller has been waiting since before the request was read, and may have
   // been cut off without a notice, so its runs must not outlive its timeout.
+  milliseconds timeLeft = TimeLimit(aQueue, aCallerTimeout) - aAge;
   auto job =
     std::make_unique<DispatchedJob>(MakeDispatchedJob(std::move(aJob),
                                                       aQueue,
                                                       servers_.Model(),
                                                       clock_.MonotonicNow(),
-                                                      aTimeout - aAge));
+                                                      timeLeft));
   job->submissions.push_back(aSubmission);
   ContinueRunNumbers(*job);
   pauses_.Check();
--- a/src/coordination/dispatch/job_dispatcher.h
+++ b/src/coordination/dispatch/job_dispatcher.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -93,14 +94,15 @@
 
   /**
    * Accepts a job, or rejects it immediately if it cannot be served in time.
-   * @param aTimeout the time that the caller waits for the answer
+   * @param aCallerTimeout the time that the caller waits for the answer; empty
+   * if it states none
    * @param aAge time since the request was read from its connection; the
    * timeout counts from then
    */
   void Submit(SubmissionId aSubmission,
               const state::WorkQueue& aQueue,
               state::DispatchJob aJob,
-              std::chrono::milliseconds aTimeout,
+              std::optional<std::chrono::milliseconds> aCallerTimeout,
               std::chrono::milliseconds aAge = std::chrono::milliseconds(0));
   /** Removes a lost caller; the job ends if no other caller waits for it. */
   void Abandon(SubmissionId aSubmission);
--- a/src/daemon/dispatch/dispatch_entry_process.cpp
+++ b/src/daemon/dispatch/dispatch_entry_process.cpp
@@ -287,8 +287,18 @@
   submissionByRequestNumber_[aRequestNumber] = submission;
   auto age = std::chrono::duration_cast<milliseconds>(clock_.MonotonicNow() -
                                                       aRequest.readAt);
-  dispatcher_.Submit(
-    submission, aQueue, aRequest.job, aRequest.callerTimeout, age);
+  auto timeout = aRequest.callerTimeout;
+  if (onStopped_) {
+    timeout = std::min(TimeLimit(aQueue, timeout), StopTimeLeft());
+  }
+  dispatcher_.Submit(submission, aQueue, aRequest.job, timeout, age);
+}
+
+milliseconds
+DispatchEntryProcess::StopTimeLeft() const
+{
+  return std::chrono::duration_cast<milliseconds>(
+    stopRequestedAt_ + kStopTimeout - clock_.MonotonicNow());
 }
 
 void
--- a/src/daemon/dispatch/dispatch_entry_process.h
+++ b/src/daemon/dispatch/dispatch_entry_process.h
@@ -58,8 +58,8 @@
   state::DispatchJob job;
   /** True if this version does not support the kind of job. */
   bool unsupported = false;
-  /** Time that the caller waits for the answer. */
-  std::chrono::milliseconds callerTimeout{ 0 };
+  /** Time that the caller waits for the answer; empty if it states none. */
+  std::optional<std::chrono::milliseconds> callerTimeout;
   /** Time at which the request was read; set by DispatchEntryProcess. */
   state::MonotonicTime readAt{};
   std::size_t bodyBytes = 0;
@@ -159,6 +159,11 @@
   void OnTick();
   void CheckContactTimeouts();
   void UpdateReady();
+  /**
+   * Returns the time until a process that is stopping ends. A job that needs
+   * longer is rejected, since its caller would get no answer.
+   */
+  std::chrono::milliseconds StopTimeLeft() const;
   void FinishStop();
 
   DispatchEntrySettings settings_;
--- a/src/state/dispatch/dispatch_configuration.h
+++ b/src/state/dispatch/dispatch_configuration.h
@@ -21,7 +21,9 @@
   std::uint32_t priority = 0;
   /** Number of failed runs of a task after which its job fails. */
   std::uint32_t maxAttempts = 1;
-  /** Longest time until the answer; 0: not limited. */
+  /**
+   * Longest time until the answer for callers that state none; 0: not given.
+   */
   std::chrono::milliseconds timeout{ 0 };
   /** Objective = objectiveStretch x run time of the job + objectiveMargin. */
   double objectiveStretch = 1;
--- a/tests/platform/odd_input_test.cpp
+++ b/tests/platform/odd_input_test.cpp
@@ -96,7 +96,10 @@
     late.headers = { { "X-Deadline-Ms", odd } };
     auto request = DecodeCallerRequest(late);
     ASSERT_TRUE(request);
-    EXPECT_EQ(request->callerTimeout, std::chrono::milliseconds(60'000)) << odd;
+    EXPECT_EQ(request->callerTimeout, std::nullopt) << odd;
+    EXPECT_EQ(coordination::TimeLimit({}, request->callerTimeout),
+              std::chrono::milliseconds(60'000))
+      << odd;
   }
 }
 
