--- a/src/coordination/dispatch/dispatch_messages.h
+++ b/src/coordination/dispatch/dispatch_messages.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "state/dispatch/dispatch_job.h"
+#include "state/dispatch/evacuation_state.h"
 #include "state/process_id.h"
 
 namespace greengage::coordination {
@@ -63,6 +64,8 @@
    * agent; 0: unknown, also from entries of the previous version.
    */
   std::uint64_t confirmedAtMs = 0;
+  /** The evacuations that the entry knows, if they are to be passed on. */
+  std::optional<state::EvacuationState> evacuation;
 
   auto operator<=>(const DispatchOrders&) const = default;
 };
@@ -207,6 +210,8 @@
    * no runs of it and sends no further reports.
    */
   bool isReleased = false;
+  /** The evacuations that the agent knows; sent with the description. */
+  std::optional<state::EvacuationState> evacuation;
 
   auto operator<=>(const ServerReport&) const = default;
 };
@@ -236,6 +241,7 @@
 {
   std::vector<ReportedCrash> crashes;
   std::vector<CancelledJob> cancelledJobs;
+  std::optional<state::EvacuationState> evacuation;
 
   auto operator<=>(const EntryNews&) const = default;
 };
--- a/src/coordination/dispatch/entry_reporter.cpp
+++ b/src/coordination/dispatch/entry_reporter.cpp
@@ -231,6 +231,9 @@
   if (NeedsDescription(aEntry)) {
     report.description = description_;
     aEntry.descriptionSentAt = now;
+  } else {
+    // Reports of the used capacity are frequent and stay small.
+    report.evacuation.reset();
   }
   report.ends = std::move(aEntry.ends);
   aEntry.ends.clear();
--- a/src/coordination/dispatch/job_dispatcher.cpp
+++ b/src/coordination/dispatch/job_dispatcher.cpp
@@ -54,6 +54,10 @@
               RecordPlacements(aAgent, aOrders);
               aOrders.confirmedAtMs =
                 reportTimes_.Confirmed(aAgent, IsBehind());
+              auto evacuation = unsentEvacuations_.extract(aAgent);
+              if (!evacuation.empty()) {
+                aOrders.evacuation = std::move(evacuation.mapped());
+              }
               hooks_.send(aAgent, std::move(aOrders));
             })
   , pendingStops_(aClock)
@@ -123,7 +127,11 @@
     return;
   }
   if (reject != DispatchReason::eNone) {
-    End(id, { DispatchResult::eRejected, reject, RetryAfter() });
+    End(
+      id,
+      { DispatchResult::eRejected,
+        reject,
+        reject == DispatchReason::eEvacuated ? kMaxRetryAfter : RetryAfter() });
     return;
   }
   RecordSubmission(reference, aAge);
@@ -155,7 +163,8 @@
         // The capacity of a server may grow again in time.
         continue;
       }
-      return DispatchReason::eImpossible;
+      return servers_.FitsOnlyEvacuated(request) ? DispatchReason::eEvacuated
+                                                 : DispatchReason::eImpossible;
     }
     if (*shortest > request.latestMs) {
       return DispatchReason::eTooLate;
@@ -368,6 +377,11 @@
                          DispatchOutcome{ DispatchResult::eRejected,
                                           DispatchReason::eOverload,
                                           RetryAfter() });
+    } else if (!job->started && NeedsEvacuated(*job)) {
+      ended.emplace_back(id,
+                         DispatchOutcome{ DispatchResult::eRejected,
+                                          DispatchReason::eEvacuated,
+                                          kMaxRetryAfter });
     } else if (now >= job->deadline) {
       auto result =
         job->started ? DispatchResult::eFailed : DispatchResult::eRejected;
--- a/src/coordination/dispatch/job_dispatcher.h
+++ b/src/coordination/dispatch/job_dispatcher.h
@@ -126,6 +126,15 @@
    */
   void OnEntryNews(const EntryNews& aNews);
 
+  /**
+   * Places nothing in the evacuated data centres. Runs that exist there
+   * continue; jobs that could run only there and have not started are rejected.
+   */
+  void SetEvacuated(const std::set<std::string>& aDataCentres);
+  /** Sends the evacuations to an agent at once, with a heartbeat. */
+  void SendEvacuation(const state::ProcessId& aAgent,
+                      const state::EvacuationState& aState);
+
   /** Must be called every 25 ms. */
   void Tick();
 
@@ -138,6 +147,8 @@
   /** Returns the reason to reject a new job; eNone if it is accepted. */
   state::DispatchReason ReasonToReject(const DispatchedJob& aJob,
                                        std::chrono::milliseconds aAge) const;
+  /** Returns true if a task could run in evacuated data centres only. */
+  bool NeedsEvacuated(const DispatchedJob& aJob) const;
   void RecordSubmission(const DispatchedJob& aJob,
                         std::chrono::milliseconds aAge) const;
   /**
@@ -233,6 +244,8 @@
   std::map<state::DispatchJobId, std::unique_ptr<DispatchedJob>> jobs_;
   std::map<SubmissionId, state::DispatchJobId> submissions_;
   std::set<WaitingKey> waiting_;
+  /** Evacuations to be sent with the next message to an agent. */
+  std::map<state::ProcessId, state::EvacuationState> unsentEvacuations_;
   state::MonotonicTime createdAt_;
 };
 
--- a/src/coordination/dispatch/job_dispatcher_agents.cpp
+++ b/src/coordination/dispatch/job_dispatcher_agents.cpp
@@ -61,6 +61,7 @@
 {
   servers_.OnAgentLost(aAgent);
   orders_.RemoveAgent(aAgent);
+  unsentEvacuations_.erase(aAgent);
   reportTimes_.RemoveAgent(aAgent);
   SetReportPeriod();
 }
@@ -79,6 +80,35 @@
   }
 }
 
+void
+JobDispatcher::SetEvacuated(const std::set<std::string>& aDataCentres)
+{
+  servers_.SetEvacuated(aDataCentres);
+  Tick();
+}
+
+void
+JobDispatcher::SendEvacuation(const ProcessId& aAgent,
+                              const state::EvacuationState& aState)
+{
+  if (servers_.Contains(aAgent)) {
+    unsentEvacuations_.insert_or_assign(aAgent, aState);
+    orders_.AddKeepAlive(aAgent);
+    orders_.Send();
+  }
+}
+
+bool
+JobDispatcher::NeedsEvacuated(const DispatchedJob& aJob) const
+{
+  for (std::size_t i = 0; i < aJob.steps.size(); ++i) {
+    if (servers_.FitsOnlyEvacuated(placer_.RequestFor(aJob, i))) {
+      return true;
+    }
+  }
+  return false;
+}
+
 void
 JobDispatcher::OnAgentDisconnected(const ProcessId& aAgent)
 {
--- a/src/coordination/dispatch/run_controller.cpp
+++ b/src/coordination/dispatch/run_controller.cpp
@@ -57,7 +57,8 @@
   if (!server_ || !reachable_ || hasLeft_ || !isAnnounced_) {
     return ServerCondition::eUnreachable;
   }
-  if (serverDraining_ || draining_) {
+  // Entries of the previous version know this condition too.
+  if (serverDraining_ || draining_ || IsEvacuated()) {
     return ServerCondition::eDraining;
   }
   return answerMonitor_.IsReliable() ? ServerCondition::eReady
@@ -91,6 +92,7 @@
   }
   sequence_ = aAnnouncement.sequence;
   serverDraining_ = aAnnouncement.draining;
+  OnColdServer(aAnnouncement.coldLeft, !isSameIncarnation);
   crashDetector_.OnAnnouncement(serverDraining_);
   if (!isSameIncarnation) {
     reachable_ = true;
@@ -203,6 +205,7 @@
   }
   ReleaseExpiredRuns();
   RenewLeases();
+  UpdateRamp();
   std::erase_if(released_, [now](const auto& aRun) {
     return now - aRun.second >= kReleasedRetention;
   });
@@ -245,7 +248,7 @@
 state::ResourceAmount
 RunController::Used() const
 {
-  return KnowsAllRuns() || !server_ ? used_ : server_->capacity;
+  return KnowsAllRuns() || !server_ ? used_ + Withheld() : server_->capacity;
 }
 
 void
@@ -267,6 +270,9 @@
   ServerReport report;
   report.condition = Condition();
   report.usedByOthers = Used();
+  if (evacuation_.IsKnown()) {
+    report.evacuation = evacuation_;
+  }
   for (const auto& [key, run] : runs_) {
     if (run.entry == aEntry) {
       report.usedByOthers = report.usedByOthers - run.need;
--- a/src/coordination/dispatch/run_controller.h
+++ b/src/coordination/dispatch/run_controller.h
@@ -17,6 +17,8 @@
 #include "coordination/dispatch/pause_detector.h"
 #include "coordination/dispatch/run_release.h"
 #include "coordination/dispatch/server_messages.h"
+#include "coordination/evacuation/cold_ramp.h"
+#include "coordination/evacuation/evacuation_change.h"
 #include "state/clock.h"
 #include "state/process_id.h"
 
@@ -49,6 +51,8 @@
    * callers.
    */
   std::chrono::milliseconds maxContactAge{ 900 };
+  /** Data centre of the server; no run is started while it is evacuated. */
+  std::string dataCentre;
 
   auto operator<=>(const RunControllerSettings&) const = default;
 };
@@ -87,6 +91,8 @@
   std::function<void(std::chrono::milliseconds)> paused;
   /** Called after the last report to an entry; may be empty. */
   std::function<void(const state::ProcessId& aEntry)> entryReleased;
+  /** Called when the set of evacuated data centres changes; may be empty. */
+  std::function<void(const EvacuationChange&)> evacuationChanged;
 };
 
 /**
@@ -152,6 +158,7 @@
   }
   ServerCondition Condition() const;
   const std::optional<ServerDescription>& Server() const { return server_; }
+  const state::EvacuationState& Evacuation() const { return evacuation_; }
 
 private:
   enum class Phase
@@ -318,6 +325,21 @@
   void Renew(std::chrono::milliseconds aWait);
   void RenewLeases();
   void StopRunsOfTimedOutEntries();
+  /**
+   * Applies the state of an entry if it is newer. Existing runs continue; start
+   * orders are refused while the data centre is evacuated.
+   */
+  void OnEvacuation(const state::ProcessId& aFrom,
+                    const state::EvacuationState& aState);
+  bool IsEvacuated() const;
+  /** Records how long the server remains slow; may begin a ramp. */
+  void OnColdServer(std::chrono::milliseconds aColdLeft,
+                    bool aIsNewIncarnation);
+  void BeginRamp();
+  /** Reports the capacity that becomes usable in a ramp. */
+  void UpdateRamp();
+  /** Returns the capacity that runs may not use yet. */
+  state::ResourceAmount Withheld() const;
   /** Ends the reports to entries that are not chosen and have no runs. */
   void ReleaseEntries();
   /**
@@ -370,6 +392,12 @@
   bool serverDraining_ = false;
   bool draining_ = false;
   bool reachable_ = true;
+  /** The newest state that an entry has sent. */
+  state::EvacuationState evacuation_;
+  std::optional<state::MonotonicTime> evacuationEndedAt_;
+  /** Time until which the server is slow after its start. */
+  state::MonotonicTime coldUntil_;
+  std::optional<ColdRamp> ramp_;
   /** Server clock minus the clock of this process. */
   std::chrono::milliseconds clockOffset_{ 0 };
 
--- a/src/coordination/dispatch/run_controller_orders.cpp
+++ b/src/coordination/dispatch/run_controller_orders.cpp
@@ -75,6 +75,9 @@
   OrderContact contact = ContactOf(aOrders, clock_.MonotonicNow());
   reporter_.OnMessage(aEntry, contact, milliseconds(aOrders.reportPeriodMs));
   pauses_.Check();
+  if (aOrders.evacuation) {
+    OnEvacuation(aEntry, *aOrders.evacuation);
+  }
   if (!aOrders.starts.empty()) {
     reporter_.OnStartOrdered(aEntry);
   }
@@ -113,6 +116,13 @@
     Refuse(aEntry, key, RunEndKind::eUnanswered, "stale_order", age);
     return;
   }
+  if (IsEvacuated()) {
+    // The description comes with the evacuations, of which the entry may not
+    // know yet.
+    reporter_.RepeatDescription(aEntry);
+    Refuse(aEntry, key, RunEndKind::eRefused, "evacuated", age);
+    return;
+  }
   if (!AcceptsRuns(Condition())) {
     Refuse(aEntry, key, RunEndKind::eRefused, "server_not_ready", age);
     return;
@@ -135,7 +145,7 @@
     Refuse(aEntry, key, RunEndKind::eNoFreeCapacity, "suspect_runs_here", age);
     return;
   }
-  if (!Fits(aBatch.need, server_->capacity - used_)) {
+  if (!Fits(aBatch.need, server_->capacity - (used_ + Withheld()))) {
     reporter_.RepeatDescription(aEntry);
     Refuse(aEntry, key, RunEndKind::eNoFreeCapacity, "no_room", age);
     return;
--- a/src/coordination/dispatch/server_messages.h
+++ b/src/coordination/dispatch/server_messages.h
@@ -22,6 +22,8 @@
   std::uint64_t sequence = 0;
   /** Clock of the server, on which leases are based. */
   std::chrono::milliseconds serverClock{ 0 };
+  /** Time for which the server remains slow after its start. */
+  std::chrono::milliseconds coldLeft{ 0 };
 
   auto operator<=>(const ServerAnnouncement&) const = default;
 };
--- a/src/coordination/dispatch/server_pool.cpp
+++ b/src/coordination/dispatch/server_pool.cpp
@@ -94,11 +94,10 @@
 }
 
 bool
-ServerPool::IsSuitable(const Server& aServer, const PlacementRequest& aRequest)
+ServerPool::IsMatching(const Server& aServer, const PlacementRequest& aRequest)
 {
-  if (!aServer.description || !AcceptsRuns(aServer.condition) ||
-      aServer.isReleased || aServer.description->service != aRequest.service ||
-      aServer.agent.id == aRequest.excludedServer) {
+  if (!aServer.description || aServer.isReleased ||
+      aServer.description->service != aRequest.service) {
     return false;
   }
   const auto& labels = aServer.description->labels;
@@ -107,6 +106,14 @@
            labels.end();
 }
 
+bool
+ServerPool::IsSuitable(const Server& aServer,
+                       const PlacementRequest& aRequest) const
+{
+  return IsMatching(aServer, aRequest) && AcceptsRuns(aServer.condition) &&
+         !IsEvacuated(aServer) && aServer.agent.id != aRequest.excludedServer;
+}
+
 bool
 ServerPool::IsUsable(const Server& aServer,
                      const PlacementRequest& aRequest) const
@@ -331,10 +338,11 @@
 std::size_t
 ServerPool::ReadyServers() const
 {
-  auto ready =
-    std::count_if(servers_.begin(), servers_.end(), [](const auto& aServer) {
+  auto ready = std::count_if(
+    servers_.begin(), servers_.end(), [this](const auto& aServer) {
       return aServer.second.description &&
-             AcceptsRuns(aServer.second.condition);
+             AcceptsRuns(aServer.second.condition) &&
+             !IsEvacuated(aServer.second);
     });
   return static_cast<std::size_t>(ready);
 }
@@ -359,7 +367,8 @@
                       server.usedByOthers + server.usedByEntry,
                       server.runs.size(),
                       server.failuresInRow,
-                      std::chrono::duration_cast<milliseconds>(cooldown) });
+                      std::chrono::duration_cast<milliseconds>(cooldown),
+                      IsEvacuated(server) });
   }
   return views;
 }
--- a/src/coordination/dispatch/server_pool.h
+++ b/src/coordination/dispatch/server_pool.h
@@ -57,6 +57,8 @@
   unsigned failuresInRow = 0;
   /** Remaining time without new runs after failures. */
   std::chrono::milliseconds cooldown{ 0 };
+  /** Its data centre is evacuated, so that it gets no new runs. */
+  bool isEvacuated = false;
 
   auto operator<=>(const ServerView&) const = default;
 };
@@ -99,6 +101,18 @@
    * for the task, now or earlier.
    */
   bool HasFittedBefore(const PlacementRequest& aRequest) const;
+  /**
+   * Sets the data centres whose servers get no new runs and count as no
+   * capacity.
+   */
+  void SetEvacuated(std::set<std::string> aDataCentres);
+  /**
+   * Returns true if only servers in evacuated data centres have announced
+   * enough capacity for the task.
+   */
+  bool FitsOnlyEvacuated(const PlacementRequest& aRequest) const;
+  /** Returns true if a known server is in an evacuated data centre. */
+  bool HasEvacuatedServer() const;
 
   void OnRunSent(const state::ProcessId& aServer,
                  const state::RunKey& aRun,
@@ -196,9 +210,16 @@
     unsigned ejections = 0;
   };
 
-  /** Returns true if the server may run the task, whatever its capacity. */
-  static bool IsSuitable(const Server& aServer,
+  bool IsEvacuated(const Server& aServer) const
+  {
+    return evacuated_.contains(aServer.agent.dataCentre);
+  }
+  /** Returns true if the server has the service and label of the task. */
+  static bool IsMatching(const Server& aServer,
                          const PlacementRequest& aRequest);
+  /** Returns true if the server may run the task, whatever its capacity. */
+  bool IsSuitable(const Server& aServer,
+                  const PlacementRequest& aRequest) const;
   bool IsUsable(const Server& aServer, const PlacementRequest& aRequest) const;
   /** Also false during a cooldown or after a contact timeout. */
   bool HasFreeCapacity(const Server& aServer,
@@ -225,6 +246,7 @@
   const state::Clock& clock_;
   RunTimeModel model_;
   std::map<state::ProcessId, Server> servers_;
+  std::set<std::string> evacuated_;
   /**
    * Addresses of the agents whose servers a limited queue may use, by queue and
    * required label.
--- a/src/coordination/dispatch/server_pool_isolation.cpp
+++ b/src/coordination/dispatch/server_pool_isolation.cpp
@@ -52,7 +52,9 @@
 {
   std::vector<std::string> addresses;
   for (const auto& [id, server] : servers_) {
-    if (server.description && server.description->service == aService &&
+    // A share of servers that get no runs would block the queue.
+    if (server.description && !IsEvacuated(server) &&
+        server.description->service == aService &&
         HasLabel(server.description->labels, aLabel)) {
       addresses.push_back(server.agent.peerAddress);
     }
--- a/src/coordination/document/document_follower.cpp
+++ b/src/coordination/document/document_follower.cpp
@@ -53,9 +53,10 @@
 {
   isReading_ = true;
   readStartedAt_ = clock_.MonotonicNow();
+  listed_.clear();
   hooks_.readNewest(kAnswerTimeout,
                     [this](const DocumentFollowerHooks::Newest& aNewest) {
-                      isReading_ = false;
+                      isReading_ = aNewest && aNewest->hasMorePages;
                       OnNewest(aNewest);
                     });
 }
@@ -84,11 +85,21 @@
     return;
   }
   SetAvailable(true);
-  nextOffset_ = aNewest->nextOffset;
+  listed_.insert(
+    listed_.end(), aNewest->evacuations.begin(), aNewest->evacuations.end());
+  if (!aNewest->hasMorePages) {
+    // The evacuations come first, so that no job of the document is placed
+    // before they are known.
+    SetEvacuation(WithRecords({}, listed_, aNewest->nextOffset));
+  }
   if (aNewest->document) {
     hasDocument_ = true;
     hooks_.document(*aNewest->document);
   }
+  if (aNewest->hasMorePages) {
+    return;
+  }
+  nextOffset_ = aNewest->nextOffset;
   ReadSince();
 }
 
@@ -101,6 +112,8 @@
   }
   SetAvailable(true);
   nextOffset_ = aPage->nextOffset;
+  SetEvacuation(
+    WithRecords(evacuation_, aPage->evacuations, aPage->nextOffset));
   for (const std::string& document : aPage->documents) {
     hasDocument_ = true;
     hooks_.document(document);
@@ -114,6 +127,15 @@
   }
 }
 
+void
+DocumentFollower::SetEvacuation(state::EvacuationState aState)
+{
+  evacuation_ = std::move(aState);
+  if (hooks_.evacuation) {
+    hooks_.evacuation(evacuation_);
+  }
+}
+
 void
 DocumentFollower::OnFailure(DocumentReadError aError)
 {
--- a/src/coordination/document/document_follower.h
+++ b/src/coordination/document/document_follower.h
@@ -9,16 +9,23 @@
 
 #include <tl/expected.hpp>
 
+#include "coordination/evacuation/evacuation_records.h"
 #include "state/clock.h"
 
 namespace greengage::coordination {
 
-/** The newest document of a log, and the offset of the next read. */
+/**
+ * One page of the newest records of a log: the document and the requested
+ * evacuations, if the page contains them, and the offset of the next read.
+ */
 struct NewestDocument
 {
-  /** Empty if the log has no document yet. */
+  /** Empty if the page does not contain the document. */
   std::optional<std::string> document;
   std::uint64_t nextOffset = 0;
+  std::vector<EvacuationRecord> evacuations;
+  /** True if a further page follows. */
+  bool hasMorePages = false;
 
   auto operator<=>(const NewestDocument&) const = default;
 };
@@ -30,6 +37,7 @@
   std::uint64_t nextOffset = 0;
   /** True if the log has more records than this page. */
   bool hasMore = false;
+  std::vector<EvacuationRecord> evacuations;
 
   auto operator<=>(const DocumentPage&) const = default;
 };
@@ -57,7 +65,11 @@
   using Newest = tl::expected<NewestDocument, DocumentReadError>;
   using Page = tl::expected<DocumentPage, DocumentReadError>;
 
-  /** @param aTimeout until the first bytes of the answer */
+  /**
+   * Calls the function with each page, or once with an error that ends the
+   * read.
+   * @param aTimeout until the first bytes of each page
+   */
   std::function<void(std::chrono::milliseconds aTimeout,
                      std::function<void(Newest)>)>
     readNewest;
@@ -68,15 +80,18 @@
     readSince;
   /** Called with each document that was read. */
   std::function<void(const std::string&)> document;
+  /** Called with the evacuations at each offset; may be empty. */
+  std::function<void(const state::EvacuationState&)> evacuation;
   /** Called when the log becomes readable or unreadable. */
   std::function<void(bool aAvailable)> availability;
 };
 
 /**
- * Reads the configuration documents of an operator from a log: first the newest
- * one, then each new one by long polling. If documents are written faster than
- * they are read, or after a gap caused by deleted records, it continues with
- * the newest one. While reads fail, it asks without waiting for a document.
+ * Reads the configuration documents and evacuations of an operator from a log:
+ * first the newest records, then each new one by long polling. If records are
+ * written faster than they are read, or after a gap caused by deleted records,
+ * it continues with the newest ones. While reads fail, it asks without waiting
+ * for a record.
  * Used by the control thread only.
  */
 class DocumentFollower
@@ -93,6 +108,8 @@
   void OnNewest(const DocumentFollowerHooks::Newest& aNewest);
   void OnPage(const DocumentFollowerHooks::Page& aPage);
   void OnFailure(DocumentReadError aError);
+  /** Records evacuations that are complete up to the next offset. */
+  void SetEvacuation(state::EvacuationState aState);
   void SetAvailable(bool aAvailable);
 
   const state::Clock& clock_;
@@ -101,6 +118,9 @@
   bool isAvailable_ = true;
   bool hasDocument_ = false;
   std::optional<std::uint64_t> nextOffset_;
+  /** Evacuations of the pages of a listing that is not complete yet. */
+  std::vector<EvacuationRecord> listed_;
+  state::EvacuationState evacuation_;
   state::MonotonicTime readStartedAt_;
   state::MonotonicTime retryAt_;
   std::chrono::milliseconds retryDelay_;
--- a/src/daemon/dispatch/dispatch_agent_process.cpp
+++ b/src/daemon/dispatch/dispatch_agent_process.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include "daemon/dispatch/dispatch_status.h"
+#include "daemon/dispatch/log_evacuation.h"
 #include "daemon/dispatch/log_pause.h"
 #include "daemon/start_listening.h"
 #include "transport/event_log.h"
@@ -36,6 +37,16 @@
 /** Maximum number of suspects of a crash that a log line names. */
 constexpr std::size_t kMaxLoggedSuspects = 4;
 
+/** Returns the settings of the runs, with the data centre of the agent. */
+RunControllerSettings
+RunSettings(const DispatchAgentSettings& aSettings,
+            const std::string& aDataCentre)
+{
+  RunControllerSettings runs = aSettings.runs;
+  runs.dataCentre = aDataCentre;
+  return runs;
+}
+
 /** Returns the first suspects as job.step.task, separated by commas. */
 std::string
 FirstTasks(const std::vector<CrashSuspect>& aSuspects)
@@ -81,7 +92,7 @@
   const DispatchAgentSettings& aSettings)
   : settings_(aSettings)
   , peers_(traffic_, control_, clock_, MakePeerHooks())
-  , runController_(aSettings.runs,
+  , runController_(RunSettings(aSettings, aSettings.peer.dataCentre),
                    FirstFencingToken(clock_),
                    clock_,
                    MakeRunControllerHooks())
@@ -193,6 +204,10 @@
              aRecord.suspects.size(),
              FirstTasks(aRecord.suspects));
   };
+  hooks.evacuationChanged = [this](const EvacuationChange& aChange) {
+    dispatchMetrics_.OnEvacuationChanged(aChange);
+    LogEvacuation(aChange);
+  };
   hooks.paused = LogPause;
   hooks.entryReleased = [this](const ProcessId& aEntry) {
     OnEntryReleased(aEntry);
@@ -290,7 +305,7 @@
 DispatchAgentProcess::Reload(const DispatchAgentSettings& aSettings)
 {
   peers_.SetSeeds(aSettings.peer.seeds);
-  runController_.SetSettings(aSettings.runs);
+  runController_.SetSettings(RunSettings(aSettings, settings_.peer.dataCentre));
   auto running = settings_;
   running.peer.seeds = aSettings.peer.seeds;
   running.runs = aSettings.runs;
--- a/src/daemon/dispatch/dispatch_entry_hooks.cpp
+++ b/src/daemon/dispatch/dispatch_entry_hooks.cpp
@@ -112,6 +112,7 @@
              aJob.ageMs);
   };
   hooks.agentReleased = [this](const ProcessId& aAgent) {
+    evacuation_.OnLost(aAgent);
     peers_.Disconnect(aAgent);
   };
   hooks.paused = LogPause;
@@ -143,11 +144,13 @@
   hooks.lost = [this](const ProcessId& aPeer) {
     documents_.Exchange().OnPeerLost(aPeer);
     newsRelay_.OnEntryLost(aPeer);
+    evacuation_.OnLost(aPeer);
     dispatcher_.OnAgentLost(aPeer);
     UpdateReady();
   };
   hooks.disconnected = [this](const ProcessId& aPeer) {
     dispatcher_.OnAgentDisconnected(aPeer);
+    evacuation_.OnDisconnected(aPeer);
   };
   hooks.received = [this](const ProcessInfo& aFrom,
                           const PeerMessage& aMessage) {
--- a/src/daemon/dispatch/dispatch_entry_process.cpp
+++ b/src/daemon/dispatch/dispatch_entry_process.cpp
@@ -88,13 +88,14 @@
                        response.status = isReady_ ? 200 : 503;
                        aRespond(std::move(response));
                      })
-  , statusServer_(traffic_,
-                  MakeStatusHooks(control_,
-                                  metrics_,
-                                  [this] {
-                                    return DescribeDispatcher(dispatcher_,
-                                                              isReady_);
-                                  }))
+  , statusServer_(
+      traffic_,
+      MakeStatusHooks(control_,
+                      metrics_,
+                      [this] {
+                        return DescribeDispatcher(
+                          dispatcher_, evacuation_.State(), isReady_);
+                      }))
   , documents_(peers_,
                clock_,
                [this](const ProcessId& aFrom,
@@ -102,9 +103,11 @@
                       const std::string& aDocument) {
                  OnConfigurationDocument(aDocument, aFrom.ToString());
                })
-  , newsRelay_(clock_, [this](const ProcessId& aEntry, const EntryNews& aNews) {
-    peers_.Send(aEntry, aNews);
-  })
+  , newsRelay_(clock_,
+               [this](const ProcessId& aEntry, const EntryNews& aNews) {
+                 peers_.Send(aEntry, aNews);
+               })
+  , evacuation_(clock_, MakeEvacuationHooks())
 {
 }
 
@@ -134,6 +137,7 @@
   }
   documents_.Exchange().SetSelf(peers_.Self());
   newsRelay_.SetSelf(peers_.Self().id);
+  evacuation_.SetSelf(peers_.Self().id);
   control_.Every(kTickPeriod, [this] { OnTick(); });
   control_.Start();
   traffic_.Start();
@@ -209,7 +213,7 @@
                                 std::uint64_t aRequestNumber,
                                 const HttpResponder& aRespond)
 {
-  if (documents_.Exchange().Version() == 0) {
+  if (!IsConfigured()) {
     Refuse({ DispatchResult::eRejected,
              DispatchReason::eNotConfigured,
              kRetryAfterNotConfigured },
@@ -357,6 +361,9 @@
            before,
            aOrigin,
            decoded->queues.size());
+  if (!configuredAt_) {
+    configuredAt_ = clock_.MonotonicNow();
+  }
   documents_.Exchange().SetDocument(version, aDocument);
   dispatcher_.SetConfiguration(*std::move(decoded));
   queues_ = state::QueueIndex(dispatcher_.Configuration());
@@ -376,6 +383,7 @@
   if (aPeer.role == ProcessRole::eEntry) {
     if (documents_.Exchange().TakesPart(aPeer.id)) {
       newsRelay_.OnEntry(aPeer.id);
+      evacuation_.OnEntry(aPeer.id);
     }
   } else if (dispatcher_.Servers().Contains(aPeer.id)) {
     // Other agents offer their servers with their first report.
@@ -388,15 +396,14 @@
                                     const PeerMessage& aMessage)
 {
   if (const auto* report = std::get_if<ServerReport>(&aMessage)) {
-    if (!report->isReleased && !dispatcher_.Servers().Contains(aFrom.id)) {
-      dispatcher_.OnAgent(aFrom);
-    }
-    dispatcher_.OnReport(aFrom.id, *report);
-    UpdateReady();
+    OnReport(aFrom, *report);
   } else if (const auto* news = std::get_if<EntryNews>(&aMessage)) {
     for (const CancelledJob& cancelled : news->cancelledJobs) {
       newsRelay_.OnCancelledElsewhere(cancelled);
     }
+    if (news->evacuation) {
+      evacuation_.OnProcessState(aFrom.id, *news->evacuation);
+    }
     dispatcher_.OnEntryNews(*news);
   } else if (const auto* copy = std::get_if<ConfigurationCopy>(&aMessage)) {
     // Entries of the previous version send whole documents.
@@ -412,6 +419,7 @@
   dispatcher_.Tick();
   documents_.Exchange().Tick();
   newsRelay_.Tick();
+  evacuation_.Tick();
   if (++ticks_ % kTicksPerMembershipTick == 0) {
     peers_.Tick(documents_.Exchange().AdvertisedVersion());
     CheckContactTimeouts();
@@ -446,8 +454,10 @@
 void
 DispatchEntryProcess::UpdateReady()
 {
-  bool ready = documents_.Exchange().Version() > 0 && !onStopped_ &&
-               dispatcher_.Servers().ReadyServers() > 0;
+  // While all servers are evacuated, the callers get true rejections.
+  const ServerPool& servers = dispatcher_.Servers();
+  bool ready = IsConfigured() && !onStopped_ &&
+               (servers.ReadyServers() > 0 || servers.HasEvacuatedServer());
   if (isReady_.exchange(ready) != ready) {
     LogEvent(events::kReadyChanged,
              "ready={} servers={} configuration={} stopping={}",
--- a/src/daemon/dispatch/dispatch_entry_process.h
+++ b/src/daemon/dispatch/dispatch_entry_process.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "coordination/dispatch/job_dispatcher.h"
+#include "coordination/evacuation/evacuation_exchange.h"
 #include "coordination/subset/news_relay.h"
 #include "daemon/daemon_error.h"
 #include "daemon/dispatch/dispatch_metrics.h"
@@ -126,6 +127,8 @@
    * Records whether the operator's documents can be read. Control thread only.
    */
   void OnStoreAvailability(bool aAvailable);
+  /** Handles the evacuations in the operator's log. Control thread only. */
+  void OnEvacuationState(const state::EvacuationState& aState);
 
   transport::TrafficPool& Traffic() { return traffic_; }
   transport::ControlThread& Control() { return control_; }
@@ -139,6 +142,14 @@
 
   coordination::JobDispatcherHooks MakeDispatcherHooks();
   PeerNodeHooks MakePeerHooks();
+  coordination::EvacuationExchangeHooks MakeEvacuationHooks();
+  void OnReport(const coordination::ProcessInfo& aAgent,
+                const coordination::ServerReport& aReport);
+  /**
+   * Returns true if jobs can be placed: the configuration is known, and the
+   * evacuations are too or have been waited for.
+   */
+  bool IsConfigured() const;
 
   void OnHttpRequest(transport::HttpRequest aRequest,
                      transport::HttpResponder aRespond);
@@ -187,6 +198,9 @@
   coordination::SubmissionId nextSubmission_ = 1;
   DocumentService documents_;
   coordination::NewsRelay newsRelay_;
+  coordination::EvacuationExchange evacuation_;
+  /** Time of the first configuration. */
+  std::optional<state::MonotonicTime> configuredAt_;
   state::QueueIndex queues_;
   std::function<void()> onStopped_;
   state::MonotonicTime stopRequestedAt_;
--- a/src/daemon/dispatch/dispatch_metrics.cpp
+++ b/src/daemon/dispatch/dispatch_metrics.cpp
@@ -86,4 +86,15 @@
     .Add();
 }
 
+void
+DispatchMetrics::OnEvacuationChanged(
+  const coordination::EvacuationChange& aChange)
+{
+  metrics_
+    .FindGauge({ "greengage_evacuated_data_centres", "" },
+               "Data centres in which no task is started, at the request of "
+               "the operator")
+    .Set(static_cast<double>(aChange.after.dataCentres.size()));
+}
+
 }
--- a/src/daemon/dispatch/dispatch_metrics.h
+++ b/src/daemon/dispatch/dispatch_metrics.h
@@ -20,6 +20,7 @@
   void OnRunDecision(const coordination::RunDecision& aDecision);
   /** Counts a crash of an agent's server. */
   void OnServerCrashed();
+  void OnEvacuationChanged(const coordination::EvacuationChange& aChange);
 
 private:
   transport::MetricsRegistry& metrics_;
--- a/src/daemon/dispatch/dispatch_status.cpp
+++ b/src/daemon/dispatch/dispatch_status.cpp
@@ -24,7 +24,17 @@
            { "used_millicores", aServer.used.cpuMillicores },
            { "runs_of_this_entry", aServer.ownRuns },
            { "failures_in_row", aServer.failuresInRow },
-           { "left_alone_ms", aServer.cooldown.count() } };
+           { "left_alone_ms", aServer.cooldown.count() },
+           { "evacuated", aServer.isEvacuated } };
+}
+
+json::object
+Describe(const state::EvacuationState& aState)
+{
+  return { { "revision", aState.revision },
+           { "data_centres",
+             json::array(aState.dataCentres.begin(),
+                         aState.dataCentres.end()) } };
 }
 
 }
@@ -46,7 +56,9 @@
 }
 
 std::string
-DescribeDispatcher(const JobDispatcher& aDispatcher, bool aReady)
+DescribeDispatcher(const JobDispatcher& aDispatcher,
+                   const state::EvacuationState& aEvacuation,
+                   bool aReady)
 {
   json::array servers;
   for (const ServerView& server : aDispatcher.Servers().Views()) {
@@ -58,6 +70,7 @@
                   { "queues", aDispatcher.Configuration().queues.size() },
                   { "jobs", aDispatcher.JobCount() },
                   { "jobs_waiting", aDispatcher.WaitingCount() },
+                  { "evacuation", Describe(aEvacuation) },
                   { "servers", std::move(servers) } });
 }
 
@@ -69,6 +82,7 @@
     json::object{ { "server", server ? server->id : "none" },
                   { "service", server ? server->service : "none" },
                   { "condition", ToString(aController.Condition()) },
+                  { "evacuation", Describe(aController.Evacuation()) },
                   { "runs", aController.RunCount() } });
 }
 
--- a/src/daemon/dispatch/dispatch_status.h
+++ b/src/daemon/dispatch/dispatch_status.h
@@ -13,7 +13,9 @@
 
 /** Returns JSON for operators: the jobs and servers known to an entry. */
 std::string
-DescribeDispatcher(const coordination::JobDispatcher& aDispatcher, bool aReady);
+DescribeDispatcher(const coordination::JobDispatcher& aDispatcher,
+                   const state::EvacuationState& aEvacuation,
+                   bool aReady);
 
 /** Returns JSON for operators: the server of an agent and its runs. */
 std::string
--- a/src/protocol/dispatch_codec.cpp
+++ b/src/protocol/dispatch_codec.cpp
@@ -1,5 +1,6 @@
 #include "protocol/dispatch_codec.h"
 
+#include "coordination/evacuation/evacuation_records.h"
 #include "protocol/wire_text.h"
 
 namespace greengage::protocol {
@@ -166,6 +167,38 @@
   return crash;
 }
 
+void
+Encode(const state::EvacuationState& aState,
+       wire::EvacuationNotice::Builder aBuilder)
+{
+  aBuilder.setRevision(aState.revision);
+  auto dataCentres =
+    aBuilder.initDataCentres(static_cast<unsigned>(aState.dataCentres.size()));
+  unsigned i = 0;
+  for (const std::string& dataCentre : aState.dataCentres) {
+    dataCentres.set(i++, ToText(dataCentre));
+  }
+}
+
+/** Decodes the evacuations in a message, if it has any. */
+template<class Reader>
+tl::expected<std::optional<state::EvacuationState>, ProtocolError>
+DecodeEvacuation(Reader aMessage)
+{
+  if (!aMessage.hasEvacuation()) {
+    return std::nullopt;
+  }
+  auto notice = aMessage.getEvacuation();
+  if (notice.getDataCentres().size() > kMaxEvacuatedDataCentres) {
+    return tl::unexpected(ProtocolError{ "evacuation", "too many" });
+  }
+  state::EvacuationState state{ notice.getRevision(), {} };
+  for (auto dataCentre : notice.getDataCentres()) {
+    state.dataCentres.insert(ToString(dataCentre));
+  }
+  return state;
+}
+
 void
 Encode(const ServerDescription& aDescription,
        wire::ServerDescription::Builder aBuilder)
@@ -213,9 +246,12 @@
              [&](unsigned aSize) { return aBuilder.initChecks(aSize); });
   aBuilder.setReportPeriodMs(aOrders.reportPeriodMs);
   aBuilder.setConfirmedAtMs(aOrders.confirmedAtMs);
+  if (aOrders.evacuation) {
+    Encode(*aOrders.evacuation, aBuilder.initEvacuation());
+  }
 }
 
-DispatchOrders
+tl::expected<DispatchOrders, ProtocolError>
 DecodeDispatchOrders(wire::DispatchOrders::Reader aReader)
 {
   DispatchOrders orders;
@@ -226,6 +262,11 @@
   orders.checks = DecodeKeys(aReader.getChecks());
   orders.reportPeriodMs = aReader.getReportPeriodMs();
   orders.confirmedAtMs = aReader.getConfirmedAtMs();
+  auto evacuation = DecodeEvacuation(aReader);
+  if (!evacuation) {
+    return tl::unexpected(evacuation.error());
+  }
+  orders.evacuation = *std::move(evacuation);
   return orders;
 }
 
@@ -272,6 +313,9 @@
       Encode(aReport.crashes[i], crashes[i]);
     }
   }
+  if (aReport.evacuation) {
+    Encode(*aReport.evacuation, aBuilder.initEvacuation());
+  }
 }
 
 tl::expected<ServerReport, ProtocolError>
@@ -289,6 +333,11 @@
   report.usedByOthers = Decode(aReader.getUsedByOthers());
   report.sentAtMs = aReader.getSentAtMs();
   report.isReleased = aReader.getIsReleased();
+  auto evacuation = DecodeEvacuation(aReader);
+  if (!evacuation) {
+    return tl::unexpected(evacuation.error());
+  }
+  report.evacuation = *std::move(evacuation);
   for (auto end : aReader.getEnds()) {
     if (end.getKind() > static_cast<std::uint8_t>(RunEndKind::eUnanswered)) {
       return tl::unexpected(ProtocolError{ "ends", "kind is not known" });
@@ -335,6 +384,9 @@
     EncodeJobId(aNews.cancelledJobs[i].job, jobs[i]);
     jobs[i].setAgeMs(aNews.cancelledJobs[i].ageMs);
   }
+  if (aNews.evacuation) {
+    Encode(*aNews.evacuation, aBuilder.initEvacuation());
+  }
 }
 
 tl::expected<EntryNews, ProtocolError>
@@ -347,6 +399,11 @@
     return tl::unexpected(ProtocolError{ "cancelledJobs", "too many" });
   }
   EntryNews news;
+  auto evacuation = DecodeEvacuation(aReader);
+  if (!evacuation) {
+    return tl::unexpected(evacuation.error());
+  }
+  news.evacuation = *std::move(evacuation);
   for (auto job : aReader.getCancelledJobs()) {
     news.cancelledJobs.push_back({ DecodeJobId(job), job.getAgeMs() });
   }
--- a/src/protocol/dispatch_codec.h
+++ b/src/protocol/dispatch_codec.h
@@ -12,14 +12,15 @@
 EncodeDispatchOrders(const coordination::DispatchOrders& aOrders,
                      wire::DispatchOrders::Builder aBuilder);
 
-coordination::DispatchOrders
+/** Returns an error for too many data centres. */
+tl::expected<coordination::DispatchOrders, ProtocolError>
 DecodeDispatchOrders(wire::DispatchOrders::Reader aReader);
 
 void
 EncodeServerReport(const coordination::ServerReport& aReport,
                    wire::ServerReport::Builder aBuilder);
 
-/** Returns an error for an unknown kind or condition. */
+/** Returns an error for an unknown kind or condition, or too many items. */
 tl::expected<coordination::ServerReport, ProtocolError>
 DecodeServerReport(wire::ServerReport::Reader aReader);
 
@@ -27,7 +28,7 @@
 EncodeEntryNews(const coordination::EntryNews& aNews,
                 wire::EntryNews::Builder aBuilder);
 
-/** Returns an error for too many items or suspects. */
+/** Returns an error for too many items. */
 tl::expected<coordination::EntryNews, ProtocolError>
 DecodeEntryNews(wire::EntryNews::Reader aReader);
 
--- a/src/protocol/peer.capnp
+++ b/src/protocol/peer.capnp
@@ -117,12 +117,17 @@
   jobUpperCase @7 :UInt16;
 }
 
+# Sent as a field of other messages, as processes of the previous version close
+# a connection on which they receive a message of an unknown kind.
+struct EvacuationNotice { revision @0 :UInt64; dataCentres @1 :List(Text); }
+
 struct DispatchOrders {
   starts @0 :List(RunBatch);
   stops @1 :List(RunKey);
   checks @2 :List(RunKey);
   reportPeriodMs @3 :UInt32;
   confirmedAtMs @4 :UInt64;
+  evacuation @5 :EvacuationNotice;
 }
 struct RunForecast { run @0 :RunKey; runTimeMs @1 :UInt32; }
 struct RunEnd { run @0 :RunKey; kind @1 :UInt8; runTimeMs @2 :UInt32; }
@@ -149,11 +154,12 @@
   uncertainStarts @6 :List(UncertainStart);
   crashes @7 :List(ServerCrash);
   isReleased @8 :Bool;
+  evacuation @9 :EvacuationNotice;
 }
 
 struct ReportedCrash { agent @0 :ProcessId; crash @1 :ServerCrash; }
 struct CancelledJob { job @0 :UInt64; ageMs @1 :UInt32; jobUpperCase @2 :UInt16; }
-struct EntryNews { crashes @0 :List(ReportedCrash); cancelledJobs @1 :List(CancelledJob); }
+struct EntryNews { crashes @0 :List(ReportedCrash); cancelledJobs @1 :List(CancelledJob); evacuation @2 :EvacuationNotice; }
 
 struct ConfigurationCopy { version @0 :UInt64; document @1 :Text; }
 struct DocumentRequest { version @0 :UInt64; offset @1 :UInt32; }
--- a/src/protocol/peer.capnp.h
+++ b/src/protocol/peer.capnp.h
@@ -46,6 +46,7 @@
 CAPNP_DECLARE_SCHEMA(fad1ac1ad2718b78);
 CAPNP_DECLARE_SCHEMA(8c358a3186081d70);
 CAPNP_DECLARE_SCHEMA(89a00dba17279571);
+CAPNP_DECLARE_SCHEMA(e796354a63b62d6a);
 CAPNP_DECLARE_SCHEMA(8f83b833ad458241);
 CAPNP_DECLARE_SCHEMA(e67c4a596e3ec8a4);
 CAPNP_DECLARE_SCHEMA(af57177a6cb1bd80);
@@ -521,6 +522,21 @@
   };
 };
 
+struct EvacuationNotice {
+  EvacuationNotice() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e796354a63b62d6a, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct DispatchOrders {
   DispatchOrders() = delete;
 
@@ -529,7 +545,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8f83b833ad458241, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(8f83b833ad458241, 2, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -649,7 +665,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8e56a30d3aac5bdc, 2, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(8e56a30d3aac5bdc, 2, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -694,7 +710,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9fbc63e4e38617d5, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(9fbc63e4e38617d5, 0, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3837,6 +3853,93 @@
 };
 #endif  // !CAPNP_LITE
 
+class EvacuationNotice::Reader {
+public:
+  typedef EvacuationNotice Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRevision() const;
+
+  inline bool hasDataCentres() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getDataCentres() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EvacuationNotice::Builder {
+public:
+  typedef EvacuationNotice Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline bool hasDataCentres();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getDataCentres();
+  inline void setDataCentres( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setDataCentres(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initDataCentres(unsigned int size);
+  inline void adoptDataCentres(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownDataCentres();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EvacuationNotice::Pipeline {
+public:
+  typedef EvacuationNotice Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class DispatchOrders::Reader {
 public:
   typedef DispatchOrders Reads;
@@ -3867,6 +3970,9 @@
 
   inline  ::uint64_t getConfirmedAtMs() const;
 
+  inline bool hasEvacuation() const;
+  inline  ::greengage::protocol::wire::EvacuationNotice::Reader getEvacuation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3922,6 +4028,13 @@
   inline  ::uint64_t getConfirmedAtMs();
   inline void setConfirmedAtMs( ::uint64_t value);
 
+  inline bool hasEvacuation();
+  inline  ::greengage::protocol::wire::EvacuationNotice::Builder getEvacuation();
+  inline void setEvacuation( ::greengage::protocol::wire::EvacuationNotice::Reader value);
+  inline  ::greengage::protocol::wire::EvacuationNotice::Builder initEvacuation();
+  inline void adoptEvacuation(::capnp::Orphan< ::greengage::protocol::wire::EvacuationNotice>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::EvacuationNotice> disownEvacuation();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3940,6 +4053,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::greengage::protocol::wire::EvacuationNotice::Pipeline getEvacuation();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4642,6 +4756,9 @@
 
   inline bool getIsReleased() const;
 
+  inline bool hasEvacuation() const;
+  inline  ::greengage::protocol::wire::EvacuationNotice::Reader getEvacuation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4721,6 +4838,13 @@
   inline bool getIsReleased();
   inline void setIsReleased(bool value);
 
+  inline bool hasEvacuation();
+  inline  ::greengage::protocol::wire::EvacuationNotice::Builder getEvacuation();
+  inline void setEvacuation( ::greengage::protocol::wire::EvacuationNotice::Reader value);
+  inline  ::greengage::protocol::wire::EvacuationNotice::Builder initEvacuation();
+  inline void adoptEvacuation(::capnp::Orphan< ::greengage::protocol::wire::EvacuationNotice>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::EvacuationNotice> disownEvacuation();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4741,6 +4865,7 @@
 
   inline  ::greengage::protocol::wire::ServerDescription::Pipeline getDescription();
   inline  ::greengage::protocol::wire::ResourceAmount::Pipeline getUsedByOthers();
+  inline  ::greengage::protocol::wire::EvacuationNotice::Pipeline getEvacuation();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4951,6 +5076,9 @@
   inline bool hasCancelledJobs() const;
   inline  ::capnp::List< ::greengage::protocol::wire::CancelledJob,  ::capnp::Kind::STRUCT>::Reader getCancelledJobs() const;
 
+  inline bool hasEvacuation() const;
+  inline  ::greengage::protocol::wire::EvacuationNotice::Reader getEvacuation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4993,6 +5121,13 @@
   inline void adoptCancelledJobs(::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::CancelledJob,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::CancelledJob,  ::capnp::Kind::STRUCT>> disownCancelledJobs();
 
+  inline bool hasEvacuation();
+  inline  ::greengage::protocol::wire::EvacuationNotice::Builder getEvacuation();
+  inline void setEvacuation( ::greengage::protocol::wire::EvacuationNotice::Reader value);
+  inline  ::greengage::protocol::wire::EvacuationNotice::Builder initEvacuation();
+  inline void adoptEvacuation(::capnp::Orphan< ::greengage::protocol::wire::EvacuationNotice>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::EvacuationNotice> disownEvacuation();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5011,6 +5146,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::greengage::protocol::wire::EvacuationNotice::Pipeline getEvacuation();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -8650,6 +8786,58 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t EvacuationNotice::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EvacuationNotice::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EvacuationNotice::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool EvacuationNotice::Reader::hasDataCentres() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EvacuationNotice::Builder::hasDataCentres() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader EvacuationNotice::Reader::getDataCentres() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder EvacuationNotice::Builder::getDataCentres() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EvacuationNotice::Builder::setDataCentres( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void EvacuationNotice::Builder::setDataCentres(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder EvacuationNotice::Builder::initDataCentres(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EvacuationNotice::Builder::adoptDataCentres(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> EvacuationNotice::Builder::disownDataCentres() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool DispatchOrders::Reader::hasStarts() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -8780,6 +8968,45 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool DispatchOrders::Reader::hasEvacuation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool DispatchOrders::Builder::hasEvacuation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::greengage::protocol::wire::EvacuationNotice::Reader DispatchOrders::Reader::getEvacuation() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::EvacuationNotice>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::greengage::protocol::wire::EvacuationNotice::Builder DispatchOrders::Builder::getEvacuation() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::EvacuationNotice>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::greengage::protocol::wire::EvacuationNotice::Pipeline DispatchOrders::Pipeline::getEvacuation() {
+  return  ::greengage::protocol::wire::EvacuationNotice::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void DispatchOrders::Builder::setEvacuation( ::greengage::protocol::wire::EvacuationNotice::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::EvacuationNotice>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::greengage::protocol::wire::EvacuationNotice::Builder DispatchOrders::Builder::initEvacuation() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::EvacuationNotice>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void DispatchOrders::Builder::adoptEvacuation(
+    ::capnp::Orphan< ::greengage::protocol::wire::EvacuationNotice>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::EvacuationNotice>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::greengage::protocol::wire::EvacuationNotice> DispatchOrders::Builder::disownEvacuation() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::EvacuationNotice>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool RunForecast::Reader::hasRun() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -9545,6 +9772,45 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ServerReport::Reader::hasEvacuation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServerReport::Builder::hasEvacuation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::greengage::protocol::wire::EvacuationNotice::Reader ServerReport::Reader::getEvacuation() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::EvacuationNotice>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::greengage::protocol::wire::EvacuationNotice::Builder ServerReport::Builder::getEvacuation() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::EvacuationNotice>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::greengage::protocol::wire::EvacuationNotice::Pipeline ServerReport::Pipeline::getEvacuation() {
+  return  ::greengage::protocol::wire::EvacuationNotice::Pipeline(_typeless.getPointerField(6));
+}
+#endif  // !CAPNP_LITE
+inline void ServerReport::Builder::setEvacuation( ::greengage::protocol::wire::EvacuationNotice::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::EvacuationNotice>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::greengage::protocol::wire::EvacuationNotice::Builder ServerReport::Builder::initEvacuation() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::EvacuationNotice>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void ServerReport::Builder::adoptEvacuation(
+    ::capnp::Orphan< ::greengage::protocol::wire::EvacuationNotice>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::EvacuationNotice>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::greengage::protocol::wire::EvacuationNotice> ServerReport::Builder::disownEvacuation() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::EvacuationNotice>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
 inline bool ReportedCrash::Reader::hasAgent() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -9733,6 +9999,45 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool EntryNews::Reader::hasEvacuation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryNews::Builder::hasEvacuation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::greengage::protocol::wire::EvacuationNotice::Reader EntryNews::Reader::getEvacuation() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::EvacuationNotice>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::greengage::protocol::wire::EvacuationNotice::Builder EntryNews::Builder::getEvacuation() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::EvacuationNotice>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::greengage::protocol::wire::EvacuationNotice::Pipeline EntryNews::Pipeline::getEvacuation() {
+  return  ::greengage::protocol::wire::EvacuationNotice::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void EntryNews::Builder::setEvacuation( ::greengage::protocol::wire::EvacuationNotice::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::EvacuationNotice>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::greengage::protocol::wire::EvacuationNotice::Builder EntryNews::Builder::initEvacuation() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::EvacuationNotice>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void EntryNews::Builder::adoptEvacuation(
+    ::capnp::Orphan< ::greengage::protocol::wire::EvacuationNotice>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::EvacuationNotice>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::greengage::protocol::wire::EvacuationNotice> EntryNews::Builder::disownEvacuation() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::EvacuationNotice>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t ConfigurationCopy::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/protocol/peer_codec.cpp
+++ b/src/protocol/peer_codec.cpp
@@ -68,7 +68,9 @@
       if (!decoded) {
         return tl::unexpected(decoded.error());
       }
-      messages.push_back(*std::move(decoded));
+      if (*decoded) {
+        messages.push_back(**std::move(decoded));
+      }
     }
     return messages;
   } catch (const kj::Exception& exception) {
--- a/src/protocol/peer_decode.cpp
+++ b/src/protocol/peer_decode.cpp
@@ -254,7 +254,7 @@
   return reply;
 }
 
-PeerMessage
+std::optional<PeerMessage>
 DecodeUnion(wire::Message::Reader aReader)
 {
   switch (aReader.which()) {
@@ -317,8 +317,13 @@
       };
     case wire::Message::DRAIN_AGENT:
       return DrainAgent{ Decode(aReader.getDrainAgent()) };
-    case wire::Message::DISPATCH_ORDERS:
-      return DecodeDispatchOrders(aReader.getDispatchOrders());
+    case wire::Message::DISPATCH_ORDERS: {
+      auto orders = DecodeDispatchOrders(aReader.getDispatchOrders());
+      if (!orders) {
+        Reject(orders.error().field, orders.error().message);
+      }
+      return *std::move(orders);
+    }
     case wire::Message::SERVER_REPORT: {
       auto report = DecodeServerReport(aReader.getServerReport());
       if (!report) {
@@ -356,12 +361,12 @@
                                    DecodeList(records.getRecords()) };
     }
   }
-  Reject("", "message kind is not known");
+  return std::nullopt;
 }
 
 }
 
-tl::expected<PeerMessage, ProtocolError>
+tl::expected<std::optional<PeerMessage>, ProtocolError>
 DecodeMessage(wire::Message::Reader aReader)
 {
   try {
--- a/src/protocol/peer_decode.h
+++ b/src/protocol/peer_decode.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include <tl/expected.hpp>
 
 #include "coordination/messages.h"
@@ -8,8 +10,11 @@
 
 namespace greengage::protocol {
 
-/** Decodes one message; throws kj::Exception if its bytes are malformed. */
-tl::expected<coordination::PeerMessage, ProtocolError>
+/**
+ * Decodes one message; throws kj::Exception if its bytes are malformed. Returns
+ * empty for a kind of message that only a later version knows.
+ */
+tl::expected<std::optional<coordination::PeerMessage>, ProtocolError>
 DecodeMessage(wire::Message::Reader aReader);
 
 }
--- a/src/state/dispatch/dispatch_job.cpp
+++ b/src/state/dispatch/dispatch_job.cpp
@@ -36,6 +36,8 @@
       return "cancelled";
     case DispatchReason::eOutcomeUnknown:
       return "outcome_unknown";
+    case DispatchReason::eEvacuated:
+      return "evacuated";
   }
   return "unknown";
 }
--- a/src/state/dispatch/dispatch_job.h
+++ b/src/state/dispatch/dispatch_job.h
@@ -111,6 +111,8 @@
    * task must not be started again.
    */
   eOutcomeUnknown,
+  /** Only servers in evacuated data centres could run one of the tasks. */
+  eEvacuated,
 };
 
 /** Returns the name for log lines and metrics. */
--- a/src/transport/events.h
+++ b/src/transport/events.h
@@ -180,6 +180,10 @@
                                              "queue_limit_ended",
                                              LogLevel::eInfo };
 
+inline constexpr EventKind kEvacuationChanged{ 1630,
+                                               "evacuation_changed",
+                                               LogLevel::eWarning };
+
 // Settings and logging.
 inline constexpr EventKind kSettingsReloaded{ 1701,
                                               "settings_reloaded",
@@ -195,6 +199,7 @@
                                           LogLevel::eWarning };
 
 inline constexpr std::array kAll{
+  kEvacuationChanged,
   kProcessStarted,
   kProcessStopping,
   kProcessStopped,
--- a/tests/platform/platform_fakes.cpp
+++ b/tests/platform/platform_fakes.cpp
@@ -80,6 +80,23 @@
   return encoded;
 }
 
+std::string
+DecodePercent(const std::string& aText)
+{
+  std::string decoded;
+  for (std::size_t i = 0; i < aText.size(); ++i) {
+    if (aText[i] != '%') {
+      decoded.push_back(aText[i]);
+      continue;
+    }
+    unsigned byte = 0;
+    std::from_chars(aText.data() + i + 1, aText.data() + i + 3, byte, 16);
+    decoded.push_back(static_cast<char>(byte));
+    i += 2;
+  }
+  return decoded;
+}
+
 HttpResponse
 EncodeStartAnswer(StartAnswer aAnswer)
 {
@@ -129,11 +146,17 @@
 
 void
 FakeStore::Publish(const std::string& aDocument)
+{
+  Put("config", aDocument);
+}
+
+void
+FakeStore::Put(const std::string& aKey, const std::string& aValue)
 {
   std::lock_guard lock(mutex_);
-  newestDocument_ = aDocument;
-  hasDocument_ = true;
-  records_.push_back(std::string(1, '\6') + "config" + aDocument);
+  newest_[aKey] = aValue;
+  records_.push_back(std::string(1, static_cast<char>(aKey.size())) + aKey +
+                     aValue);
 }
 
 void
@@ -144,10 +167,12 @@
 }
 
 void
-FakeStore::AddOtherKeys(unsigned aCount)
+FakeStore::AddOtherKeys(unsigned aCount, const std::string& aPrefix)
 {
   std::lock_guard lock(mutex_);
-  otherKeys_ += aCount;
+  for (unsigned i = 0; i < aCount; ++i) {
+    newest_[fmt::format("{}{}", aPrefix, i)] = "{}";
+  }
 }
 
 std::string
@@ -156,25 +181,25 @@
   constexpr unsigned kMaxItems = 500;
   std::lock_guard lock(mutex_);
   json::array items;
-  auto first = static_cast<unsigned>(NumberAfter(aTarget, "after=a%20"));
-  for (unsigned i = first; i < otherKeys_ && items.size() < kMaxItems; ++i) {
-    items.push_back(json::object{ { "key", fmt::format("a {}", i + 1) },
-                                  { "value", "e30=" },
-                                  { "offset", 0 } });
+  auto next = newest_.begin();
+  auto after = aTarget.find("after=");
+  if (after != std::string::npos) {
+    next = newest_.upper_bound(DecodePercent(aTarget.substr(after + 6)));
   }
-  bool isLast = items.size() < kMaxItems;
-  if (isLast && hasDocument_) {
-    items.push_back(json::object{ { "key", "config" },
-                                  { "value", Base64(newestDocument_) },
-                                  { "offset", records_.size() - 1 } });
+  for (; next != newest_.end() && items.size() < kMaxItems; ++next) {
+    items.push_back(json::object{ { "key", next->first },
+                                  { "value", Base64(next->second) },
+                                  { "offset", 0 } });
   }
-  return json::serialize(json::object{
-    { "items", items }, { "hasMore", !isLast }, { "end", records_.size() } });
+  return json::serialize(json::object{ { "items", items },
+                                       { "hasMore", next != newest_.end() },
+                                       { "end", records_.size() } });
 }
 
 void
 FakeStore::Handle(const HttpRequest& aRequest, HttpResponder aRespond)
 {
+  ++callCount_;
   if (!available_) {
     aRespond(Respond(503, "{}"));
     return;
--- a/tests/platform/platform_fakes.h
+++ b/tests/platform/platform_fakes.h
@@ -26,9 +26,15 @@
   void Publish(const std::string& aDocument);
   /** Appends a record as it is; well-formed ones hold a key and a value. */
   void AppendRecord(std::string aContent);
-  /** Adds keys that listings of the newest records contain before the others.
+  /** Appends a record of a key; an empty value removes the key. */
+  void Put(const std::string& aKey, const std::string& aValue);
+  /**
+   * Adds keys of which listings of the newest records, sorted by key, begin
+   * with the prefix.
    */
-  void AddOtherKeys(unsigned aCount);
+  void AddOtherKeys(unsigned aCount, const std::string& aPrefix = "a ");
+  /** Number of requests so far. */
+  unsigned CallCount() const { return callCount_; }
   /** While unavailable, the store answers 503. */
   void SetAvailable(bool aAvailable) { available_ = aAvailable; }
 
@@ -47,9 +53,9 @@
   transport::HttpServer http_;
   std::mutex mutex_;
   std::vector<std::string> records_;
-  std::string newestDocument_;
-  bool hasDocument_ = false;
-  unsigned otherKeys_ = 0;
+  /** The newest value of each key; empty for a key that was removed. */
+  std::map<std::string, std::string> newest_;
+  std::atomic<unsigned> callCount_{ 0 };
   std::atomic<bool> available_{ true };
 };
 
