Test evacuations in virtual time

Cause: the processes' test covers one order of events only.

Change: DispatchSimulation has several data centres, the operator's log, a store that refuses entries, and lossy messages between entries; it uses random numbers of its own for these, so that the faults of other tests stay the same.

--- a/tests/dispatch/dispatch_simulation.h
+++ b/tests/dispatch/dispatch_simulation.h
@@ -12,6 +12,8 @@
 #include <vector>
 
 #include "coordination/dispatch/job_dispatcher.h"
+#include "coordination/evacuation/evacuation_exchange.h"
+#include "coordination/evacuation/evacuation_records.h"
 #include "coordination/simulation/virtual_clock.h"
 #include "dispatch/fake_server.h"
 #include "dispatch/stepping_clock.h"
@@ -55,6 +57,13 @@
   bool callsEndWithServer = false;
   /** Late calls are also carried out by the next incarnation of a server. */
   bool lateCallsReachNextIncarnation = true;
+  /**
+   * Data centres, assigned to the servers round robin. Evacuations are
+   * simulated only if there are several.
+   */
+  std::vector<std::string> dataCentres{ "" };
+  /** Share of the evacuation messages between entries that are lost, 0 to 1. */
+  double lostNoticeShare = 0;
 };
 
 /** Directions of the messages between an entry and an agent. */
@@ -192,6 +201,36 @@
   /** Shares of an agent's calls that fail although the server is up. */
   void SetCallFailures(unsigned aServer, double aNotConnected, double aReset);
   void DrainServer(unsigned aServer);
+  /**
+   * Appends an evacuation, or its removal, to the operator's log. Entries that
+   * the store does not refuse read it within 200 ms.
+   */
+  void SetEvacuated(const std::string& aDataCentre, bool aIsEvacuated);
+  /** The store refuses the entry from now on, or serves it again. */
+  void SetRefused(unsigned aEntry, bool aIsRefused);
+  /** The server announces that it remains slow for this time. */
+  void SetColdTime(unsigned aServer, Milliseconds aTime)
+  {
+    servers_[aServer].coldUntil = now_ + aTime;
+  }
+  /** Called with each start of a run on a server. */
+  void SetStartHook(std::function<void(unsigned aServer)> aHook)
+  {
+    startHook_ = std::move(aHook);
+  }
+  const std::string& DataCentreOf(unsigned aServer) const
+  {
+    return settings_.dataCentres[aServer % settings_.dataCentres.size()];
+  }
+  const state::EvacuationState& EvacuationAt(unsigned aEntry) const
+  {
+    return entries_[aEntry].evacuation->State();
+  }
+  /** Returns the reasons of stopped runs and the number of each. */
+  const std::map<std::string, unsigned>& StopReasons() const
+  {
+    return stopReasons_;
+  }
   /** The server ignores this share of its agent's calls, 0 to 1. */
   void SetIgnoredCallShare(unsigned aServer, double aShare)
   {
@@ -257,6 +296,8 @@
   {
     state::ProcessId id;
     std::unique_ptr<coordination::JobDispatcher> dispatcher;
+    std::unique_ptr<coordination::EvacuationExchange> evacuation;
+    bool isRefusedByStore = false;
     ProcessQueue queue;
     /** Events of callers' connections, before the queue of messages. */
     ProcessQueue traffic;
@@ -283,6 +324,7 @@
     bool isAgentUp = true;
     bool draining = false;
     double ignoredCallShare = 0;
+    Milliseconds coldUntil = 0;
     unsigned startCount = 0;
     std::uint64_t sequence = 0;
   };
@@ -301,6 +343,10 @@
   coordination::ProcessInfo DescribeAgent(unsigned aServer) const;
   void StartEntry(unsigned aEntry);
   void StartAgent(unsigned aServer);
+  coordination::EvacuationExchangeHooks EvacuationHooks(unsigned aEntry);
+  /** The entry gets to know the other entries, and they it. */
+  void ConnectEntry(unsigned aEntry);
+  void ReadStore(unsigned aEntry);
   void StartServer(unsigned aServer, const std::string& aId = {});
   void Tick();
   void TickAgent(unsigned aServer);
@@ -396,6 +442,8 @@
            Chance(servers_[aServer].ignoredCallShare);
   }
   Milliseconds Random(Milliseconds aFrom, Milliseconds aTo);
+  /** Returns a random time of at most aLimit for messages about evacuations. */
+  Milliseconds NoticeTime(Milliseconds aLimit);
   unsigned FindServer(const state::ProcessId& aAgent) const;
   unsigned FindEntry(const state::ProcessId& aEntry) const;
 
@@ -418,6 +466,12 @@
   std::map<std::uint64_t, std::string> traces_;
   std::function<bool(const state::TaskKey&, unsigned)> failurePredicate_;
   std::function<bool(const state::TaskKey&)> deadlyPredicate_;
+  std::function<void(unsigned)> startHook_;
+  std::map<std::string, unsigned> stopReasons_;
+  /** The evacuations in the operator's log. */
+  state::EvacuationState storeState_{ 1, {} };
+  /** Apart from random_, so that evacuations do not change other faults. */
+  std::mt19937_64 noticeRandom_;
   std::map<state::TaskKey, unsigned> crashesUnder_;
   std::uint64_t nextProcess_ = 1;
 };
--- a/tests/dispatch/dispatch_simulation_calls.cpp
+++ b/tests/dispatch/dispatch_simulation_calls.cpp
@@ -40,6 +40,9 @@
     SendToEntry(aServer, aEntry, aReport);
   };
   hooks.runDecision = [this, aServer](const RunDecision& aDecision) {
+    if (aDecision.decision == std::string("stop")) {
+      ++stopReasons_[aDecision.reason];
+    }
     Trace(aDecision.run.task.job.Number(),
           fmt::format("agent {}: {} {} run {}: {}",
                       aServer,
@@ -266,6 +269,9 @@
 DispatchSimulation::OnRunStarted(unsigned aServer, const RunKey& aRun)
 {
   ++servers_[aServer].startCount;
+  if (startHook_) {
+    startHook_(aServer);
+  }
   Trace(
     aRun.task.job.Number(),
     fmt::format("{} run {} starts on {}", aRun.task.index, aRun.run, aServer));
--- a/tests/dispatch/dispatch_simulation_links.cpp
+++ b/tests/dispatch/dispatch_simulation_links.cpp
@@ -136,6 +136,11 @@
           if (isNew && servers_[aServer].agent == agent) {
             dispatcher.OnAgent(DescribeAgent(aServer));
           }
+          entries_[entry].evacuation->OnAgent(agent);
+          if (aReport.evacuation) {
+            entries_[entry].evacuation->OnProcessState(agent,
+                                                       *aReport.evacuation);
+          }
           dispatcher.OnReport(agent, aReport);
         });
       }
@@ -186,6 +191,7 @@
   }
   RunOnEntry(aEntry, [this, aEntry, agent = servers_[aServer].agent] {
     entries_[aEntry].dispatcher->OnAgentDisconnected(agent);
+    entries_[aEntry].evacuation->OnDisconnected(agent);
   });
 }
 
@@ -198,6 +204,7 @@
   DropInFlight(aEntry, aServer, aDirection);
   RunOnEntry(aEntry, [this, aEntry, agent = servers_[aServer].agent] {
     entries_[aEntry].dispatcher->OnAgentDisconnected(agent);
+    entries_[aEntry].evacuation->OnDisconnected(agent);
   });
 }
 
--- a/tests/dispatch/dispatch_simulation_processes.cpp
+++ b/tests/dispatch/dispatch_simulation_processes.cpp
@@ -89,6 +89,7 @@
   EntryNode& node = entries_[aEntry];
   if (node.isUp && now_ >= node.frozenUntil) {
     node.dispatcher->Tick();
+    node.evacuation->Tick();
   }
 }
 
