Play evacuations in the soak and test their messages

Cause: the soak did not cover evacuations together with killed and paused processes, proxies that drop traffic, and outages of the store; the codec and the reading of several pages had no tests.

Change: the soak evacuates the data centre of the first server again and again, and counts each start there as a violation from 5 s after the acknowledgement, extended by the time in which the store was unavailable (at most 6 s). The codec test covers the notices, an unknown kind of message and too many data centres. The follower's tests cover evacuations on later pages and a listing that fails.

--- a/tests/document/document_follower_test.cpp
+++ b/tests/document/document_follower_test.cpp
@@ -29,6 +29,9 @@
     hooks.document = [this](const std::string& aDocument) {
       documents_.push_back(aDocument);
     };
+    hooks.evacuation = [this](const state::EvacuationState& aState) {
+      evacuation_ = aState;
+    };
     hooks.availability = [this](bool aAvailable) {
       availability_.push_back(aAvailable);
     };
@@ -49,6 +52,7 @@
   std::uint64_t from_ = 0;
   std::vector<std::string> documents_;
   std::vector<bool> availability_;
+  state::EvacuationState evacuation_;
   DocumentFollower follower_{ clock_, Hooks() };
 };
 
@@ -77,6 +81,44 @@
   EXPECT_EQ(documents_, (std::vector<std::string>{ "a", "b", "f" }));
 }
 
+// Guards against an evacuation that is missed because it is on a later page
+// than the document, and against a document that waits for the later pages.
+TEST_F(DocumentFollowerTest, ReadsEvacuationsOfAllPages)
+{
+  follower_.Tick();
+  auto done = newestDone_;
+  done(NewestDocument{ "a", 7, { { "bole", true } }, true });
+  EXPECT_EQ(documents_, (std::vector<std::string>{ "a" }));
+  EXPECT_FALSE(evacuation_.IsKnown());
+  EXPECT_FALSE(pageDone_);
+  Wait(milliseconds(100));
+  EXPECT_EQ(newestReads_, 1u);
+  done(NewestDocument{ std::nullopt, 7, { { "mulu", true } } });
+  EXPECT_EQ(evacuation_, (state::EvacuationState{ 7, { "bole", "mulu" } }));
+  EXPECT_EQ(from_, 7u);
+  pageDone_(DocumentPage{ {}, 8, false, { { "bole", false } } });
+  EXPECT_EQ(evacuation_, (state::EvacuationState{ 8, { "mulu" } }));
+}
+
+// Guards against an evacuation that is lost between two records that were
+// appended together, or because a listing fails after its first page.
+TEST_F(DocumentFollowerTest, KeepsEvacuationsIfAListingFails)
+{
+  follower_.Tick();
+  newestDone_(NewestDocument{ "a", 7 });
+  pageDone_(DocumentPage{ {}, 8, true, { { "bole", true } } });
+  EXPECT_EQ(evacuation_, (state::EvacuationState{ 8, { "bole" } }));
+  auto done = newestDone_;
+  done(NewestDocument{ "b", 10, {}, true });
+  done(tl::unexpected(DocumentReadError::eUnavailable));
+  EXPECT_EQ(evacuation_, (state::EvacuationState{ 8, { "bole" } }));
+  Wait(milliseconds(700));
+  EXPECT_EQ(from_, 8u);
+  pageDone_(DocumentPage{ {}, 9, true });
+  newestDone_(NewestDocument{ "b", 10 });
+  EXPECT_EQ(evacuation_, (state::EvacuationState{ 10, {} }));
+}
+
 // Guards against a follower that waits indefinitely for deleted records.
 TEST_F(DocumentFollowerTest, ReadsTheNewestDocumentAgainAfterAGap)
 {
--- a/tests/platform/platform_fakes.h
+++ b/tests/platform/platform_fakes.h
@@ -37,6 +37,7 @@
   unsigned CallCount() const { return callCount_; }
   /** While unavailable, the store answers 503. */
   void SetAvailable(bool aAvailable) { available_ = aAvailable; }
+  bool IsAvailable() const { return available_; }
 
 private:
   struct LongRead;
--- a/tests/protocol/peer_codec_test.cpp
+++ b/tests/protocol/peer_codec_test.cpp
@@ -1,7 +1,12 @@
 #include "protocol/peer_codec.h"
 
+#include <capnp/any.h>
+#include <capnp/message.h>
+#include <capnp/serialize.h>
 #include <gtest/gtest.h>
 
+#include "protocol/peer.capnp.h"
+
 namespace greengage::protocol {
 namespace {
 
@@ -56,7 +61,8 @@
                     { { { 5, 1, 4 }, 2 } },
                     { { { 6, 0, 0 }, 1 } },
                     70,
-                    1'234'567'890'123 },
+                    1'234'567'890'123,
+                    state::EvacuationState{ 9, { "bole", "mulu" } } },
     ServerReport{},
     ServerReport{
       ServerDescription{ "i-1", "portal", { "a", "r1" }, { 16000, 64, 2 } },
@@ -68,10 +74,12 @@
       { { { { 5, 1, 5 }, 2 }, false }, { { { 5, 1, 6 }, 1 }, true } },
       { { 3, 40, { { { 5, 1, 3 }, "swatches" }, { { 6, 0, 9 }, "" } } },
         { 4, 1, {} } },
-      true },
+      true,
+      state::EvacuationState{ 10, {} } },
     EntryNews{ { { { 8, 9 }, { 3, 40, { { { 5, 1, 3 }, "swatches" } } } },
                  { { 8, 10 }, { 1, 2, {} } } },
-               { { 17, 250 }, { 18, 0 } } },
+               { { 17, 250 }, { 18, 0 } },
+               state::EvacuationState{ 11, { "bole" } } },
     ConfigurationCopy{ 9, "{\"version\":9}" },
     DocumentRequest{ 9, 8192 },
     DocumentPart{ 9, 70000, 8192, std::string("\0\xff{", 3) },
@@ -81,6 +89,32 @@
   EXPECT_EQ(*decoded, messages);
 }
 
+// Guards against a connection that is closed when a later version sends a kind
+// of message that this one does not know, and against a list of data centres
+// that takes much memory.
+TEST(PeerCodecTest, IgnoresUnknownKindsAndRefusesTooManyDataCentres)
+{
+  ::capnp::MallocMessageBuilder builder;
+  auto encoded = builder.initRoot<wire::Frame>().initMessages(2);
+  encoded[1].initDrainAgent().setHigh(3);
+  // The discriminant is the first field of a message; 999 is no known kind.
+  auto kind = ::capnp::toAny(encoded[0]).getDataSection();
+  kind[0] = 0xe7;
+  kind[1] = 0x03;
+  auto words = ::capnp::messageToFlatArray(builder);
+  auto bytes = words.asBytes();
+  auto decoded = DecodeFrame(
+    { reinterpret_cast<const std::byte*>(bytes.begin()), bytes.size() });
+  ASSERT_TRUE(decoded) << decoded.error().message;
+  EXPECT_EQ(*decoded, (std::vector<PeerMessage>{ DrainAgent{ { 3, 0 } } }));
+  EntryNews news;
+  news.evacuation = state::EvacuationState{ 1, {} };
+  for (unsigned i = 0; i < 1000; ++i) {
+    news.evacuation->dataCentres.insert(std::to_string(i));
+  }
+  EXPECT_FALSE(DecodeFrame(ToBytes(EncodeFrame({ news }))));
+}
+
 // Guards against a time that overflows, and against lease fields that are lost
 // when a message is encoded and decoded again.
 TEST(PeerCodecTest, KeepsLeaseRequestsAndRefusesTimesOutOfRange)
--- a/tests/soak/soak_checker.cpp
+++ b/tests/soak/soak_checker.cpp
@@ -9,6 +9,15 @@
 {
   std::lock_guard lock(mutex_);
   startedJobs_.insert(aRun.task.job);
+  if (evacuatedServer_ == aServer) {
+    violations_.push_back(
+      fmt::format("job {} task {}: run {} starts on server {}, which is in an "
+                  "evacuated data centre",
+                  aRun.task.job.ToString(),
+                  aRun.task.index,
+                  aRun.run,
+                  aServer));
+  }
   auto& servers = runningServers_[aRun.task];
   servers.insert(aServer);
   if (servers.size() > 1) {
@@ -39,6 +48,13 @@
   }
 }
 
+void
+SoakChecker::SetEvacuatedServer(std::optional<unsigned> aServer)
+{
+  std::lock_guard lock(mutex_);
+  evacuatedServer_ = aServer;
+}
+
 void
 SoakChecker::OnSubmitted(const state::DispatchJobId& aJob, std::string aSpec)
 {
--- a/tests/soak/soak_checker.h
+++ b/tests/soak/soak_checker.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -29,6 +30,8 @@
   void OnCompleted(const state::DispatchJobId& aJob, unsigned aTasks);
   /** The only attempt to submit the job was rejected as not run. */
   void OnRejected(const state::DispatchJobId& aJob);
+  /** From now on, each start on this server is a violation. */
+  void SetEvacuatedServer(std::optional<unsigned> aServer);
   void AddViolation(const std::string& aMessage);
 
   std::vector<std::string> Violations() const;
@@ -41,6 +44,7 @@
   std::map<std::string, std::string> submittedSpecs_;
   std::set<state::DispatchJobId> startedJobs_;
   std::set<state::TaskKey> completedTasks_;
+  std::optional<unsigned> evacuatedServer_;
   std::vector<std::string> violations_;
   unsigned completed_ = 0;
 };
--- a/tests/soak/soak_checker_test.cpp
+++ b/tests/soak/soak_checker_test.cpp
@@ -20,6 +20,21 @@
   EXPECT_EQ(checker.Violations().size(), 1u);
 }
 
+TEST(SoakCheckerTest, ReportsAStartInAnEvacuatedDataCentre)
+{
+  SoakChecker checker;
+  checker.OnRunStarted(0, kFirstRun);
+  checker.SetEvacuatedServer(0);
+  checker.OnRunEnded(0, kFirstRun, RunEndKind::eDone);
+  EXPECT_TRUE(checker.Violations().empty());
+  checker.OnRunStarted(0, kSecondRun);
+  EXPECT_EQ(checker.Violations().size(), 1u);
+  checker.SetEvacuatedServer(std::nullopt);
+  checker.OnRunEnded(0, kSecondRun, RunEndKind::eDone);
+  checker.OnRunStarted(0, { { 8, 0, 0 }, 1 });
+  EXPECT_EQ(checker.Violations().size(), 1u);
+}
+
 TEST(SoakCheckerTest, AllowsARunAfterTheEndOfAnother)
 {
   SoakChecker checker;
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -22,6 +22,15 @@
 constexpr unsigned kDeadlineMs = 1500;
 constexpr std::chrono::milliseconds kRetryDelay{ 1300 };
 constexpr unsigned kAttempts = 3;
+/** The first server is in a data centre of its own. */
+constexpr const char* kDataCentre = "bole";
+constexpr const char* kEvacuatedDataCentre = "mulu";
+/**
+ * Bound on the time from the acknowledgement of an evacuation until it is in
+ * force, and the longest extension for outages of the store.
+ */
+constexpr std::chrono::milliseconds kEvacuationTime{ 5000 };
+constexpr std::chrono::milliseconds kMaxEvacuationStretch{ 6000 };
 /** The platform sends SIGKILL 6 s after its stop signal. */
 constexpr std::chrono::milliseconds kStopTimeout{ 6000 };
 
@@ -67,7 +76,8 @@
                   Address(callerPort),
                   Address(ReservePort()),
                   Address(controlPorts_[i]));
-    std::string path = WriteSettings(listen, "", proxies_.back()->Start());
+    std::string path =
+      WriteSettings(kDataCentre, listen, "", proxies_.back()->Start());
     proxies_.push_back(
       std::make_unique<LoopbackProxy>(traffic_, Address(callerPort)));
     callerAddresses_.push_back(proxies_.back()->Start());
@@ -97,7 +107,8 @@
       std::make_unique<LoopbackProxy>(traffic_, servers_.back()->Start()));
     announceAddresses_.push_back(Address(ReservePort()));
     std::string path =
-      WriteSettings(fmt::format(R"("control":"{}")", announceAddresses_.back()),
+      WriteSettings(i == 0 ? kEvacuatedDataCentre : kDataCentre,
+                    fmt::format(R"("control":"{}")", announceAddresses_.back()),
                     proxies_.back()->Start(),
                     store);
     processes_.push_back(std::make_unique<ManagedProcess>(
@@ -128,7 +139,8 @@
 }
 
 std::string
-SoakFleet::WriteSettings(const std::string& aListen,
+SoakFleet::WriteSettings(const std::string& aDataCentre,
+                         const std::string& aListen,
                          const std::string& aServer,
                          const std::string& aStore)
 {
@@ -137,10 +149,11 @@
   files_.push_back(path);
   unsigned internalPort = ReservePort();
   std::ofstream(path) << fmt::format(
-    R"({{"zone":"bole","ip":"127.0.0.1","listen":{{{}}},
+    R"({{"zone":"{}","ip":"127.0.0.1","listen":{{{}}},
         "internalPortRange":[{},{}],"seeds":["{}","{}"],
         "bounds":{{"maxHoldMs":1000}},"app":"{}",
         "platform":{{"address":"{}"}}}})",
+    aDataCentre,
     aListen,
     internalPort,
     internalPort,
@@ -339,6 +352,34 @@
   }
 }
 
+void
+SoakFleet::AwaitEvacuationBound()
+{
+  constexpr std::chrono::milliseconds kStep{ 10 };
+  auto deadline = Clock::now() + kEvacuationTime;
+  auto latest = deadline + kMaxEvacuationStretch;
+  while (Clock::now() < std::min(deadline, latest)) {
+    std::this_thread::sleep_for(kStep);
+    deadline += store_.IsAvailable() ? 0ms : kStep;
+  }
+}
+
+void
+SoakFleet::PlayEvacuations(std::uint64_t aSeed)
+{
+  const std::string key = std::string("evacuate/") + kEvacuatedDataCentre;
+  std::mt19937_64 random(aSeed);
+  do {
+    store_.Put(key, "{}");
+    AwaitEvacuationBound();
+    checker_.SetEvacuatedServer(0);
+    SleepRandomly(random, 500, 3000);
+    checker_.SetEvacuatedServer(std::nullopt);
+    store_.Put(key, "");
+    SleepRandomly(random, 500, 3000);
+  } while (isInjectingFaults_);
+}
+
 void
 SoakFleet::Run(std::chrono::milliseconds aTime)
 {
@@ -355,6 +396,7 @@
   }
   faults.emplace_back([this, seed = random()] { InjectProxyFaults(seed); });
   faults.emplace_back([this, seed = random()] { InjectStoreFaults(seed); });
+  faults.emplace_back([this, seed = random()] { PlayEvacuations(seed); });
   std::this_thread::sleep_for(aTime);
   isInjectingFaults_ = false;
   for (std::thread& thread : faults) {
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -51,7 +51,8 @@
   };
 
   void StartProcess(ManagedProcess& aProcess);
-  std::string WriteSettings(const std::string& aListen,
+  std::string WriteSettings(const std::string& aDataCentre,
+                            const std::string& aListen,
                             const std::string& aServer,
                             const std::string& aStore);
   void AdvanceServers();
@@ -59,6 +60,13 @@
   void InjectProcessFaults(ManagedProcess& aProcess, std::uint64_t aSeed);
   void InjectProxyFaults(std::uint64_t aSeed);
   void InjectStoreFaults(std::uint64_t aSeed);
+  /**
+   * Evacuates the data centre of the first server again and again. The first
+   * evacuation lasts until it must be in force, however short the soak is.
+   */
+  void PlayEvacuations(std::uint64_t aSeed);
+  /** Waits until the evacuation that was just requested must be in force. */
+  void AwaitEvacuationBound();
   void RunCaller(std::uint64_t aSeed);
   /** Submits a job once; returns the HTTP status, 0 if there was no answer. */
   int Submit(unsigned aEntry,
