Answer outdated evacuation states directly

Cause: an entry that started after the end of an evacuation never told an agent that still had the earlier state, because such an entry has nothing to send to agents; the agent would have refused all runs. A relay of a large fleet did not answer processes that are none of its own targets. Each record of the configuration after the first evacuation was passed on six times.

Change: an outdated state is answered at once, at most every 250 ms, and shows that a data centre was evacuated. A state of which only the revision is new is sent once.

--- a/src/coordination/evacuation/evacuation_exchange.cpp
+++ b/src/coordination/evacuation/evacuation_exchange.cpp
@@ -41,7 +41,7 @@
 EvacuationExchange::OnEntry(const ProcessId& aEntry)
 {
   if (entries_.insert(aEntry).second) {
-    Schedule(contacts_[aEntry], milliseconds(0));
+    Schedule(contacts_[aEntry]);
   }
 }
 
@@ -53,7 +53,7 @@
     return;
   }
   contact->second.isAgent = true;
-  Schedule(contact->second, milliseconds(0));
+  Schedule(contact->second);
   // The agent must know the state before the first order to it.
   Tick();
 }
@@ -70,7 +70,7 @@
 {
   auto contact = contacts_.find(aProcess);
   if (contact != contacts_.end()) {
-    Schedule(contact->second, milliseconds(0));
+    Schedule(contact->second);
   }
 }
 
@@ -90,11 +90,16 @@
     contact->second.sendsLeft = 0;
     return;
   }
-  bool isOutdated = aState.dataCentres != state_.dataCentres;
-  if (isOutdated && contact != contacts_.end() &&
-      contact->second.sendsLeft == 0) {
-    Schedule(contact->second, milliseconds(0));
+  bool isOutdated = aState.revision < state_.revision &&
+                    aState.dataCentres != state_.dataCentres;
+  auto now = clock_.MonotonicNow();
+  if (!isOutdated || contact == contacts_.end() ||
+      now < contact->second.nextAnswerAt) {
+    return;
   }
+  hasEvacuated_ = hasEvacuated_ || !aState.dataCentres.empty();
+  contact->second.nextAnswerAt = now + kFirstRepeatDelay;
+  hooks_.send(aFrom, state_);
 }
 
 void
@@ -106,14 +111,15 @@
   }
   EvacuationState before = std::exchange(state_, aState);
   if (before.dataCentres == state_.dataCentres) {
-    bool isFirst = !before.IsKnown();
-    if (isFirst || ConcernsAgents()) {
-      ScheduleAll(isFirst ? milliseconds(0) : kRevisionDelay);
+    if (!before.IsKnown()) {
+      ScheduleAll();
+    } else if (ConcernsAgents()) {
+      ScheduleRevision();
     }
     return;
   }
   hasEvacuated_ = true;
-  ScheduleAll(milliseconds(0));
+  ScheduleAll();
   if (aFrom && contacts_.contains(*aFrom)) {
     contacts_.at(*aFrom).sendsLeft = 0;
   }
@@ -122,9 +128,9 @@
 }
 
 void
-EvacuationExchange::Schedule(Contact& aContact, milliseconds aDelay) const
+EvacuationExchange::Schedule(Contact& aContact) const
 {
-  aContact.dueAt = clock_.MonotonicNow() + aDelay;
+  aContact.dueAt = clock_.MonotonicNow();
   aContact.repeatDelay = kFirstRepeatDelay;
   // What was never in force need not arrive: a process that starts waits for it
   // for a bounded time only.
@@ -132,10 +138,21 @@
 }
 
 void
-EvacuationExchange::ScheduleAll(milliseconds aDelay)
+EvacuationExchange::ScheduleAll()
 {
   for (auto& [id, contact] : contacts_) {
-    Schedule(contact, aDelay);
+    Schedule(contact);
+  }
+}
+
+void
+EvacuationExchange::ScheduleRevision()
+{
+  for (auto& [id, contact] : contacts_) {
+    if (contact.sendsLeft == 0) {
+      contact.dueAt = clock_.MonotonicNow() + kRevisionDelay;
+      contact.sendsLeft = 1;
+    }
   }
 }
 
--- a/src/coordination/evacuation/evacuation_exchange.h
+++ b/src/coordination/evacuation/evacuation_exchange.h
@@ -63,12 +63,17 @@
     state::MonotonicTime dueAt;
     std::chrono::milliseconds repeatDelay{ 0 };
     unsigned sendsLeft = 0;
+    /** Earliest time of the next answer to an outdated state. */
+    state::MonotonicTime nextAnswerAt;
   };
 
   void Adopt(const state::EvacuationState& aState,
              const std::optional<state::ProcessId>& aFrom);
-  void Schedule(Contact& aContact, std::chrono::milliseconds aDelay) const;
-  void ScheduleAll(std::chrono::milliseconds aDelay);
+  /** Schedules the number of sends that the state requires. */
+  void Schedule(Contact& aContact) const;
+  void ScheduleAll();
+  /** Sends a state of which only the revision is new once, with a delay. */
+  void ScheduleRevision();
   /** Returns the processes to which this one sends by itself. */
   std::vector<state::ProcessId> Targets() const;
   /** Returns true if an agent may not have the state that is in force. */
--- a/tests/dispatch/evacuation_exchange_test.cpp
+++ b/tests/dispatch/evacuation_exchange_test.cpp
@@ -107,6 +107,33 @@
   EXPECT_EQ(sent_.size(), 1u);
 }
 
+// Guards against an agent that refuses all runs after the end of an evacuation,
+// of which no entry that is running has known.
+TEST_F(EvacuationExchangeTest, CorrectsAnAgentThatOutlivedTheEntries)
+{
+  exchange_.OnLogState({ 9, {} });
+  exchange_.OnAgent(kAgent);
+  exchange_.OnProcessState(kAgent, { 7, { "bole" } });
+  ASSERT_EQ(SentTo(kAgent), 1u);
+  EXPECT_EQ(sent_.back().second, (EvacuationState{ 9, {} }));
+  exchange_.OnProcessState(kAgent, { 7, { "bole" } });
+  EXPECT_EQ(SentTo(kAgent), 1u);
+}
+
+// Guards against messages without end after an evacuation, each time that the
+// configuration changes.
+TEST_F(EvacuationExchangeTest, SendsANewRevisionOnce)
+{
+  exchange_.OnAgent(kAgent);
+  exchange_.OnLogState({ 7, { "bole" } });
+  Wait(milliseconds(60'000));
+  sent_.clear();
+  exchange_.OnLogState({ 8, { "bole" } });
+  EXPECT_EQ(SentTo(kAgent), 0u);
+  Wait(milliseconds(60'000));
+  EXPECT_EQ(SentTo(kAgent), 1u);
+}
+
 // Guards against messages to every process on a site without evacuations, each
 // time that the configuration changes.
 TEST_F(EvacuationExchangeTest, SendsLittleWhereNothingIsEvacuated)
--- a/tests/platform/platform_fakes.cpp
+++ b/tests/platform/platform_fakes.cpp
@@ -199,7 +199,6 @@
 void
 FakeStore::Handle(const HttpRequest& aRequest, HttpResponder aRespond)
 {
-  ++callCount_;
   if (!available_) {
     aRespond(Respond(503, "{}"));
     return;
--- a/tests/platform/platform_fakes.h
+++ b/tests/platform/platform_fakes.h
@@ -33,8 +33,6 @@
    * with the prefix.
    */
   void AddOtherKeys(unsigned aCount, const std::string& aPrefix = "a ");
-  /** Number of requests so far. */
-  unsigned CallCount() const { return callCount_; }
   /** While unavailable, the store answers 503. */
   void SetAvailable(bool aAvailable) { available_ = aAvailable; }
   bool IsAvailable() const { return available_; }
@@ -56,7 +54,6 @@
   std::vector<std::string> records_;
   /** The newest value of each key; empty for a key that was removed. */
   std::map<std::string, std::string> newest_;
-  std::atomic<unsigned> callCount_{ 0 };
   std::atomic<bool> available_{ true };
 };
 
