--- a/tests/platform/platform_fakes.h
+++ b/tests/platform/platform_fakes.h
@@ -33,10 +33,9 @@
    * with the prefix.
    */
   void AddOtherKeys(unsigned aCount, const std::string& aPrefix = "a ");
-  /** Number of requests so far. */
-  unsigned CallCount() const { return callCount_; }
   /** While unavailable, the store answers 503. */
   void SetAvailable(bool aAvailable) { available_ = aAvailable; }
+  bool IsAvailable() const { return available_; }
 
 private:
   struct LongRead;
@@ -55,7 +54,6 @@
   std::vector<std::string> records_;
   /** The newest value of each key; empty for a key that was removed. */
   std::map<std::string, std::string> newest_;
-  std::atomic<unsigned> callCount_{ 0 };
   std::atomic<bool> available_{ true };
 };
 
