--- a/cmake/layers.cmake
+++ b/cmake/layers.cmake
@@ -31,8 +31,14 @@
   endforeach()
 endfunction()
 
-# greengage_tests(NAME): adds one test program of the sources below tests/NAME.
+# greengage_tests(NAME [RUN_SERIAL]): adds one test program of the sources below
+# tests/NAME. With RUN_SERIAL, CTest runs no other test at the same time.
 function(greengage_tests NAME)
+  cmake_parse_arguments(ARG "RUN_SERIAL" "" "" ${ARGN})
+  set(properties TIMEOUT 300)
+  if(ARG_RUN_SERIAL)
+    list(APPEND properties RUN_SERIAL TRUE)
+  endif()
   file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/${NAME}/*.cpp)
   if(NOT sources)
     return()
@@ -48,7 +54,7 @@
   if(programs)
     add_dependencies(${NAME}_tests ${programs})
   endif()
-  gtest_discover_tests(${NAME}_tests NO_PRETTY_VALUES DISCOVERY_TIMEOUT 60 PROPERTIES TIMEOUT 300)
+  gtest_discover_tests(${NAME}_tests NO_PRETTY_VALUES DISCOVERY_TIMEOUT 60 PROPERTIES ${properties})
 endfunction()
 
 # greengage_benchmark_library(NAME FOLDER): adds a library of FOLDER/*.cpp, the
--- a/tests/support/process_fleet.h
+++ b/tests/support/process_fleet.h
@@ -44,6 +44,7 @@
   ChildProcess& operator=(const ChildProcess&) = delete;
 
   void Signal(int aSignal) const;
+  pid_t Pid() const { return pid_; }
   /**
    * Waits for the end of the child process. Returns true if it exits with
    * code 0 within the timeout.
