Bound the memory and the number of connections

The buffer of an HTTP connection had no limit: the parser keeps trailers, chunk headers and extensions in it until they are complete. A frame was allocated with the length that its sender announced, and connections were only limited per listener.

HttpInput feeds the parser and counts the bytes held, ByteBudget limits those of all connections of a process and evicts the connections that hold the most. Listeners share the descriptors of the host; a new connection replaces the one that has been without a complete request for the longest, or a peer without a Hello. The socket is also read while a request is handled, up to a limit.

--- a/src/daemon/dispatch/dispatch_agent_process.cpp
+++ b/src/daemon/dispatch/dispatch_agent_process.cpp
@@ -22,6 +22,8 @@
 
 namespace {
 
+/** Encoding and sockets need much less than a core on a host. */
+constexpr unsigned kTrafficThreads = 1;
 constexpr milliseconds kTickPeriod{ 25 };
 constexpr unsigned kTicksPerMembershipTick = 2;
 /** Maximum time to stop after a stop signal; the platform kills after 6 s. */
@@ -54,10 +56,11 @@
 }
 
 transport::HttpServerLimits
-AnnouncementLimits()
+AnnouncementLimits(const transport::ConnectionLimits& aLimits)
 {
   transport::HttpServerLimits limits;
   limits.maxBodyBytes = kMaxAnnouncementBytes;
+  limits.maxConnections = aLimits.callerConnections;
   return limits;
 }
 
@@ -80,6 +83,7 @@
 DispatchAgentProcess::DispatchAgentProcess(
   const DispatchAgentSettings& aSettings)
   : settings_(aSettings)
+  , traffic_(kTrafficThreads, aSettings.connections)
   , peers_(traffic_, control_, clock_, MakePeerHooks())
   , runController_(aSettings.runs,
                    FirstFencingToken(clock_),
@@ -103,7 +107,7 @@
             OnNotice(value, respond);
           });
       },
-      AnnouncementLimits())
+      AnnouncementLimits(aSettings.connections))
   , statusServer_(
       traffic_,
       MakeStatusHooks(control_,
@@ -118,6 +122,9 @@
                })
   , choice_(clock_, MakeChoiceHooks())
 {
+  traffic_.Guard().SetLimitedHook([this](transport::ConnectionLimit aLimit) {
+    dispatchMetrics_.OnConnectionLimited(aLimit);
+  });
 }
 
 DispatchAgentProcess::~DispatchAgentProcess()
@@ -277,6 +284,7 @@
   control_.Every(kTickPeriod, [this] { OnTick(); });
   control_.Start();
   traffic_.Start();
+  traffic_.Guard().LogLimits();
   LogEvent(events::kProcessStarted,
            "peer={} announcements={} metrics={} data_centre={}",
            peers_.Self().peerAddress,
--- a/src/daemon/dispatch/dispatch_agent_process.h
+++ b/src/daemon/dispatch/dispatch_agent_process.h
@@ -27,6 +27,8 @@
   /** `ip:port` of the metrics; not served if empty. */
   std::string metricsAddress;
   coordination::RunControllerSettings runs;
+  /** Limits for the connections that others open to this process. */
+  transport::ConnectionLimits connections;
 
   auto operator<=>(const DispatchAgentSettings&) const = default;
 };
@@ -113,7 +115,7 @@
   transport::SystemClock clock_;
   transport::MetricsRegistry metrics_{ clock_ };
   DispatchMetrics dispatchMetrics_{ metrics_ };
-  transport::TrafficPool traffic_{ 1 };
+  transport::TrafficPool traffic_;
   transport::ControlThread control_;
   PeerNode peers_;
   coordination::RunController runController_;
--- a/src/daemon/dispatch/dispatch_entry_process.cpp
+++ b/src/daemon/dispatch/dispatch_entry_process.cpp
@@ -20,6 +20,8 @@
 
 namespace {
 
+/** Encoding and sockets need much less than a core on a host. */
+constexpr unsigned kTrafficThreads = 1;
 constexpr milliseconds kTickPeriod{ 25 };
 /** Membership has a tick period of 50 ms. */
 constexpr unsigned kTicksPerMembershipTick = 2;
@@ -48,11 +50,12 @@
 constexpr milliseconds kCallerIdleTimeout{ 60'000 };
 
 transport::HttpServerLimits
-CallerLimits()
+CallerLimits(const transport::ConnectionLimits& aLimits)
 {
   transport::HttpServerLimits limits;
   limits.maxBodyBytes = kMaxCallerBodyBytes;
   limits.idleTimeout = kCallerIdleTimeout;
+  limits.maxConnections = aLimits.callerConnections;
   return limits;
 }
 
@@ -71,6 +74,7 @@
   CallerHooks aCallerHooks)
   : settings_(aSettings)
   , callerHooks_(std::move(aCallerHooks))
+  , traffic_(kTrafficThreads, aSettings.connections)
   , peers_(traffic_, control_, clock_, MakePeerHooks())
   , dispatcher_(DispatcherSettings(aSettings), clock_, MakeDispatcherHooks())
   , callerServer_(
@@ -78,16 +82,18 @@
       [this](HttpRequest aRequest, HttpResponder aRespond) {
         OnHttpRequest(std::move(aRequest), std::move(aRespond));
       },
-      CallerLimits(),
+      CallerLimits(aSettings.connections),
       [this](std::uint64_t aRequestNumber) {
         control_.Post([this, aRequestNumber] { OnAbandoned(aRequestNumber); });
       })
-  , readinessServer_(traffic_,
-                     [this](const HttpRequest&, const HttpResponder& aRespond) {
-                       HttpResponse response;
-                       response.status = isReady_ ? 200 : 503;
-                       aRespond(std::move(response));
-                     })
+  , readinessServer_(
+      traffic_,
+      [this](const HttpRequest&, const HttpResponder& aRespond) {
+        HttpResponse response;
+        response.status = isReady_ ? 200 : 503;
+        aRespond(std::move(response));
+      },
+      transport::ServiceLimits(aSettings.connections))
   , statusServer_(traffic_,
                   MakeStatusHooks(control_,
                                   metrics_,
@@ -106,6 +112,9 @@
     peers_.Send(aEntry, aNews);
   })
 {
+  traffic_.Guard().SetLimitedHook([this](transport::ConnectionLimit aLimit) {
+    dispatchMetrics_.OnConnectionLimited(aLimit);
+  });
 }
 
 DispatchEntryProcess::~DispatchEntryProcess()
@@ -137,6 +146,7 @@
   control_.Every(kTickPeriod, [this] { OnTick(); });
   control_.Start();
   traffic_.Start();
+  traffic_.Guard().LogLimits();
   LogEvent(events::kProcessStarted,
            "peer={} http={} ready={} metrics={} data_centre={}",
            peers_.Self().peerAddress,
--- a/src/daemon/dispatch/dispatch_entry_process.h
+++ b/src/daemon/dispatch/dispatch_entry_process.h
@@ -37,6 +37,8 @@
   double remoteRackFactor = 1;
   /** Number of cores that this process may use; 0: unknown. */
   double processorCores = 0;
+  /** Limits for the connections that others open to this process. */
+  transport::ConnectionLimits connections;
 
   auto operator<=>(const DispatchEntrySettings&) const = default;
 };
@@ -171,7 +173,7 @@
   transport::SystemClock clock_;
   transport::MetricsRegistry metrics_{ clock_ };
   DispatchMetrics dispatchMetrics_{ metrics_ };
-  transport::TrafficPool traffic_{ 1 };
+  transport::TrafficPool traffic_;
   transport::TrafficProbe probe_{ traffic_ };
   transport::ControlThread control_;
   PeerNode peers_;
--- a/src/daemon/dispatch/dispatch_metrics.cpp
+++ b/src/daemon/dispatch/dispatch_metrics.cpp
@@ -77,6 +77,17 @@
     .Add();
 }
 
+void
+DispatchMetrics::OnConnectionLimited(transport::ConnectionLimit aLimit)
+{
+  metrics_
+    .FindCounter(
+      { "greengage_connections_limited_total",
+        MetricLabel("reason", transport::ToString(aLimit)) },
+      "Connections that were refused or closed at a limit, by reason")
+    .Add();
+}
+
 void
 DispatchMetrics::OnServerCrashed()
 {
--- a/src/daemon/dispatch/dispatch_metrics.h
+++ b/src/daemon/dispatch/dispatch_metrics.h
@@ -2,6 +2,7 @@
 
 #include "coordination/dispatch/job_dispatcher.h"
 #include "coordination/dispatch/run_controller.h"
+#include "transport/connection_guard.h"
 #include "transport/metrics.h"
 
 namespace greengage::daemon {
@@ -18,6 +19,8 @@
   void OnRefused(const state::DispatchOutcome& aOutcome);
   /** Counts a run decision of an agent by its name and reason. */
   void OnRunDecision(const coordination::RunDecision& aDecision);
+  /** Counts a connection that was refused or closed; any thread. */
+  void OnConnectionLimited(transport::ConnectionLimit aLimit);
   /** Counts a crash of an agent's server. */
   void OnServerCrashed();
 
--- a/src/daemon/status_server.cpp
+++ b/src/daemon/status_server.cpp
@@ -11,9 +11,12 @@
 StatusServer::StatusServer(transport::TrafficPool& aTraffic,
                            StatusServerHooks aHooks)
   : hooks_(std::move(aHooks))
-  , http_(aTraffic, [this](HttpRequest aRequest, HttpResponder aRespond) {
-    Handle(aRequest, aRespond);
-  })
+  , http_(
+      aTraffic,
+      [this](HttpRequest aRequest, HttpResponder aRespond) {
+        Handle(aRequest, aRespond);
+      },
+      transport::ServiceLimits(aTraffic.Guard().Limits()))
 {
 }
 
--- a/src/transport/events.h
+++ b/src/transport/events.h
@@ -83,6 +83,12 @@
 inline constexpr EventKind kRequestDropped{ 1203,
                                             "request_dropped",
                                             LogLevel::eInfo };
+inline constexpr EventKind kConnectionLimited{ 1210,
+                                               "connection_limited",
+                                               LogLevel::eWarning };
+inline constexpr EventKind kConnectionLimits{ 1211,
+                                              "connection_limits",
+                                              LogLevel::eInfo };
 
 // Ownership.
 inline constexpr EventKind kOwnerChanged{ 1301,
@@ -239,6 +245,8 @@
   kProcessBehind,
   kProcessCaughtUp,
   kRequestDropped,
+  kConnectionLimited,
+  kConnectionLimits,
   kJobSubmitted,
   kServerCrashed,
   kEntriesChosen,
--- a/src/transport/frame_session.cpp
+++ b/src/transport/frame_session.cpp
@@ -11,6 +11,7 @@
 #include <fmt/format.h>
 
 #include "protocol/peer_codec.h"
+#include "transport/endpoint.h"
 
 namespace greengage::transport {
 
@@ -19,6 +20,13 @@
 
 namespace {
 
+// The first frame of a peer is its Hello, which has a few hundred bytes. Until
+// it was received, the peer may be any program.
+constexpr std::size_t kMaxFirstFrameBytes = 64 * 1024;
+
+/** Bytes by which the buffer of an incomplete frame grows at least. */
+constexpr std::size_t kMinPartBytes = 64 * 1024;
+
 void
 AppendLength(std::string& aFrame, std::size_t aLength)
 {
@@ -39,16 +47,27 @@
 
 }
 
-FrameSession::FrameSession(asio::ip::tcp::socket aSocket, Handlers aHandlers)
+FrameSession::FrameSession(asio::ip::tcp::socket aSocket,
+                           Handlers aHandlers,
+                           ConnectionGuard& aGuard)
   : socket_(std::move(aSocket))
   , strand_(asio::make_strand(socket_.get_executor()))
   , handlers_(std::move(aHandlers))
+  , guard_(aGuard)
 {
 }
 
 void
 FrameSession::Start()
 {
+  account_ = guard_.Bytes().Open(
+    [weak = weak_from_this(), strand = strand_](std::size_t aBytes) {
+      asio::post(strand, [weak, aBytes] {
+        if (auto self = weak.lock()) {
+          self->OnEvicted(aBytes);
+        }
+      });
+    });
   asio::post(strand_, [self = shared_from_this()] {
     error_code ignored;
     self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -99,11 +118,14 @@
           return;
         }
         std::uint32_t size = ReadLength(self->header_);
-        if (size == 0 || size > protocol::kMaxFrameBytes) {
+        std::size_t maxBytes =
+          self->hasReceived_ ? protocol::kMaxFrameBytes : kMaxFirstFrameBytes;
+        if (size == 0 || size > maxBytes) {
           self->Fail(fmt::format("frame length {} is out of range", size),
                      TransportErrorKind::eMalformed);
           return;
         }
+        self->bodyBytes_ = 0;
         self->ReadBody(size);
       }));
 }
@@ -111,33 +133,69 @@
 void
 FrameSession::ReadBody(std::uint32_t aSize)
 {
-  body_.resize(aSize);
-  asio::async_read(
-    socket_,
-    asio::buffer(body_),
-    asio::bind_executor(
-      strand_, [self = shared_from_this()](error_code aError, std::size_t) {
-        if (aError) {
-          self->Fail(aError.message());
-          return;
-        }
-        // The session may have been closed while this read completed.
-        if (self->closed_) {
-          return;
-        }
-        auto messages = protocol::DecodeFrame(self->body_);
-        if (!messages) {
-          self->Fail("malformed frame: " + messages.error().message,
-                     TransportErrorKind::eMalformed);
-          return;
-        }
-        if (self->handlers_.frameReceived) {
-          self->handlers_.frameReceived(
-            *messages, self->header_.size() + self->body_.size());
-        }
-        self->handlers_.received(*std::move(messages));
-        self->ReadHeader();
-      }));
+  std::size_t end = std::min<std::size_t>(
+    aSize, bodyBytes_ + std::max(bodyBytes_, kMinPartBytes));
+  body_.resize(end);
+  if (!account_->Set(body_.capacity())) {
+    return;
+  }
+  asio::async_read(socket_,
+                   asio::buffer(body_.data() + bodyBytes_, end - bodyBytes_),
+                   asio::bind_executor(strand_,
+                                       [self = shared_from_this(), aSize, end](
+                                         error_code aError, std::size_t) {
+                                         if (aError) {
+                                           self->Fail(aError.message());
+                                           return;
+                                         }
+                                         // The session may have been closed
+                                         // while this read completed.
+                                         if (self->closed_) {
+                                           return;
+                                         }
+                                         self->bodyBytes_ = end;
+                                         if (end < aSize) {
+                                           self->ReadBody(aSize);
+                                         } else {
+                                           self->OnBody();
+                                         }
+                                       }));
+}
+
+void
+FrameSession::OnBody()
+{
+  auto messages = protocol::DecodeFrame(body_);
+  if (!messages) {
+    Fail("malformed frame: " + messages.error().message,
+         TransportErrorKind::eMalformed);
+    return;
+  }
+  hasReceived_ = true;
+  if (handlers_.frameReceived) {
+    handlers_.frameReceived(*messages, header_.size() + body_.size());
+  }
+  handlers_.received(*std::move(messages));
+  if (body_.capacity() > kMinPartBytes) {
+    body_ = {};
+  }
+  if (account_->Set(body_.capacity())) {
+    ReadHeader();
+  }
+}
+
+void
+FrameSession::OnEvicted(std::size_t aBytes)
+{
+  if (closed_) {
+    return;
+  }
+  error_code error;
+  auto remote = socket_.remote_endpoint(error);
+  guard_.ReportLimited(ConnectionLimit::eProcessBytes,
+                       error ? "unknown" : ToString(remote),
+                       aBytes);
+  Fail("the memory for connections is used up");
 }
 
 void
@@ -182,6 +240,7 @@
   pending_.clear();
   error_code ignored;
   socket_.close(ignored);
+  account_->Set(0);
   // The handlers may hold a reference to the owner of this session. Releasing
   // them breaks that reference cycle.
   Handlers handlers = std::exchange(handlers_, {});
--- a/src/transport/frame_session.h
+++ b/src/transport/frame_session.h
@@ -12,6 +12,7 @@
 #include <boost/asio/strand.hpp>
 
 #include "coordination/messages.h"
+#include "transport/connection_guard.h"
 #include "transport/transport_error.h"
 
 namespace greengage::transport {
@@ -40,7 +41,10 @@
     FrameCounter frameReceived;
   };
 
-  FrameSession(boost::asio::ip::tcp::socket aSocket, Handlers aHandlers);
+  /** The guard must outlive the session. */
+  FrameSession(boost::asio::ip::tcp::socket aSocket,
+               Handlers aHandlers,
+               ConnectionGuard& aGuard);
 
   /** Starts reading; the socket must be connected. */
   void Start();
@@ -57,7 +61,13 @@
 
 private:
   void ReadHeader();
+  /**
+   * Reads the next part of a body of this size. The buffer grows with the bytes
+   * received, not with the size that the peer announced.
+   */
   void ReadBody(std::uint32_t aSize);
+  void OnBody();
+  void OnEvicted(std::size_t aBytes);
   void WriteNext();
   void Fail(const std::string& aReason,
             TransportErrorKind aKind = TransportErrorKind::eBroken);
@@ -68,8 +78,12 @@
   boost::asio::ip::tcp::socket socket_;
   boost::asio::strand<boost::asio::any_io_executor> strand_;
   Handlers handlers_;
+  ConnectionGuard& guard_;
+  std::unique_ptr<ByteBudget::Account> account_;
   std::array<unsigned char, 4> header_{};
   std::vector<std::byte> body_;
+  std::size_t bodyBytes_ = 0;
+  bool hasReceived_ = false;
   std::deque<coordination::PeerMessage> pending_;
   std::string frame_;
   bool writing_ = false;
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -25,6 +25,14 @@
 
 constexpr std::chrono::seconds kRefusalReportPeriod{ 1 };
 
+// The readiness check and the metrics are read with GET; a body has no use.
+constexpr std::size_t kMaxServiceBodyBytes = 16 * 1024;
+
+// Received bytes that are not read yet occupy memory of the host. Without this
+// bound the system would let each connection keep megabytes of them; with it a
+// body of the largest size still arrives within a few round trips.
+constexpr int kReceiveBufferBytes = 64 * 1024;
+
 }
 
 HttpServer::HttpServer(TrafficPool& aTraffic,
@@ -34,13 +42,22 @@
   : traffic_(aTraffic)
   , acceptor_(asio::make_strand(aTraffic.Context()))
   , acceptRetryTimer_(acceptor_.get_executor())
-  , state_(std::make_shared<HttpServerState>())
+  , state_(std::make_shared<HttpServerState>(aTraffic.Guard()))
 {
   state_->handler = std::move(aHandler);
   state_->limits = aLimits;
   state_->abandonedHandler = std::move(aAbandoned);
 }
 
+HttpServerLimits
+ServiceLimits(const ConnectionLimits& aLimits)
+{
+  HttpServerLimits limits;
+  limits.maxBodyBytes = kMaxServiceBodyBytes;
+  limits.maxConnections = aLimits.serviceConnections;
+  return limits;
+}
+
 std::string_view
 FindHeader(const std::vector<HttpHeader>& aHeaders, std::string_view aName)
 {
@@ -95,6 +112,10 @@
     return opened;
   }
   address_ = ToString(*opened);
+  error_code ignored;
+  // Accepted sockets inherit the size.
+  acceptor_.set_option(
+    asio::socket_base::receive_buffer_size(kReceiveBufferBytes), ignored);
   asio::post(acceptor_.get_executor(), [this] { Accept(); });
   return opened;
 }
@@ -155,7 +176,7 @@
 void
 HttpServer::Serve(asio::ip::tcp::socket aSocket)
 {
-  if (state_->connections < state_->limits.maxConnections) {
+  if (state_->connections < state_->limits.maxConnections || CloseQuiet()) {
     std::make_shared<HttpSession>(
       std::move(aSocket), state_, state_->connections)
       ->Start();
@@ -168,6 +189,27 @@
   }
 }
 
+bool
+HttpServer::CloseQuiet()
+{
+  std::shared_ptr<HttpSession> session;
+  {
+    std::lock_guard lock(state_->sessionsMutex);
+    if (state_->quietSessions.empty()) {
+      return false;
+    }
+    // Moved to the end, so that the next new connection closes another one.
+    state_->quietSessions.splice(state_->quietSessions.end(),
+                                 state_->quietSessions,
+                                 state_->quietSessions.begin());
+    session = state_->quietSessions.back().lock();
+  }
+  if (session) {
+    session->CloseIfQuiet();
+  }
+  return session != nullptr;
+}
+
 void
 HttpServer::ReportRefusal()
 {
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -84,10 +84,17 @@
   std::chrono::milliseconds bodyTimeout{ 10'000 };
   /** From a response to the first byte of the connection's next request. */
   std::chrono::milliseconds idleTimeout{ 60'000 };
-  /** Further connections are answered with status 503 and closed. */
+  /**
+   * A further connection replaces the one that has had no complete request for
+   * the longest. If all have one, it is answered with status 503 and closed.
+   */
   std::size_t maxConnections = 4096;
 };
 
+/** Limits of a server that answers only short requests without a body. */
+HttpServerLimits
+ServiceLimits(const ConnectionLimits& aLimits);
+
 struct HttpServerState;
 
 /**
@@ -136,6 +143,11 @@
   /** Logs the error and accepts again after a pause. */
   void AcceptLater(boost::system::error_code aError);
   void Serve(boost::asio::ip::tcp::socket aSocket);
+  /**
+   * Closes the connection that has had no complete request for the longest.
+   * Returns false if all connections have one.
+   */
+  bool CloseQuiet();
   /** Logs the refused connections, at most once per second. */
   void ReportRefusal();
 
--- a/src/transport/http_session.cpp
+++ b/src/transport/http_session.cpp
@@ -4,7 +4,7 @@
 
 #include <boost/asio/post.hpp>
 
-#include "protocol/caller_json.h"
+#include "transport/endpoint.h"
 #include "transport/event_log.h"
 
 namespace greengage::transport {
@@ -17,12 +17,10 @@
 
 namespace {
 
-// Closing a socket that has unread data resets the connection, and the peer may
-// lose the response. Therefore the remaining data is read and discarded first,
-// within these limits.
-constexpr std::chrono::milliseconds kLingerTimeout{ 1000 };
-constexpr std::size_t kMaxDiscardedBytes = 16 * 1024 * 1024;
-constexpr std::size_t kDiscardChunkBytes = 64 * 1024;
+/** Space that is provided for a read; a usual request fits. */
+constexpr std::size_t kReadBytes = 8 * 1024;
+/** Reads of one connection before others of the thread get their turn. */
+constexpr unsigned kReadsPerTurn = 8;
 
 constexpr unsigned kHttp11 = 11;
 
@@ -38,6 +36,7 @@
   , state_(std::move(aState))
   , sessionCounter_(aSessionCounter)
   , timer_(stream_.get_executor())
+  , input_(state_->limits.maxHeaderBytes, state_->limits.maxBodyBytes)
 {
   ++sessionCounter_;
 }
@@ -48,6 +47,7 @@
     --state_->requests;
   }
   --sessionCounter_;
+  SetQuiet(false);
   std::lock_guard lock(state_->sessionsMutex);
   state_->sessions.erase(this);
 }
@@ -56,7 +56,19 @@
 HttpSession::CloseIfIdle()
 {
   asio::post(stream_.get_executor(), [self = shared_from_this()] {
-    if (self->isIdle_) {
+    if (self->phase_ == Phase::eIdle) {
+      self->Close();
+    }
+  });
+}
+
+void
+HttpSession::CloseIfQuiet()
+{
+  asio::post(stream_.get_executor(), [self = shared_from_this()] {
+    if (self->phase_ <= Phase::eContinuing) {
+      self->ReportLimited(ConnectionLimit::eConnections,
+                          self->input_.HeldBytes());
       self->Close();
     }
   });
@@ -69,10 +81,21 @@
     std::lock_guard lock(state_->sessionsMutex);
     state_->sessions.emplace(this, weak_from_this());
   }
+  SetQuiet(true);
+  account_ = state_->guard.Bytes().Open(
+    [weak = weak_from_this(),
+     executor = stream_.get_executor()](std::size_t aBytes) {
+      asio::post(executor, [weak, aBytes] {
+        if (auto self = weak.lock()) {
+          self->OnEvicted(aBytes);
+        }
+      });
+    });
   asio::post(stream_.get_executor(), [self = shared_from_this()] {
     error_code ignored;
     self->stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
-    self->AwaitRequest(self->state_->limits.headerTimeout);
+    self->stream_.socket().non_blocking(true, ignored);
+    self->BeginRequest(self->state_->limits.headerTimeout);
   });
 }
 
@@ -80,117 +103,174 @@
 HttpSession::StartRefusal()
 {
   asio::post(stream_.get_executor(), [self = shared_from_this()] {
+    error_code ignored;
+    self->stream_.socket().non_blocking(true, ignored);
     self->Refuse(503, RefusalCode::eBusy, "too many open connections");
   });
 }
 
 void
-HttpSession::AwaitRequest(std::chrono::milliseconds aTimeout)
+HttpSession::AwaitReadable()
 {
-  if (buffer_.size() != 0) {
-    ReadHeader();
+  if (isWaiting_ || isEnded_ || phase_ == Phase::eClosed) {
     return;
   }
-  StartTimer(aTimeout);
-  isIdle_ = true;
+  isWaiting_ = true;
   stream_.socket().async_wait(asio::ip::tcp::socket::wait_read,
                               [self = shared_from_this()](error_code aError) {
-                                self->isIdle_ = false;
-                                self->StopTimer();
-                                if (aError) {
-                                  self->Close();
-                                  return;
-                                }
-                                self->ReadHeader();
+                                self->isWaiting_ = false;
+                                self->OnReadable(aError);
                               });
 }
 
 void
-HttpSession::ReadHeader()
+HttpSession::OnReadable(error_code aError)
 {
-  parser_.emplace();
-  parser_->header_limit(
-    static_cast<std::uint32_t>(state_->limits.maxHeaderBytes));
-  parser_->body_limit(state_->limits.maxBodyBytes);
-  StartTimer(state_->limits.headerTimeout);
-  http::async_read_header(
-    stream_,
-    buffer_,
-    *parser_,
-    [self = shared_from_this()](error_code aError, std::size_t) {
-      self->StopTimer();
-      self->OnHeader(aError);
-    });
+  switch (phase_) {
+    case Phase::eIdle:
+    case Phase::eReading:
+      break;
+    case Phase::eHandling:
+    case Phase::eWriting:
+      ReadAhead();
+      return;
+    case Phase::eLingering:
+      Discard();
+      return;
+    case Phase::eContinuing:
+    case Phase::eClosed:
+      return;
+  }
+  ReadResult result = aError ? ReadResult::eReset : Receive();
+  if (result == ReadResult::eReset) {
+    Close();
+    return;
+  }
+  isEnded_ = result == ReadResult::eEnd;
+  if (CountBytes()) {
+    Advance();
+  }
+}
+
+HttpSession::ReadResult
+HttpSession::Receive()
+{
+  for (unsigned i = 0; i < kReadsPerTurn; ++i) {
+    error_code error;
+    std::size_t bytes =
+      stream_.socket().read_some(input_.Prepare(kReadBytes), error);
+    input_.Commit(bytes);
+    if (error == asio::error::would_block) {
+      return ReadResult::eOpen;
+    }
+    if (error) {
+      return error == asio::error::eof ? ReadResult::eEnd : ReadResult::eReset;
+    }
+    if (bytes < kReadBytes) {
+      return ReadResult::eOpen;
+    }
+  }
+  return ReadResult::eOpen;
 }
 
 void
-HttpSession::OnHeader(error_code aError)
+HttpSession::BeginRequest(std::chrono::milliseconds aTimeout)
 {
-  if (aError == http::error::end_of_stream) {
-    Close();
+  phase_ = Phase::eIdle;
+  SetQuiet(true);
+  if (!input_.IsEmpty() || isEnded_) {
+    Advance();
     return;
   }
-  if (aError) {
-    OnReadError(aError);
-    return;
+  StartTimer(aTimeout);
+  AwaitReadable();
+}
+
+void
+HttpSession::Advance()
+{
+  if (phase_ == Phase::eIdle) {
+    if (input_.IsEmpty() && isEnded_) {
+      Close();
+      return;
+    }
+    phase_ = Phase::eReading;
+    StartTimer(state_->limits.headerTimeout);
+  }
+  HttpInput::Progress progress = input_.Parse();
+  if (progress == HttpInput::Progress::eNeedsMore && isEnded_) {
+    progress = input_.ParseEnd();
   }
-  const auto& request = parser_->get();
+  switch (progress) {
+    case HttpInput::Progress::eHeader:
+      OnHeader();
+      return;
+    case HttpInput::Progress::eRequest:
+      StopTimer();
+      Handle();
+      return;
+    case HttpInput::Progress::eFailed:
+      OnParseError();
+      return;
+    case HttpInput::Progress::eNeedsMore:
+      break;
+  }
+  if (isEnded_) {
+    Close();
+  } else if (CountBytes()) {
+    AwaitReadable();
+  }
+}
+
+void
+HttpSession::OnHeader()
+{
+  const auto& request = input_.Current();
   httpVersion_ = std::min(request.version(), kHttp11);
   isHeadRequest_ = request.method() == http::verb::head;
+  StartTimer(state_->limits.bodyTimeout);
   if (beast::iequals(request[http::field::expect], "100-continue")) {
     SendContinue();
     return;
   }
-  ReadBody();
+  Advance();
 }
 
 void
 HttpSession::SendContinue()
 {
   // Clients such as curl wait for this response before they send a large body.
+  phase_ = Phase::eContinuing;
   continue_ = { http::status::continue_, kHttp11 };
-  StartTimer(state_->limits.bodyTimeout);
   http::async_write(
     stream_,
     continue_,
     [self = shared_from_this()](error_code aError, std::size_t) {
-      self->StopTimer();
+      if (self->phase_ != Phase::eContinuing) {
+        return;
+      }
       if (aError) {
         self->Close();
         return;
       }
-      self->ReadBody();
+      self->phase_ = Phase::eReading;
+      self->Advance();
     });
 }
 
-void
-HttpSession::ReadBody()
-{
-  StartTimer(state_->limits.bodyTimeout);
-  http::async_read(stream_,
-                   buffer_,
-                   *parser_,
-                   [self = shared_from_this()](error_code aError, std::size_t) {
-                     self->StopTimer();
-                     if (aError) {
-                       self->OnReadError(aError);
-                       return;
-                     }
-                     self->Handle();
-                   });
-}
-
 void
 HttpSession::Handle()
 {
-  auto request = parser_->release();
-  if (state_->abandonedHandler && IsClosedByPeer()) {
+  auto request = input_.Release();
+  if (state_->abandonedHandler && (isEnded_ || IsClosedByPeer())) {
     Drop(request);
     return;
   }
   keepAlive_ = request.keep_alive();
+  phase_ = Phase::eHandling;
   isHandling_ = true;
   ++state_->requests;
+  SetQuiet(false);
   HttpRequest value{ std::string(request.method_string()),
                      std::string(request.target()),
                      std::move(request.body()),
@@ -202,62 +282,76 @@
       { std::string(field.name_string()), std::string(field.value()) });
   }
   requestNumber_ = value.requestNumber;
-  if (state_->abandonedHandler) {
-    DetectDisconnect();
+  // If the bytes must be released, OnEvicted() is called soon.
+  if (CountBytes()) {
+    AwaitReadable();
   }
   state_->handler(
     std::move(value), [self = shared_from_this()](HttpResponse aResponse) {
       asio::post(self->stream_.get_executor(),
                  [self, response = std::move(aResponse)]() mutable {
-                   self->Write(std::move(response));
+                   if (self->phase_ == Phase::eHandling) {
+                     self->Write(std::move(response));
+                   }
                  });
     });
 }
 
 void
-HttpSession::DetectDisconnect()
+HttpSession::ReadAhead()
 {
-  stream_.socket().async_wait(
-    asio::ip::tcp::socket::wait_read,
-    [weak = weak_from_this(),
-     requestNumber = requestNumber_](error_code aError) {
-      auto self = weak.lock();
-      if (self && !aError) {
-        self->OnPeerReadable(requestNumber);
-      }
-    });
+  ReadResult result = Receive();
+  if (!keepAlive_) {
+    // No further request is served on this connection.
+    input_.Clear();
+  }
+  if (result == ReadResult::eReset) {
+    Abandon();
+    Close();
+    return;
+  }
+  if (result == ReadResult::eEnd) {
+    isEnded_ = true;
+    Abandon();
+    return;
+  }
+  if (input_.UnparsedBytes() > state_->guard.Limits().connectionBytes) {
+    ReportLimited(ConnectionLimit::eConnectionBytes, input_.HeldBytes());
+    Abandon();
+    Close();
+    return;
+  }
+  if (CountBytes()) {
+    AwaitReadable();
+  }
 }
 
 void
-HttpSession::OnPeerReadable(std::uint64_t aRequestNumber)
+HttpSession::Abandon()
 {
-  if (!isHandling_ || requestNumber_ != aRequestNumber) {
-    return;
-  }
-  // Bytes of the next request are read after the response to this one.
-  if (IsClosedByPeer()) {
-    state_->abandonedHandler(aRequestNumber);
+  if (phase_ == Phase::eHandling && state_->abandonedHandler) {
+    state_->abandonedHandler(requestNumber_);
   }
 }
 
 bool
 HttpSession::IsClosedByPeer()
 {
-  // A reset is visible here even if bytes of the next request are unread.
-  pollfd state{ stream_.socket().native_handle(), 0, 0 };
-  if (::poll(&state, 1, 0) == 1 && (state.revents & (POLLERR | POLLHUP)) != 0) {
+  // The end is visible here even if bytes of the next request are unread.
+  constexpr short kEnds = POLLERR | POLLHUP | POLLRDHUP;
+  pollfd state{ stream_.socket().native_handle(), POLLRDHUP, 0 };
+  if (::poll(&state, 1, 0) == 1 && (state.revents & kEnds) != 0) {
     return true;
   }
   char byte = 0;
   error_code error;
-  stream_.socket().non_blocking(true, error);
   std::size_t bytes = stream_.socket().receive(
     asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
   return error != asio::error::would_block && bytes == 0;
 }
 
 void
-HttpSession::Drop(const http::request<Body>& aRequest)
+HttpSession::Drop(const HttpInput::Request& aRequest)
 {
   ++state_->droppedRequests;
   LogEvent(
@@ -269,124 +363,72 @@
 }
 
 void
-HttpSession::OnReadError(error_code aError)
-{
-  if (timedOut_) {
-    Refuse(408, RefusalCode::eBadRequest, "the request took too long");
-  } else if (aError == http::error::body_limit) {
-    Refuse(413, RefusalCode::eBadRequest, "the body is too large");
-  } else if (aError == http::error::header_limit) {
-    Refuse(431, RefusalCode::eBadRequest, "the header is too large");
-  } else if (aError == http::error::partial_message) {
-    Refuse(400, RefusalCode::eBadRequest, "the request ended too early");
-  } else if (aError.category() ==
-             http::make_error_code(http::error::bad_method).category()) {
-    std::string message = "malformed HTTP request: " + aError.message();
-    Refuse(400, RefusalCode::eBadRequest, message.c_str());
-  } else {
-    Close();
-  }
-}
-
-void
-HttpSession::Refuse(unsigned aStatus, RefusalCode aCode, const char* aMessage)
+HttpSession::Close()
 {
-  keepAlive_ = false;
-  HttpResponse response;
-  response.status = aStatus;
-  response.body = protocol::EncodeError(aCode, "", aMessage);
-  Write(std::move(response));
+  phase_ = Phase::eClosed;
+  StopTimer();
+  SetQuiet(false);
+  input_.Clear();
+  CountBytes();
+  stream_.close();
 }
 
-void
-HttpSession::Write(HttpResponse aResponse)
+bool
+HttpSession::CountBytes()
 {
-  if (state_->stopping) {
-    keepAlive_ = false;
-  }
-  response_ = {};
-  response_.version(httpVersion_);
-  response_.result(aResponse.status);
-  response_.set(http::field::content_type, aResponse.contentType);
-  for (const HttpHeader& header : aResponse.headers) {
-    response_.set(header.name, header.value);
-  }
-  response_.keep_alive(keepAlive_);
-  response_.content_length(aResponse.body.size());
-  if (!isHeadRequest_) {
-    response_.body() = std::move(aResponse.body);
-  }
-  StartTimer(state_->limits.bodyTimeout);
-  http::async_write(
-    stream_,
-    response_,
-    [self = shared_from_this()](error_code aError, std::size_t) {
-      self->StopTimer();
-      self->OnWritten(aError);
-    });
+  return !account_ ||
+         account_->Set(input_.HeldBytes() + response_.body().size());
 }
 
 void
-HttpSession::OnWritten(error_code aError)
+HttpSession::OnEvicted(std::size_t aBytes)
 {
-  if (isHandling_) {
-    isHandling_ = false;
-    --state_->requests;
+  if (phase_ == Phase::eClosed) {
+    return;
   }
-  if (aError) {
-    Close();
-  } else if (keepAlive_) {
-    AwaitRequest(state_->limits.idleTimeout);
-  } else {
-    Linger();
+  ReportLimited(ConnectionLimit::eProcessBytes, aBytes);
+  if (phase_ == Phase::eIdle || phase_ == Phase::eReading) {
+    Refuse(503, RefusalCode::eBusy, "the memory for connections is used up");
+    return;
   }
+  Abandon();
+  Close();
 }
 
 void
-HttpSession::Linger()
-{
-  error_code ignored;
-  stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-  StartTimer(kLingerTimeout);
-  Discard();
-}
-
-void
-HttpSession::Discard()
+HttpSession::ReportLimited(ConnectionLimit aLimit, std::size_t aBytes)
 {
-  buffer_.clear();
-  stream_.async_read_some(
-    buffer_.prepare(kDiscardChunkBytes),
-    [self = shared_from_this()](error_code aError, std::size_t aBytes) {
-      self->discardedBytes_ += aBytes;
-      if (aError || self->discardedBytes_ > kMaxDiscardedBytes) {
-        self->StopTimer();
-        self->Close();
-        return;
-      }
-      self->Discard();
-    });
+  error_code error;
+  auto remote = stream_.socket().remote_endpoint(error);
+  state_->guard.ReportLimited(
+    aLimit, error ? "unknown" : ToString(remote), aBytes);
 }
 
 void
-HttpSession::Close()
+HttpSession::SetQuiet(bool aQuiet)
 {
-  stream_.close();
+  std::lock_guard lock(state_->sessionsMutex);
+  if (aQuiet == quietPosition_.has_value()) {
+    return;
+  }
+  if (aQuiet) {
+    quietPosition_ = state_->quietSessions.insert(state_->quietSessions.end(),
+                                                  weak_from_this());
+  } else {
+    state_->quietSessions.erase(*quietPosition_);
+    quietPosition_.reset();
+  }
 }
 
 void
 HttpSession::StartTimer(std::chrono::milliseconds aTimeout)
 {
-  // The timeout of tcp_stream would close the socket, and a slow client would
-  // get no response. This timer only cancels the operation in progress.
-  timedOut_ = false;
   timer_.expires_after(aTimeout);
   timer_.async_wait([weak = weak_from_this(),
                      generation = ++timerGeneration_](error_code aError) {
     auto self = weak.lock();
     if (!aError && self && self->timerGeneration_ == generation) {
-      self->timedOut_ = true;
-      self->stream_.cancel();
+      self->OnTimeout();
     }
   });
 }
@@ -398,4 +440,14 @@
   timer_.cancel();
 }
 
+void
+HttpSession::OnTimeout()
+{
+  if (phase_ == Phase::eReading) {
+    Refuse(408, RefusalCode::eBadRequest, "the request took too long");
+  } else {
+    Close();
+  }
+}
+
 }
--- a/src/transport/peer_network.cpp
+++ b/src/transport/peer_network.cpp
@@ -27,6 +27,10 @@
 // descriptor is available.
 constexpr std::chrono::milliseconds kAcceptRetryDelay{ 100 };
 
+// A peer sends its Hello as soon as it has connected. A process that was
+// suspended for seconds sends it late.
+constexpr std::chrono::milliseconds kHelloTimeout{ 10'000 };
+
 }
 
 namespace {
@@ -233,14 +237,45 @@
           control_.After(kAcceptRetryDelay, [this] { Accept(); });
           return;
         }
-        auto connection = std::make_shared<Connection>();
-        inbound_.emplace(connection.get(), connection);
-        OnConnected(connection, std::move(*socket));
+        AddInbound(std::move(*socket));
         Accept();
       });
     });
 }
 
+void
+PeerNetwork::AddInbound(asio::ip::tcp::socket aSocket)
+{
+  if (inbound_.size() >= traffic_.Guard().Limits().peerConnections) {
+    if (unidentified_.empty()) {
+      traffic_.Guard().ReportLimited(
+        ConnectionLimit::ePeerConnections, "unknown", 0);
+      return;
+    }
+    CloseUnidentified(unidentified_.front());
+  }
+  auto connection = std::make_shared<Connection>();
+  inbound_.emplace(connection.get(), connection);
+  unidentified_.push_back(connection);
+  OnConnected(connection, std::move(aSocket));
+  control_.After(kHelloTimeout, [this, weak = std::weak_ptr(connection)] {
+    auto late = weak.lock();
+    if (late && !late->peer && !late->closed) {
+      CloseUnidentified(late);
+    }
+  });
+}
+
+void
+PeerNetwork::CloseUnidentified(std::shared_ptr<Connection> aConnection)
+{
+  traffic_.Guard().ReportLimited(
+    ConnectionLimit::eUnidentifiedPeer, aConnection->remoteAddress, 0);
+  // It leaves inbound_ when its session has closed.
+  aConnection->session->Close();
+  std::erase(unidentified_, aConnection);
+}
+
 void
 PeerNetwork::Open(const std::string& aAddress,
                   const state::ProcessId& aExpectedId)
@@ -293,8 +328,8 @@
   aConnection->remoteAddress = ignored ? "unknown" : ToString(remote);
   handlers.frameSent = hooks_.frameSent;
   handlers.frameReceived = hooks_.frameReceived;
-  aConnection->session =
-    std::make_shared<FrameSession>(std::move(aSocket), std::move(handlers));
+  aConnection->session = std::make_shared<FrameSession>(
+    std::move(aSocket), std::move(handlers), traffic_.Guard());
   aConnection->session->Start();
   aConnection->session->Send(Hello{ self_ });
 }
@@ -346,6 +381,7 @@
                : "agent");
   }
   aConnection->peer = aHello.process;
+  std::erase(unidentified_, aConnection);
   for (PeerMessage& message : aConnection->pendingMessages) {
     aConnection->session->Send(std::move(message));
   }
@@ -358,6 +394,7 @@
 {
   aConnection->closed = true;
   inbound_.erase(aConnection.get());
+  std::erase(unidentified_, aConnection);
   auto outbound = outbound_.find(aConnection->address);
   if (outbound != outbound_.end() && outbound->second == aConnection) {
     outbound_.erase(outbound);
--- a/src/transport/peer_network.h
+++ b/src/transport/peer_network.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -93,6 +94,12 @@
   struct Connection;
 
   void Accept();
+  /**
+   * Adds an accepted connection. At the limit, it replaces the oldest one whose
+   * peer has not said which process it is.
+   */
+  void AddInbound(boost::asio::ip::tcp::socket aSocket);
+  void CloseUnidentified(std::shared_ptr<Connection> aConnection);
   void Open(const std::string& aAddress, const state::ProcessId& aExpectedId);
   void OnConnected(const std::shared_ptr<Connection>& aConnection,
                    boost::asio::ip::tcp::socket aSocket);
@@ -114,6 +121,8 @@
   std::map<std::string, std::shared_ptr<Connection>> outbound_;
   /** Accepted connections. */
   std::map<Connection*, std::shared_ptr<Connection>> inbound_;
+  /** Accepted connections without a Hello, in the order of their arrival. */
+  std::deque<std::shared_ptr<Connection>> unidentified_;
 };
 
 }
--- a/src/transport/traffic_pool.cpp
+++ b/src/transport/traffic_pool.cpp
@@ -2,8 +2,9 @@
 
 namespace greengage::transport {
 
-TrafficPool::TrafficPool(unsigned aThreads)
+TrafficPool::TrafficPool(unsigned aThreads, const ConnectionLimits& aLimits)
   : threadCount_(aThreads)
+  , guard_(aLimits)
   , context_(static_cast<int>(aThreads))
   , workGuard_(boost::asio::make_work_guard(context_))
 {
--- a/tests/transport/http_server_test.cpp
+++ b/tests/transport/http_server_test.cpp
@@ -240,6 +240,34 @@
             1u);
 }
 
+// Guards against a client such as curl that waits for this response before it
+// sends a body.
+TEST_F(HttpServerTest, SendsContinueBeforeTheBody)
+{
+  RawClient client(endpoint_);
+  client.Send("POST /a HTTP/1.1\r\nExpect: 100-continue\r\n"
+              "Content-Length: 3\r\n\r\n");
+  EXPECT_THAT(client.ReadUntil("\r\n\r\n", 1, kTimeout),
+              StartsWith("HTTP/1.1 100 Continue\r\n"));
+  client.Send("abc");
+  EXPECT_THAT(client.ReadUntil("POST /a 3", 1, kTimeout),
+              HasSubstr("HTTP/1.1 200 OK"));
+}
+
+// Guards against connections without a request that keep ordinary callers out.
+TEST_F(HttpServerTest, ReplacesQuietConnectionsAtTheLimit)
+{
+  std::vector<std::unique_ptr<RawClient>> quiet;
+  for (std::size_t i = 0; i < kLimits.maxConnections; ++i) {
+    quiet.push_back(std::make_unique<RawClient>(endpoint_));
+    quiet.back()->Send("GET /slow HTTP/1.1\r\n");
+  }
+  ASSERT_TRUE(WaitForConnections(kLimits.maxConnections));
+  RawClient client(endpoint_);
+  client.Send("GET /a HTTP/1.1\r\nConnection: close\r\n\r\n");
+  EXPECT_THAT(client.ReadAll(kTimeout), StartsWith("HTTP/1.1 200 OK"));
+}
+
 // Guards against a body in the answer to HEAD: the client would read it as the
 // next answer.
 TEST_F(HttpServerTest, SendsNoBodyForHead)
