--- a/tests/transport/peer_network_test.cpp
+++ b/tests/transport/peer_network_test.cpp
@@ -25,7 +25,10 @@
 class Node
 {
 public:
-  explicit Node(std::uint64_t aId, const std::string& aAddress = "127.0.0.1:0")
+  explicit Node(std::uint64_t aId,
+                const std::string& aAddress = "127.0.0.1:0",
+                const ConnectionLimits& aLimits = {})
+    : traffic(2, aLimits)
   {
     endpoint = *network.Listen(*ParseEndpoint(aAddress));
     self.id = { aId, aId };
@@ -54,8 +57,9 @@
   std::mutex mutex;
   std::condition_variable changed;
   std::vector<std::uint32_t> statuses;
+  std::size_t documentBytes = 0;
   std::vector<state::ProcessId> lost;
-  TrafficPool traffic{ 2 };
+  TrafficPool traffic;
   ControlThread control;
   PeerNetwork network{
     traffic,
@@ -66,6 +70,9 @@
          network.SetPeer(hello->process);
        } else if (const auto* status = std::get_if<AgentStatus>(&aMessage)) {
          statuses.push_back(status->runningTasks);
+       } else if (const auto* part =
+                    std::get_if<coordination::DocumentPart>(&aMessage)) {
+         documentBytes += part->bytes.size();
        }
        changed.notify_all();
      },
@@ -174,5 +181,51 @@
   EXPECT_TRUE(node.WaitFor([&] { return node.statuses.size() == 1; }));
 }
 
+// Guards against memory that is reserved because a program other than a peer
+// announces a large frame.
+TEST(PeerNetworkTest, ClosesConnectionsWithALargeFirstFrame)
+{
+  Node node(1);
+  RawClient client(node.endpoint);
+  client.Send(std::string("\0\0\x10\0", 4));
+  client.ReadAll(kTimeout);
+  EXPECT_TRUE(client.IsClosed());
+}
+
+// Guards against connections without a Hello that keep peers out.
+TEST(PeerNetworkTest, ReplacesConnectionsWithoutAHelloAtTheLimit)
+{
+  ConnectionLimits limits;
+  limits.peerConnections = 2;
+  Node node(1, "127.0.0.1:0", limits);
+  RawClient first(node.endpoint);
+  RawClient second(node.endpoint);
+  Node sender(2);
+  sender.Run([&] {
+    sender.network.SetPeer(node.self);
+    sender.network.Send(node.self.id, AgentStatus{ sender.self, 5 });
+  });
+  EXPECT_TRUE(node.WaitFor([&] { return node.statuses.size() == 1; }));
+  first.ReadAll(kTimeout);
+  EXPECT_TRUE(first.IsClosed());
+}
+
+// Guards against large frames that are cut or mixed up where the buffer grows.
+TEST(PeerNetworkTest, DeliversLargeFrames)
+{
+  Node node(1);
+  Node sender(2);
+  constexpr std::size_t kDocumentBytes = 3'000'001;
+  sender.Run([&] {
+    sender.network.SetPeer(node.self);
+    coordination::DocumentPart part;
+    part.bytes = std::string(kDocumentBytes, 'x');
+    sender.network.Send(node.self.id, part);
+    sender.network.Send(node.self.id, AgentStatus{ sender.self, 5 });
+  });
+  EXPECT_TRUE(node.WaitFor([&] { return node.statuses.size() == 1; }));
+  EXPECT_EQ(node.documentBytes, kDocumentBytes);
+}
+
 }
 }
