Record a cancellation at other entries before it is acknowledged

Cause: an entry acknowledged a cancellation before any other entry knew of it, and passed on only the cancellations of its own callers. Nothing was confirmed, and the jobs were kept in two tables. Change: one table of cancelled jobs, coordination/cancellation. An entry answers a DELETE when the other entries have confirmed it by number, after 1.5 s when one has, with 503 after 3.5 s when none has, and at once if it is alone. An entry that starts, that heard nothing for 1.2 s, or that finds a lost entry again asks the others before it places a job. All messages are fields of EntryNews, since the codec of the previous version refuses a frame with an unknown union member.

--- a/src/coordination/dispatch/dispatch_messages.h
+++ b/src/coordination/dispatch/dispatch_messages.h
@@ -231,11 +231,49 @@
   auto operator<=>(const CancelledJob&) const = default;
 };
 
-/** What an entry passes on to other entries. */
+/** Asks an entry for the cancelled jobs that it knows. */
+struct CatchUpRequest
+{
+  /** Identifies the request in its answer; never 0. */
+  std::uint64_t number = 0;
+  /** CatchUpPage::last of the answer before; 0 in the first request. */
+  std::uint64_t after = 0;
+  /** Asks only for the jobs whose callers cancelled them at the receiver. */
+  bool ownOnly = false;
+
+  auto operator<=>(const CatchUpRequest&) const = default;
+};
+
+/** Describes EntryNews::cancelledJobs that answer a CatchUpRequest. */
+struct CatchUpPage
+{
+  /** CatchUpRequest::number */
+  std::uint64_t number = 0;
+  std::uint64_t last = 0;
+  bool hasMore = false;
+  /** False if the sender itself may not know all cancelled jobs yet. */
+  bool isComplete = false;
+
+  auto operator<=>(const CatchUpPage&) const = default;
+};
+
+/**
+ * What an entry passes on to other entries. Entries of the previous version
+ * read the two lists only, and ignore the other fields.
+ */
 struct EntryNews
 {
   std::vector<ReportedCrash> crashes;
   std::vector<CancelledJob> cancelledJobs;
+  /**
+   * Number that the receiver is to confirm when it has recorded the cancelled
+   * jobs; 0: none.
+   */
+  std::uint64_t confirmNumber = 0;
+  /** The highest confirmNumber that the sender confirms; 0: none. */
+  std::uint64_t confirmedNumber = 0;
+  std::optional<CatchUpRequest> catchUpRequest;
+  std::optional<CatchUpPage> catchUpPage;
 
   auto operator<=>(const EntryNews&) const = default;
 };
--- a/src/coordination/dispatch/job_dispatcher.cpp
+++ b/src/coordination/dispatch/job_dispatcher.cpp
@@ -242,6 +242,13 @@
   return isKnown;
 }
 
+void
+JobDispatcher::Resume()
+{
+  PlaceWaitingJobs();
+  orders_.Send();
+}
+
 bool
 JobDispatcher::EndCancelled(state::DispatchJobId aJob, milliseconds aAge)
 {
@@ -314,6 +321,9 @@
     // The callers may have disconnected, and agents refuse the orders.
     return;
   }
+  if (hooks_.mayPlace && !hooks_.mayPlace()) {
+    return;
+  }
   for (auto key = waiting_.begin(); key != waiting_.end();) {
     DispatchedJob& job = *jobs_.at(std::get<3>(*key));
     if (HasEarlierRuns(job)) {
--- a/src/coordination/dispatch/job_dispatcher.h
+++ b/src/coordination/dispatch/job_dispatcher.h
@@ -10,7 +10,7 @@
 #include <tuple>
 #include <vector>
 
-#include "coordination/dispatch/cancelled_jobs.h"
+#include "coordination/cancellation/cancelled_jobs.h"
 #include "coordination/dispatch/crash_history.h"
 #include "coordination/dispatch/dispatch_records.h"
 #include "coordination/dispatch/dispatched_job.h"
@@ -49,6 +49,11 @@
    * entry; may be empty.
    */
   std::function<void(const CancelledJob&, bool aIsKnown)> jobCancelled;
+  /**
+   * Returns false while this entry may not know all cancelled jobs; if empty,
+   * it always does.
+   */
+  std::function<bool()> mayPlace;
   /** Called when an agent does not offer its server any more; may be empty. */
   std::function<void(const state::ProcessId& aAgent)> agentReleased;
   /** Called with the length of a pause of this process. */
@@ -126,9 +131,14 @@
    */
   void OnEntryNews(const EntryNews& aNews);
 
+  /** Places what waits, after JobDispatcherHooks::mayPlace has changed. */
+  void Resume();
+
   /** Must be called every 25 ms. */
   void Tick();
 
+  /** The only table of cancelled jobs in this process. */
+  CancelledJobs& Cancelled() { return cancelled_; }
   std::size_t JobCount() const { return jobs_.size(); }
   /** Returns the number of jobs with tasks that wait for free capacity. */
   std::size_t WaitingCount() const { return waiting_.size(); }
--- a/src/coordination/subset/news_relay.cpp
+++ b/src/coordination/subset/news_relay.cpp
@@ -14,8 +14,6 @@
 
 /** Crashes are passed on for as long as agents report them. */
 constexpr NewsLimits kCrashLimits{ milliseconds(30'000), 512, 32 };
-/** A request of a cancelled job may still arrive seconds later. */
-constexpr NewsLimits kCancelledLimits{ milliseconds(30'000), 8192, 256 };
 
 }
 
@@ -35,7 +33,6 @@
   : clock_(aClock)
   , send_(std::move(aSend))
   , crashes_(kCrashLimits)
-  , cancelled_(kCancelledLimits)
 {
 }
 
@@ -60,21 +57,6 @@
                clock_.MonotonicNow());
 }
 
-void
-NewsRelay::OnCancelled(state::DispatchJobId aJob)
-{
-  cancelled_.Add(aJob, { aJob, true }, milliseconds(0), clock_.MonotonicNow());
-}
-
-void
-NewsRelay::OnCancelledElsewhere(const CancelledJob& aJob)
-{
-  cancelled_.Add(aJob.job,
-                 { aJob.job, false },
-                 milliseconds(aJob.ageMs),
-                 clock_.MonotonicNow());
-}
-
 bool
 NewsRelay::IsLargeFleet() const
 {
@@ -87,7 +69,7 @@
   std::vector<ProcessId> contacts =
     IsLargeFleet() ? RelayContacts(self_, entries_)
                    : std::vector(entries_.begin(), entries_.end());
-  std::map<ProcessId, Sent> sent;
+  std::map<ProcessId, std::uint64_t> sent;
   for (const ProcessId& contact : contacts) {
     sent[contact] = sent_[contact];
   }
@@ -99,7 +81,6 @@
 {
   auto now = clock_.MonotonicNow();
   crashes_.Expire(now);
-  cancelled_.Expire(now);
   if (std::exchange(contactsChanged_, false)) {
     OnContactsChanged();
   }
@@ -109,23 +90,17 @@
 }
 
 void
-NewsRelay::SendNews(const ProcessId& aContact, Sent& aSent) const
+NewsRelay::SendNews(const ProcessId& aContact, std::uint64_t& aSent) const
 {
-  auto now = clock_.MonotonicNow();
-  EntryNews news;
-  if (IsLargeFleet()) {
-    for (auto& [crash, age] : crashes_.After(aSent.crash, now)) {
-      news.crashes.push_back(std::move(crash));
-      news.crashes.back().crash.ageMs = static_cast<std::uint32_t>(age.count());
-    }
+  if (!IsLargeFleet()) {
+    return;
   }
-  for (const auto& [cancel, age] : cancelled_.After(aSent.cancelled, now)) {
-    if (cancel.isOwn || IsLargeFleet()) {
-      news.cancelledJobs.push_back(
-        { cancel.job, static_cast<std::uint32_t>(age.count()) });
-    }
+  EntryNews news;
+  for (auto& [crash, age] : crashes_.After(aSent, clock_.MonotonicNow())) {
+    news.crashes.push_back(std::move(crash));
+    news.crashes.back().crash.ageMs = static_cast<std::uint32_t>(age.count());
   }
-  if (!news.crashes.empty() || !news.cancelledJobs.empty()) {
+  if (!news.crashes.empty()) {
     send_(aContact, news);
   }
 }
--- a/src/coordination/subset/news_relay.h
+++ b/src/coordination/subset/news_relay.h
@@ -25,10 +25,11 @@
               const std::set<state::ProcessId>& aOthers);
 
 /**
- * Passes news on between entries, which must know them before callers submit
- * the jobs again, 1.3 s later: cancelled jobs and, in a large fleet, in which
- * an agent reports to some entries only, crashes of servers. Entries that are
- * new get the news of the last 30 s. Used by the control thread only.
+ * Passes crashes of servers on between the entries of a large fleet, in which
+ * an agent reports to some entries only. They must know them before callers
+ * submit the jobs again, 1.3 s later. Entries that are new get the crashes of
+ * the last 30 s. CancellationExchange passes on cancelled jobs. Used by the
+ * control thread only.
  */
 class NewsRelay
 {
@@ -45,46 +46,25 @@
   /** Records a crash that was reported or passed on; repetitions are ignored.
    */
   void OnCrash(const state::ProcessId& aAgent, const ServerCrash& aCrash);
-  /** Records a job whose caller has cancelled it at this entry. */
-  void OnCancelled(state::DispatchJobId aJob);
-  /** Records a job that another entry has passed on as cancelled. */
-  void OnCancelledElsewhere(const CancelledJob& aJob);
   /** Sends what is new to each contact; call at least every 50 ms. */
   void Tick();
 
 private:
   using CrashId = std::pair<state::ProcessId, std::uint64_t>;
 
-  /** Sequence numbers of the newest items that were sent to a contact. */
-  struct Sent
-  {
-    std::uint64_t crash = 0;
-    std::uint64_t cancelled = 0;
-  };
-
-  struct Cancel
-  {
-    state::DispatchJobId job;
-    /** True if the caller cancelled the job at this entry. */
-    bool isOwn = false;
-  };
-
-  /**
-   * In smaller fleets every agent reports to every entry, and every entry sends
-   * its news to all others.
-   */
+  /** In smaller fleets every agent reports to every entry. */
   bool IsLargeFleet() const;
   void OnContactsChanged();
-  void SendNews(const state::ProcessId& aContact, Sent& aSent) const;
+  /** @param aSent number of the newest crash that the contact was sent */
+  void SendNews(const state::ProcessId& aContact, std::uint64_t& aSent) const;
 
   const state::Clock& clock_;
   SendFunction send_;
   state::ProcessId self_;
   std::set<state::ProcessId> entries_;
-  std::map<state::ProcessId, Sent> sent_;
+  std::map<state::ProcessId, std::uint64_t> sent_;
   bool contactsChanged_ = false;
   NewsList<CrashId, ReportedCrash> crashes_;
-  NewsList<state::DispatchJobId, Cancel> cancelled_;
 };
 
 }
--- a/src/daemon/dispatch/dispatch_entry_hooks.cpp
+++ b/src/daemon/dispatch/dispatch_entry_hooks.cpp
@@ -114,6 +114,7 @@
   hooks.agentReleased = [this](const ProcessId& aAgent) {
     peers_.Disconnect(aAgent);
   };
+  hooks.mayPlace = [this] { return cancellations_.Exchange().MayPlace(); };
   hooks.paused = LogPause;
   hooks.probe = [this](std::function<void()> aReturned) {
     probe_.Send([this, returned = std::move(aReturned)]() mutable {
@@ -143,16 +144,19 @@
   hooks.lost = [this](const ProcessId& aPeer) {
     documents_.Exchange().OnPeerLost(aPeer);
     newsRelay_.OnEntryLost(aPeer);
+    cancellations_.Exchange().OnEntryLost(aPeer);
     dispatcher_.OnAgentLost(aPeer);
     UpdateReady();
   };
   hooks.disconnected = [this](const ProcessId& aPeer) {
+    cancellations_.Exchange().OnEntryDisconnected(aPeer);
     dispatcher_.OnAgentDisconnected(aPeer);
   };
   hooks.received = [this](const ProcessInfo& aFrom,
                           const PeerMessage& aMessage) {
     OnPeerMessage(aFrom, aMessage);
   };
+  hooks.heard = [this] { cancellations_.Exchange().OnHeard(); };
   return hooks;
 }
 
--- a/src/daemon/dispatch/dispatch_entry_process.cpp
+++ b/src/daemon/dispatch/dispatch_entry_process.cpp
@@ -102,8 +102,12 @@
                       const std::string& aDocument) {
                  OnConfigurationDocument(aDocument, aFrom.ToString());
                })
-  , newsRelay_(clock_, [this](const ProcessId& aEntry, const EntryNews& aNews) {
-    peers_.Send(aEntry, aNews);
+  , newsRelay_(clock_,
+               [this](const ProcessId& aEntry, const EntryNews& aNews) {
+                 peers_.Send(aEntry, aNews);
+               })
+  , cancellations_(peers_, clock_, dispatcher_.Cancelled(), metrics_, [this] {
+    dispatcher_.Resume();
   })
 {
 }
@@ -241,8 +245,10 @@
       aRespond(callerHooks_.encodeState(dispatcher_.IsKnown(*id)));
       return;
     case CallerRequest::Kind::eCancel:
-      newsRelay_.OnCancelled(*id);
-      aRespond(callerHooks_.encodeCancelled(dispatcher_.Cancel(*id)));
+      cancellations_.Cancel(
+        *id, dispatcher_.Cancel(*id), [this, aRespond](CancelAnswer aAnswer) {
+          aRespond(callerHooks_.encodeCancelled(aAnswer));
+        });
       return;
     case CallerRequest::Kind::eSubmit:
       break;
@@ -374,9 +380,8 @@
 {
   documents_.Exchange().OnPeer(aPeer);
   if (aPeer.role == ProcessRole::eEntry) {
-    if (documents_.Exchange().TakesPart(aPeer.id)) {
-      newsRelay_.OnEntry(aPeer.id);
-    }
+    newsRelay_.OnEntry(aPeer.id);
+    cancellations_.Exchange().OnEntry(aPeer.id);
   } else if (dispatcher_.Servers().Contains(aPeer.id)) {
     // Other agents offer their servers with their first report.
     dispatcher_.OnAgent(aPeer);
@@ -394,10 +399,9 @@
     dispatcher_.OnReport(aFrom.id, *report);
     UpdateReady();
   } else if (const auto* news = std::get_if<EntryNews>(&aMessage)) {
-    for (const CancelledJob& cancelled : news->cancelledJobs) {
-      newsRelay_.OnCancelledElsewhere(cancelled);
-    }
+    // The jobs are recorded and end before they are confirmed.
     dispatcher_.OnEntryNews(*news);
+    cancellations_.Exchange().OnNews(aFrom.id, *news);
   } else if (const auto* copy = std::get_if<ConfigurationCopy>(&aMessage)) {
     // Entries of the previous version send whole documents.
     OnConfigurationDocument(copy->document, aFrom.id.ToString());
@@ -412,6 +416,7 @@
   dispatcher_.Tick();
   documents_.Exchange().Tick();
   newsRelay_.Tick();
+  cancellations_.Exchange().Tick();
   if (++ticks_ % kTicksPerMembershipTick == 0) {
     peers_.Tick(documents_.Exchange().AdvertisedVersion());
     CheckContactTimeouts();
--- a/src/daemon/dispatch/dispatch_entry_process.h
+++ b/src/daemon/dispatch/dispatch_entry_process.h
@@ -10,6 +10,7 @@
 #include "coordination/dispatch/job_dispatcher.h"
 #include "coordination/subset/news_relay.h"
 #include "daemon/daemon_error.h"
+#include "daemon/dispatch/cancellation_service.h"
 #include "daemon/dispatch/dispatch_metrics.h"
 #include "daemon/dispatch/document_service.h"
 #include "daemon/dispatch/peer_node.h"
@@ -84,7 +85,7 @@
     encodeOutcome;
   /** Answers a read of one job. */
   std::function<transport::HttpResponse(bool aKnown)> encodeState;
-  std::function<transport::HttpResponse(bool aKnown)> encodeCancelled;
+  std::function<transport::HttpResponse(CancelAnswer)> encodeCancelled;
   /** Answers a read of a queue with its number of pending jobs. */
   std::function<transport::HttpResponse(std::size_t)> encodePending;
   std::function<tl::expected<state::DispatchConfiguration, std::string>(
@@ -187,6 +188,7 @@
   coordination::SubmissionId nextSubmission_ = 1;
   DocumentService documents_;
   coordination::NewsRelay newsRelay_;
+  CancellationService cancellations_;
   state::QueueIndex queues_;
   std::function<void()> onStopped_;
   state::MonotonicTime stopRequestedAt_;
--- a/src/daemon/dispatch/peer_node.cpp
+++ b/src/daemon/dispatch/peer_node.cpp
@@ -40,7 +40,8 @@
                   [this](const ProcessId& aPeer) { OnLost(aPeer); },
                   [this](const ProcessId& aPeer, std::uint64_t aVersion) {
                     hooks_.versionReceived(aPeer, aVersion);
-                  } })
+                  },
+                  [this] { OnHeard(); } })
 {
 }
 
@@ -136,9 +137,18 @@
   }
 }
 
+void
+PeerNode::OnHeard() const
+{
+  if (hooks_.heard) {
+    hooks_.heard();
+  }
+}
+
 void
 PeerNode::OnReceived(const ProcessInfo& aFrom, const PeerMessage& aMessage)
 {
+  OnHeard();
   if (!alivePeers_.contains(aFrom.id)) {
     // A known peer with this address ended before the sender started.
     for (const auto& [id, peer] : std::map(alivePeers_)) {
--- a/src/daemon/dispatch/peer_node.h
+++ b/src/daemon/dispatch/peer_node.h
@@ -44,6 +44,11 @@
   std::function<void(const coordination::ProcessInfo& aFrom,
                      const coordination::PeerMessage&)>
     received;
+  /**
+   * Called when anything of any process has arrived, before the other
+   * callbacks; may be empty. The membership sends each 500 ms at least.
+   */
+  std::function<void()> heard;
 };
 
 /**
@@ -85,6 +90,7 @@
 private:
   void OnAlive(const coordination::ProcessInfo& aPeer);
   void OnLost(const state::ProcessId& aPeer);
+  void OnHeard() const;
   void OnReceived(const coordination::ProcessInfo& aFrom,
                   const coordination::PeerMessage& aMessage);
 
--- a/src/daemon/membership_service.cpp
+++ b/src/daemon/membership_service.cpp
@@ -26,6 +26,9 @@
       { [this](MembershipPacket aPacket) {
          control_.Post([this, packet = std::move(aPacket)] {
            if (membership_) {
+             if (hooks_.heard) {
+               hooks_.heard();
+             }
              membership_->OnPacket(packet);
            }
          });
--- a/src/daemon/membership_service.h
+++ b/src/daemon/membership_service.h
@@ -23,6 +23,8 @@
   std::function<void(const state::ProcessId&)> replaced;
   /** Called with the configuration version in effect at a process. */
   std::function<void(const state::ProcessId&, std::uint64_t)> versionReceived;
+  /** Called when a packet of any process has arrived; may be empty. */
+  std::function<void()> heard;
 };
 
 /** Membership of one process: connects Membership to its UDP socket. */
--- a/src/protocol/dispatch_codec.cpp
+++ b/src/protocol/dispatch_codec.cpp
@@ -335,6 +335,21 @@
     EncodeJobId(aNews.cancelledJobs[i].job, jobs[i]);
     jobs[i].setAgeMs(aNews.cancelledJobs[i].ageMs);
   }
+  aBuilder.setConfirmNumber(aNews.confirmNumber);
+  aBuilder.setConfirmedNumber(aNews.confirmedNumber);
+  if (aNews.catchUpRequest) {
+    auto request = aBuilder.initCatchUpRequest();
+    request.setNumber(aNews.catchUpRequest->number);
+    request.setAfter(aNews.catchUpRequest->after);
+    request.setOwnOnly(aNews.catchUpRequest->ownOnly);
+  }
+  if (aNews.catchUpPage) {
+    auto page = aBuilder.initCatchUpPage();
+    page.setNumber(aNews.catchUpPage->number);
+    page.setLast(aNews.catchUpPage->last);
+    page.setHasMore(aNews.catchUpPage->hasMore);
+    page.setIsComplete(aNews.catchUpPage->isComplete);
+  }
 }
 
 tl::expected<EntryNews, ProtocolError>
@@ -350,6 +365,20 @@
   for (auto job : aReader.getCancelledJobs()) {
     news.cancelledJobs.push_back({ DecodeJobId(job), job.getAgeMs() });
   }
+  news.confirmNumber = aReader.getConfirmNumber();
+  news.confirmedNumber = aReader.getConfirmedNumber();
+  if (aReader.hasCatchUpRequest()) {
+    auto request = aReader.getCatchUpRequest();
+    news.catchUpRequest = { request.getNumber(),
+                            request.getAfter(),
+                            request.getOwnOnly() };
+  }
+  if (aReader.hasCatchUpPage()) {
+    auto page = aReader.getCatchUpPage();
+    news.catchUpPage = {
+      page.getNumber(), page.getLast(), page.getHasMore(), page.getIsComplete()
+    };
+  }
   for (auto item : aReader.getCrashes()) {
     auto crash = Decode(item.getCrash());
     if (!crash) {
--- a/src/protocol/peer.capnp
+++ b/src/protocol/peer.capnp
@@ -153,7 +153,16 @@
 
 struct ReportedCrash { agent @0 :ProcessId; crash @1 :ServerCrash; }
 struct CancelledJob { job @0 :UInt64; ageMs @1 :UInt32; jobUpperCase @2 :UInt16; }
-struct EntryNews { crashes @0 :List(ReportedCrash); cancelledJobs @1 :List(CancelledJob); }
+struct CatchUpRequest { number @0 :UInt64; after @1 :UInt64; ownOnly @2 :Bool; }
+struct CatchUpPage { number @0 :UInt64; last @1 :UInt64; hasMore @2 :Bool; isComplete @3 :Bool; }
+struct EntryNews {
+  crashes @0 :List(ReportedCrash);
+  cancelledJobs @1 :List(CancelledJob);
+  confirmNumber @2 :UInt64;
+  confirmedNumber @3 :UInt64;
+  catchUpRequest @4 :CatchUpRequest;
+  catchUpPage @5 :CatchUpPage;
+}
 
 struct ConfigurationCopy { version @0 :UInt64; document @1 :Text; }
 struct DocumentRequest { version @0 :UInt64; offset @1 :UInt32; }
--- a/src/protocol/peer.capnp.h
+++ b/src/protocol/peer.capnp.h
@@ -57,6 +57,8 @@
 CAPNP_DECLARE_SCHEMA(8e56a30d3aac5bdc);
 CAPNP_DECLARE_SCHEMA(a682227856c6142a);
 CAPNP_DECLARE_SCHEMA(9d73b8e71ce000db);
+CAPNP_DECLARE_SCHEMA(e59ec62cddeedf95);
+CAPNP_DECLARE_SCHEMA(f1b5b08d4f291184);
 CAPNP_DECLARE_SCHEMA(9fbc63e4e38617d5);
 CAPNP_DECLARE_SCHEMA(ea995fa53d9467fc);
 CAPNP_DECLARE_SCHEMA(df097ecb8d056e75);
@@ -686,6 +688,36 @@
   };
 };
 
+struct CatchUpRequest {
+  CatchUpRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e59ec62cddeedf95, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CatchUpPage {
+  CatchUpPage() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f1b5b08d4f291184, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct EntryNews {
   EntryNews() = delete;
 
@@ -694,7 +726,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9fbc63e4e38617d5, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(9fbc63e4e38617d5, 2, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -4928,6 +4960,183 @@
 };
 #endif  // !CAPNP_LITE
 
+class CatchUpRequest::Reader {
+public:
+  typedef CatchUpRequest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber() const;
+
+  inline  ::uint64_t getAfter() const;
+
+  inline bool getOwnOnly() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CatchUpRequest::Builder {
+public:
+  typedef CatchUpRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline  ::uint64_t getAfter();
+  inline void setAfter( ::uint64_t value);
+
+  inline bool getOwnOnly();
+  inline void setOwnOnly(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CatchUpRequest::Pipeline {
+public:
+  typedef CatchUpRequest Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class CatchUpPage::Reader {
+public:
+  typedef CatchUpPage Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber() const;
+
+  inline  ::uint64_t getLast() const;
+
+  inline bool getHasMore() const;
+
+  inline bool getIsComplete() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CatchUpPage::Builder {
+public:
+  typedef CatchUpPage Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline  ::uint64_t getLast();
+  inline void setLast( ::uint64_t value);
+
+  inline bool getHasMore();
+  inline void setHasMore(bool value);
+
+  inline bool getIsComplete();
+  inline void setIsComplete(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CatchUpPage::Pipeline {
+public:
+  typedef CatchUpPage Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class EntryNews::Reader {
 public:
   typedef EntryNews Reads;
@@ -4951,6 +5160,16 @@
   inline bool hasCancelledJobs() const;
   inline  ::capnp::List< ::greengage::protocol::wire::CancelledJob,  ::capnp::Kind::STRUCT>::Reader getCancelledJobs() const;
 
+  inline  ::uint64_t getConfirmNumber() const;
+
+  inline  ::uint64_t getConfirmedNumber() const;
+
+  inline bool hasCatchUpRequest() const;
+  inline  ::greengage::protocol::wire::CatchUpRequest::Reader getCatchUpRequest() const;
+
+  inline bool hasCatchUpPage() const;
+  inline  ::greengage::protocol::wire::CatchUpPage::Reader getCatchUpPage() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4993,6 +5212,26 @@
   inline void adoptCancelledJobs(::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::CancelledJob,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::greengage::protocol::wire::CancelledJob,  ::capnp::Kind::STRUCT>> disownCancelledJobs();
 
+  inline  ::uint64_t getConfirmNumber();
+  inline void setConfirmNumber( ::uint64_t value);
+
+  inline  ::uint64_t getConfirmedNumber();
+  inline void setConfirmedNumber( ::uint64_t value);
+
+  inline bool hasCatchUpRequest();
+  inline  ::greengage::protocol::wire::CatchUpRequest::Builder getCatchUpRequest();
+  inline void setCatchUpRequest( ::greengage::protocol::wire::CatchUpRequest::Reader value);
+  inline  ::greengage::protocol::wire::CatchUpRequest::Builder initCatchUpRequest();
+  inline void adoptCatchUpRequest(::capnp::Orphan< ::greengage::protocol::wire::CatchUpRequest>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::CatchUpRequest> disownCatchUpRequest();
+
+  inline bool hasCatchUpPage();
+  inline  ::greengage::protocol::wire::CatchUpPage::Builder getCatchUpPage();
+  inline void setCatchUpPage( ::greengage::protocol::wire::CatchUpPage::Reader value);
+  inline  ::greengage::protocol::wire::CatchUpPage::Builder initCatchUpPage();
+  inline void adoptCatchUpPage(::capnp::Orphan< ::greengage::protocol::wire::CatchUpPage>&& value);
+  inline ::capnp::Orphan< ::greengage::protocol::wire::CatchUpPage> disownCatchUpPage();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5011,6 +5250,8 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::greengage::protocol::wire::CatchUpRequest::Pipeline getCatchUpRequest();
+  inline  ::greengage::protocol::wire::CatchUpPage::Pipeline getCatchUpPage();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -9665,6 +9906,104 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t CatchUpRequest::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CatchUpRequest::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CatchUpRequest::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t CatchUpRequest::Reader::getAfter() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CatchUpRequest::Builder::getAfter() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CatchUpRequest::Builder::setAfter( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CatchUpRequest::Reader::getOwnOnly() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool CatchUpRequest::Builder::getOwnOnly() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void CatchUpRequest::Builder::setOwnOnly(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t CatchUpPage::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CatchUpPage::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CatchUpPage::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t CatchUpPage::Reader::getLast() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CatchUpPage::Builder::getLast() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CatchUpPage::Builder::setLast( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CatchUpPage::Reader::getHasMore() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool CatchUpPage::Builder::getHasMore() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void CatchUpPage::Builder::setHasMore(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CatchUpPage::Reader::getIsComplete() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+
+inline bool CatchUpPage::Builder::getIsComplete() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+inline void CatchUpPage::Builder::setIsComplete(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool EntryNews::Reader::hasCrashes() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -9733,6 +10072,112 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t EntryNews::Reader::getConfirmNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EntryNews::Builder::getConfirmNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EntryNews::Builder::setConfirmNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t EntryNews::Reader::getConfirmedNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EntryNews::Builder::getConfirmedNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void EntryNews::Builder::setConfirmedNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool EntryNews::Reader::hasCatchUpRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryNews::Builder::hasCatchUpRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::greengage::protocol::wire::CatchUpRequest::Reader EntryNews::Reader::getCatchUpRequest() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::CatchUpRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::greengage::protocol::wire::CatchUpRequest::Builder EntryNews::Builder::getCatchUpRequest() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::CatchUpRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::greengage::protocol::wire::CatchUpRequest::Pipeline EntryNews::Pipeline::getCatchUpRequest() {
+  return  ::greengage::protocol::wire::CatchUpRequest::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void EntryNews::Builder::setCatchUpRequest( ::greengage::protocol::wire::CatchUpRequest::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::CatchUpRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::greengage::protocol::wire::CatchUpRequest::Builder EntryNews::Builder::initCatchUpRequest() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::CatchUpRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void EntryNews::Builder::adoptCatchUpRequest(
+    ::capnp::Orphan< ::greengage::protocol::wire::CatchUpRequest>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::CatchUpRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::greengage::protocol::wire::CatchUpRequest> EntryNews::Builder::disownCatchUpRequest() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::CatchUpRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool EntryNews::Reader::hasCatchUpPage() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryNews::Builder::hasCatchUpPage() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::greengage::protocol::wire::CatchUpPage::Reader EntryNews::Reader::getCatchUpPage() const {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::CatchUpPage>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::greengage::protocol::wire::CatchUpPage::Builder EntryNews::Builder::getCatchUpPage() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::CatchUpPage>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::greengage::protocol::wire::CatchUpPage::Pipeline EntryNews::Pipeline::getCatchUpPage() {
+  return  ::greengage::protocol::wire::CatchUpPage::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void EntryNews::Builder::setCatchUpPage( ::greengage::protocol::wire::CatchUpPage::Reader value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::CatchUpPage>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::greengage::protocol::wire::CatchUpPage::Builder EntryNews::Builder::initCatchUpPage() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::CatchUpPage>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void EntryNews::Builder::adoptCatchUpPage(
+    ::capnp::Orphan< ::greengage::protocol::wire::CatchUpPage>&& value) {
+  ::capnp::_::PointerHelpers< ::greengage::protocol::wire::CatchUpPage>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::greengage::protocol::wire::CatchUpPage> EntryNews::Builder::disownCatchUpPage() {
+  return ::capnp::_::PointerHelpers< ::greengage::protocol::wire::CatchUpPage>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t ConfigurationCopy::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/transport/events.h
+++ b/src/transport/events.h
@@ -179,6 +179,15 @@
 inline constexpr EventKind kQueueLimitEnded{ 1623,
                                              "queue_limit_ended",
                                              LogLevel::eInfo };
+inline constexpr EventKind kCancellationAnswered{ 1645,
+                                                  "cancellation_answered",
+                                                  LogLevel::eInfo };
+inline constexpr EventKind kCancellationUnconfirmed{ 1646,
+                                                     "cancellation_unconfirmed",
+                                                     LogLevel::eWarning };
+inline constexpr EventKind kCancellationsCaughtUp{ 1647,
+                                                   "cancellations_caught_up",
+                                                   LogLevel::eInfo };
 
 // Settings and logging.
 inline constexpr EventKind kSettingsReloaded{ 1701,
@@ -247,6 +256,9 @@
   kJobGivenUp,
   kQueueLimitBegan,
   kQueueLimitEnded,
+  kCancellationAnswered,
+  kCancellationUnconfirmed,
+  kCancellationsCaughtUp,
 };
 
 }
--- a/tests/protocol/peer_codec_test.cpp
+++ b/tests/protocol/peer_codec_test.cpp
@@ -72,6 +72,9 @@
     EntryNews{ { { { 8, 9 }, { 3, 40, { { { 5, 1, 3 }, "swatches" } } } },
                  { { 8, 10 }, { 1, 2, {} } } },
                { { 17, 250 }, { 18, 0 } } },
+    EntryNews{
+      {}, { { 17, 250 } }, 12, 34, { { 5, 6, true } }, { { 7, 8, true } } },
+    EntryNews{ {}, {}, 0, 0, {}, { { 7, 8, false, true } } },
     ConfigurationCopy{ 9, "{\"version\":9}" },
     DocumentRequest{ 9, 8192 },
     DocumentPart{ 9, 70000, 8192, std::string("\0\xff{", 3) },
--- a/tests/subset/news_relay_test.cpp
+++ b/tests/subset/news_relay_test.cpp
@@ -58,23 +58,6 @@
     Receive(ids_[aEntry], { kAgent, crash });
   }
 
-  void Cancel(unsigned aEntry, std::uint64_t aJob)
-  {
-    Node& node = nodes_.at(ids_[aEntry]);
-    node.cancelled.insert(aJob);
-    node.relay->OnCancelled(aJob);
-  }
-
-  /** Returns the number of entries that know of the cancelled job. */
-  std::size_t InformedOfJob(std::uint64_t aJob) const
-  {
-    std::size_t count = 0;
-    for (const auto& [id, node] : nodes_) {
-      count += node.cancelled.contains(aJob) ? 1 : 0;
-    }
-    return count;
-  }
-
   void RunFor(milliseconds aTime)
   {
     for (auto end = time_ + aTime; time_ < end;) {
@@ -89,9 +72,6 @@
         for (const ReportedCrash& item : news.crashes) {
           Receive(entry, item);
         }
-        for (const CancelledJob& job : news.cancelledJobs) {
-          ReceiveCancelled(entry, job);
-        }
       }
       if (time_ % milliseconds(25) == milliseconds(0)) {
         for (auto& [id, node] : nodes_) {
@@ -124,16 +104,8 @@
   {
     std::unique_ptr<NewsRelay> relay;
     std::set<std::uint64_t> known;
-    std::set<std::uint64_t> cancelled;
   };
 
-  void ReceiveCancelled(const ProcessId& aEntry, const CancelledJob& aJob)
-  {
-    Node& node = nodes_.at(aEntry);
-    node.cancelled.insert(aJob.job.Number());
-    node.relay->OnCancelledElsewhere(aJob);
-  }
-
   void Receive(const ProcessId& aEntry, const ReportedCrash& aItem)
   {
     Node& node = nodes_.at(aEntry);
@@ -213,41 +185,5 @@
   EXPECT_EQ(large.Messages(), messages);
 }
 
-// Guards against a job that runs on, or again, at an entry that did not get its
-// cancel: a cancelled job must not start 3 s later, and callers submit a broken
-// job again after 1.3 s.
-TEST(NewsRelayTest, EveryEntryKnowsACancelledJob)
-{
-  for (unsigned entries :
-       { 2u, static_cast<unsigned>(kMaxEntriesPerServer), 55u }) {
-    RelayFleet fleet(entries, 0, 1);
-    for (std::uint64_t job = 1; job <= 1000; ++job) {
-      fleet.Cancel(0, job);
-    }
-    fleet.RunFor(milliseconds(1000));
-    EXPECT_EQ(fleet.InformedOfJob(1), entries);
-    EXPECT_EQ(fleet.InformedOfJob(1000), entries);
-    std::size_t messages = fleet.Messages();
-    if (entries <= kMaxEntriesPerServer) {
-      // Four messages of up to 256 jobs to each other entry.
-      EXPECT_EQ(messages, (entries - 1) * 4u);
-    }
-    fleet.RunFor(milliseconds(100'000));
-    EXPECT_EQ(fleet.Messages(), messages);
-  }
-}
-
-// Guards against a restarted entry that runs a job again that was cancelled
-// before its start.
-TEST(NewsRelayTest, NewEntriesKnowCancelledJobs)
-{
-  RelayFleet fleet(3, 0, 1);
-  fleet.Cancel(0, 1);
-  fleet.RunFor(milliseconds(10'000));
-  fleet.Add();
-  fleet.RunFor(milliseconds(1000));
-  EXPECT_EQ(fleet.InformedOfJob(1), 4u);
-}
-
 }
 }
