--- a/src/daemon/dispatch/dispatch_entry_hooks.cpp
+++ b/src/daemon/dispatch/dispatch_entry_hooks.cpp
@@ -115,6 +115,7 @@
     evacuation_.OnLost(aAgent);
     peers_.Disconnect(aAgent);
   };
+  hooks.mayPlace = [this] { return cancellations_.Exchange().MayPlace(); };
   hooks.paused = LogPause;
   hooks.probe = [this](std::function<void()> aReturned) {
     probe_.Send([this, returned = std::move(aReturned)]() mutable {
@@ -145,10 +146,12 @@
     documents_.Exchange().OnPeerLost(aPeer);
     newsRelay_.OnEntryLost(aPeer);
     evacuation_.OnLost(aPeer);
+    cancellations_.Exchange().OnEntryLost(aPeer);
     dispatcher_.OnAgentLost(aPeer);
     UpdateReady();
   };
   hooks.disconnected = [this](const ProcessId& aPeer) {
+    cancellations_.Exchange().OnEntryDisconnected(aPeer);
     dispatcher_.OnAgentDisconnected(aPeer);
     evacuation_.OnDisconnected(aPeer);
   };
@@ -156,6 +159,7 @@
                           const PeerMessage& aMessage) {
     OnPeerMessage(aFrom, aMessage);
   };
+  hooks.heard = [this] { cancellations_.Exchange().OnHeard(); };
   return hooks;
 }
 
--- a/src/daemon/dispatch/dispatch_entry_process.cpp
+++ b/src/daemon/dispatch/dispatch_entry_process.cpp
@@ -114,6 +114,9 @@
                  peers_.Send(aEntry, aNews);
                })
   , evacuation_(clock_, MakeEvacuationHooks())
+  , cancellations_(peers_, clock_, dispatcher_.Cancelled(), metrics_, [this] {
+    dispatcher_.Resume();
+  })
 {
   traffic_.Guard().SetLimitedHook([this](transport::ConnectionLimit aLimit) {
     dispatchMetrics_.OnConnectionLimited(aLimit);
@@ -255,8 +258,10 @@
       aRespond(callerHooks_.encodeState(dispatcher_.IsKnown(*id)));
       return;
     case CallerRequest::Kind::eCancel:
-      newsRelay_.OnCancelled(*id);
-      aRespond(callerHooks_.encodeCancelled(dispatcher_.Cancel(*id)));
+      cancellations_.Cancel(
+        *id, dispatcher_.Cancel(*id), [this, aRespond](CancelAnswer aAnswer) {
+          aRespond(callerHooks_.encodeCancelled(aAnswer));
+        });
       return;
     case CallerRequest::Kind::eSubmit:
       break;
@@ -391,8 +396,9 @@
 {
   documents_.Exchange().OnPeer(aPeer);
   if (aPeer.role == ProcessRole::eEntry) {
+    newsRelay_.OnEntry(aPeer.id);
+    cancellations_.Exchange().OnEntry(aPeer.id);
     if (documents_.Exchange().TakesPart(aPeer.id)) {
-      newsRelay_.OnEntry(aPeer.id);
       evacuation_.OnEntry(aPeer.id);
     }
   } else if (dispatcher_.Servers().Contains(aPeer.id)) {
@@ -408,13 +414,12 @@
   if (const auto* report = std::get_if<ServerReport>(&aMessage)) {
     OnReport(aFrom, *report);
   } else if (const auto* news = std::get_if<EntryNews>(&aMessage)) {
-    for (const CancelledJob& cancelled : news->cancelledJobs) {
-      newsRelay_.OnCancelledElsewhere(cancelled);
-    }
     if (news->evacuation) {
       evacuation_.OnProcessState(aFrom.id, *news->evacuation);
     }
+    // The jobs are recorded and end before they are confirmed.
     dispatcher_.OnEntryNews(*news);
+    cancellations_.Exchange().OnNews(aFrom.id, *news);
   } else if (const auto* copy = std::get_if<ConfigurationCopy>(&aMessage)) {
     // Entries of the previous version send whole documents.
     OnConfigurationDocument(copy->document, aFrom.id.ToString());
@@ -430,6 +435,7 @@
   documents_.Exchange().Tick();
   newsRelay_.Tick();
   evacuation_.Tick();
+  cancellations_.Exchange().Tick();
   if (++ticks_ % kTicksPerMembershipTick == 0) {
     peers_.Tick(documents_.Exchange().AdvertisedVersion());
     CheckContactTimeouts();
