--- a/benchmarks/policy/fleet_simulation.cpp
+++ b/benchmarks/policy/fleet_simulation.cpp
@@ -33,20 +33,6 @@
 
 }
 
-state::MonotonicTime
-VirtualClock::MonotonicNow() const
-{
-  return state::MonotonicTime(
-    std::chrono::nanoseconds(static_cast<std::int64_t>(now_ * 1e9)));
-}
-
-state::WallTime
-VirtualClock::WallNow() const
-{
-  return state::WallTime(std::chrono::hours(24 * 365 * 50) +
-                         Microseconds(now_));
-}
-
 FleetSimulation::FleetSimulation(std::vector<FleetServer> aFleet,
                                  MeasurementWindow aWindow,
                                  SimulationHooks aHooks,
--- a/benchmarks/policy/fleet_simulation.h
+++ b/benchmarks/policy/fleet_simulation.h
@@ -10,23 +10,11 @@
 #include "coordination/scheduling/task_scheduler.h"
 #include "policy/job_result.h"
 #include "policy/reference_queues.h"
+#include "policy/virtual_clock.h"
 #include "policy/workload.h"
 
 namespace greengage::policy {
 
-/** Clock that FleetSimulation sets to the time of the current events. */
-class VirtualClock : public state::Clock
-{
-public:
-  state::MonotonicTime MonotonicNow() const override;
-  state::WallTime WallNow() const override;
-  void Set(double aSeconds) { now_ = aSeconds; }
-  double Now() const { return now_; }
-
-private:
-  double now_ = 0;
-};
-
 /** Duration and outcome of one run of a task on a server. */
 struct RunPlan
 {
