Forecast the start of jobs that have to wait

Under contention each job was accepted and rejected at its latest start, after its caller had waited, and all callers were told to return together. A job that has to wait is now accepted only if the work ahead of it, the capacity that this entry can expect and the observed error of earlier forecasts let it start in time; waiting jobs are examined again in each tick. Retry-After is spread by a hash of the job and shorter for callers that have waited. The rule is off unless JobDispatcherSettings::admission asks for it.

--- a/src/coordination/dispatch/dispatched_job.h
+++ b/src/coordination/dispatch/dispatched_job.h
@@ -84,6 +84,8 @@
   double workMs = 0;
   std::uint32_t runs = 0;
   bool started = false;
+  /** Forecast on arrival, without correction; see AdmissionControl. */
+  std::optional<double> forecastMs;
   /** Position in the queue of jobs that wait for free capacity. */
   std::optional<WaitingKey> waitingKey;
   /**
--- a/src/coordination/dispatch/job_dispatcher.cpp
+++ b/src/coordination/dispatch/job_dispatcher.cpp
@@ -63,6 +63,7 @@
             aSettings.remoteRackFactor,
             aClock)
   , monitor_(servers_, placer_, aClock)
+  , admission_(servers_, placer_, aSettings.admission, aClock)
   , cancelled_(aClock)
   , createdAt_(aClock.MonotonicNow())
 {
@@ -79,6 +80,8 @@
 {
   settings_.remoteRackFactor = aSettings.remoteRackFactor;
   settings_.processorCores = aSettings.processorCores;
+  settings_.admission = aSettings.admission;
+  admission_.SetSettings(aSettings.admission);
   placer_.SetRemoteRackFactor(aSettings.remoteRackFactor);
   SetReportPeriod();
 }
@@ -123,12 +126,13 @@
     return;
   }
   if (reject != DispatchReason::eNone) {
-    End(id, { DispatchResult::eRejected, reject, RetryAfter() });
+    End(id, { DispatchResult::eRejected, reject, RetryAfter(reference) });
     return;
   }
   RecordSubmission(reference, aAge);
   Enqueue(reference);
   PlaceWaitingJobs();
+  AdmitNewJob(id);
   orders_.Send();
 }
 
@@ -200,8 +204,11 @@
 }
 
 milliseconds
-JobDispatcher::RetryAfter() const
+JobDispatcher::RetryAfter(const DispatchedJob& aJob) const
 {
+  if (admission_.IsOn()) {
+    return admission_.RetryAfter(aJob);
+  }
   // All jobs that wait now are started or rejected by their latest start.
   MonotonicTime last = clock_.MonotonicNow();
   if (!waiting_.empty()) {
@@ -320,7 +327,11 @@
       ++key;
       continue;
     }
+    bool wasStarted = job.started;
     bool placed = placer_.PlaceJob(job);
+    if (job.started && !wasStarted) {
+      admission_.OnWaitEnded(job);
+    }
     ++key;
     if (placed) {
       waiting_.erase(*job.waitingKey);
@@ -364,15 +375,17 @@
   std::vector<std::pair<state::DispatchJobId, DispatchOutcome>> ended;
   for (auto& [id, job] : jobs_) {
     if (!job->started && now > job->latestStart) {
+      admission_.OnWaitEnded(*job);
       ended.emplace_back(id,
                          DispatchOutcome{ DispatchResult::eRejected,
                                           DispatchReason::eOverload,
-                                          RetryAfter() });
+                                          RetryAfter(*job) });
     } else if (now >= job->deadline) {
       auto result =
         job->started ? DispatchResult::eFailed : DispatchResult::eRejected;
       ended.emplace_back(
-        id, DispatchOutcome{ result, DispatchReason::eTooLate, RetryAfter() });
+        id,
+        DispatchOutcome{ result, DispatchReason::eTooLate, RetryAfter(*job) });
     } else if (!CheckRunningTasks(*job)) {
       ended.emplace_back(id, FailedOutcome(DispatchReason::eTooLate));
     }
@@ -386,6 +399,7 @@
   RemoveReleasedAgents();
   orders_.AddKeepAlives(servers_.AgentsInUse());
   PlaceWaitingJobs();
+  ExamineWaitingJobs();
   orders_.Send();
 }
 
--- a/src/coordination/dispatch/job_dispatcher.h
+++ b/src/coordination/dispatch/job_dispatcher.h
@@ -10,6 +10,7 @@
 #include <tuple>
 #include <vector>
 
+#include "coordination/admission/admission_control.h"
 #include "coordination/dispatch/cancelled_jobs.h"
 #include "coordination/dispatch/crash_history.h"
 #include "coordination/dispatch/dispatch_records.h"
@@ -36,6 +37,8 @@
   std::function<void(const state::ProcessId& aAgent, DispatchOrders)> send;
   std::function<void(const PlacementRecord&)> placed;
   std::function<void(const JobRecord&)> ended;
+  /** Called with each decision of a forecast; may be empty. */
+  std::function<void(const AdmissionRecord&)> admissionDecided;
   /** Called when a run ended without success. */
   std::function<void(const state::ProcessId& aAgent, const RunEnd&)> runEnded;
   std::function<void(const SubmissionRecord&)> submitted;
@@ -66,6 +69,7 @@
   double remoteRackFactor = 1;
   /** Number of cores that this process may use; 0: unknown. */
   double processorCores = 0;
+  AdmissionSettings admission;
 
   auto operator<=>(const JobDispatcherSettings&) const = default;
 };
@@ -147,7 +151,12 @@
   bool IsBehind() const;
   /** Measures the lag of this process while it has work. */
   void MeasureLag();
-  std::chrono::milliseconds RetryAfter() const;
+  std::chrono::milliseconds RetryAfter(const DispatchedJob& aJob) const;
+  /** Rejects a new job that waits if it is expected to start too late. */
+  void AdmitNewJob(state::DispatchJobId aJob);
+  /** Rejects the waiting jobs that are expected to start too late by now. */
+  void ExamineWaitingJobs();
+  void RejectByForecast(const AdmissionRecord& aRecord);
 
   /** Limits the processor time that reports of agents take. */
   void SetReportPeriod();
@@ -229,6 +238,7 @@
   ReportTimes reportTimes_;
   TaskPlacer placer_;
   RunMonitor monitor_;
+  AdmissionControl admission_;
   CancelledJobs cancelled_;
   std::map<state::DispatchJobId, std::unique_ptr<DispatchedJob>> jobs_;
   std::map<SubmissionId, state::DispatchJobId> submissions_;
--- a/src/coordination/dispatch/server_pool.cpp
+++ b/src/coordination/dispatch/server_pool.cpp
@@ -252,6 +252,23 @@
   return shortest;
 }
 
+UsableCapacity
+ServerPool::CapacityFor(const PlacementRequest& aRequest) const
+{
+  UsableCapacity sum;
+  for (const auto& [id, server] : servers_) {
+    if (!IsUsable(server, aRequest)) {
+      continue;
+    }
+    const ResourceAmount& capacity = server.description->capacity;
+    double speed = model_.Speed(id);
+    sum.total += speed * capacity.cpuMillicores;
+    sum.notUsedByOthers +=
+      speed * (capacity - server.usedByOthers).cpuMillicores;
+  }
+  return sum;
+}
+
 void
 ServerPool::OnRunSent(const ProcessId& aServer,
                       const RunKey& aRun,
--- a/src/coordination/dispatch/server_pool.h
+++ b/src/coordination/dispatch/server_pool.h
@@ -61,6 +61,19 @@
   auto operator<=>(const ServerView&) const = default;
 };
 
+/**
+ * Capacity of the servers that can run a task, with or without free capacity,
+ * in millicores at speed 1.
+ */
+struct UsableCapacity
+{
+  double total = 0;
+  /** Part that other entries do not use at present. */
+  double notUsedByOthers = 0;
+
+  auto operator<=>(const UsableCapacity&) const = default;
+};
+
 /** A server that can run a task now, and the expected run time. */
 struct Placement
 {
@@ -94,6 +107,8 @@
    * without free capacity at present.
    */
   std::optional<double> ShortestRunTime(const PlacementRequest& aRequest) const;
+  /** Returns the capacity that the tasks of this entry share. */
+  UsableCapacity CapacityFor(const PlacementRequest& aRequest) const;
   /**
    * Returns true if a server that accepts runs has announced enough capacity
    * for the task, now or earlier.
