Log, count and explain admission decisions

Operators could not see why a job was rejected before its latest start. Each decision is an event (1650 to 1652) with the inputs of the forecast and counts in greengage_admission_decisions_total; greengagectl explain states the forecast as the cause.

--- a/src/daemon/dispatch/dispatch_entry_hooks.cpp
+++ b/src/daemon/dispatch/dispatch_entry_hooks.cpp
@@ -1,5 +1,6 @@
 #include "daemon/dispatch/dispatch_entry_process.h"
 
+#include "daemon/dispatch/log_admission.h"
 #include "daemon/dispatch/log_crashes.h"
 #include "daemon/dispatch/log_pause.h"
 #include "transport/event_log.h"
@@ -73,6 +74,10 @@
              aRecord.readyServers,
              aRecord.configurationVersion);
   };
+  hooks.admissionDecided = [this](const AdmissionRecord& aRecord) {
+    dispatchMetrics_.OnAdmissionDecided(aRecord);
+    LogAdmission(aRecord);
+  };
   hooks.runEnded = [this](const ProcessId& aAgent, const RunEnd& aEnd) {
     dispatchMetrics_.OnRunEnded(aEnd);
     LogEvent(events::kRunEnded,
--- a/src/daemon/dispatch/dispatch_entry_process.cpp
+++ b/src/daemon/dispatch/dispatch_entry_process.cpp
@@ -61,7 +61,8 @@
 {
   return { aSettings.peer.dataCentre,
            aSettings.remoteRackFactor,
-           aSettings.processorCores };
+           aSettings.processorCores,
+           aSettings.admission };
 }
 
 }
@@ -156,6 +157,7 @@
   running.peer.seeds = aSettings.peer.seeds;
   running.remoteRackFactor = aSettings.remoteRackFactor;
   running.processorCores = aSettings.processorCores;
+  running.admission = aSettings.admission;
   settings_ = running;
   if (running != aSettings) {
     LogEvent(events::kSettingsWaitForStart,
--- a/src/daemon/dispatch/dispatch_entry_process.h
+++ b/src/daemon/dispatch/dispatch_entry_process.h
@@ -37,6 +37,7 @@
   double remoteRackFactor = 1;
   /** Number of cores that this process may use; 0: unknown. */
   double processorCores = 0;
+  coordination::AdmissionSettings admission;
 
   auto operator<=>(const DispatchEntrySettings&) const = default;
 };
--- a/src/daemon/dispatch/dispatch_metrics.cpp
+++ b/src/daemon/dispatch/dispatch_metrics.cpp
@@ -64,6 +64,17 @@
     .Set(static_cast<double>(aRecord.limitedQueues));
 }
 
+void
+DispatchMetrics::OnAdmissionDecided(
+  const coordination::AdmissionRecord& aRecord)
+{
+  metrics_
+    .FindCounter({ "greengage_admission_decisions_total",
+                   MetricLabel("decision", ToString(aRecord.decision)) },
+                 "Forecasts for jobs that had to wait, by decision")
+    .Add();
+}
+
 void
 DispatchMetrics::OnRunDecision(const coordination::RunDecision& aDecision)
 {
--- a/src/daemon/dispatch/dispatch_metrics.h
+++ b/src/daemon/dispatch/dispatch_metrics.h
@@ -16,6 +16,7 @@
   void OnRunEnded(const coordination::RunEnd& aEnd);
   void OnQueueLimitChanged(const coordination::QueueLimitRecord& aRecord);
   void OnRefused(const state::DispatchOutcome& aOutcome);
+  void OnAdmissionDecided(const coordination::AdmissionRecord& aRecord);
   /** Counts a run decision of an agent by its name and reason. */
   void OnRunDecision(const coordination::RunDecision& aDecision);
   /** Counts a crash of an agent's server. */
--- a/src/tools/job_explanation.cpp
+++ b/src/tools/job_explanation.cpp
@@ -156,9 +156,35 @@
   return fmt::format("{} ({})", result, reason);
 }
 
+std::string
+JobExplanation::CauseOfForecast() const
+{
+  for (const auto& [time, line] : lines_) {
+    if (line.name == "admission_rejected" ||
+        line.name == "admission_withdrawn") {
+      return fmt::format(
+        "it was rejected by a forecast after {} ms: {} core ms of work went "
+        "first, {} cores at speed 1 were expected and {} of them were needed "
+        "by more urgent work, so it was expected to start in {} ms and had to "
+        "start within {} ms",
+        line.Field("waited_ms"),
+        line.Field("ahead_core_ms"),
+        line.Field("cores"),
+        line.Field("urgent_cores"),
+        line.Field("forecast_ms"),
+        line.Field("left_ms"));
+    }
+  }
+  return {};
+}
+
 std::string
 JobExplanation::CauseOfOverload(const LogLine& aEnd) const
 {
+  std::string forecast = CauseOfForecast();
+  if (!forecast.empty()) {
+    return forecast;
+  }
   std::string text =
     fmt::format("no server had free capacity for it in the {} ms in which a "
                 "start would have met the objective of {} ms; {} servers were "
--- a/src/tools/job_explanation.h
+++ b/src/tools/job_explanation.h
@@ -29,6 +29,8 @@
 private:
   std::string Cause(const LogLine& aEnd) const;
   std::string CauseOfOverload(const LogLine& aEnd) const;
+  /** Returns the forecast by which it was rejected; empty if there was none. */
+  std::string CauseOfForecast() const;
   std::string CauseOfDelay(const LogLine& aEnd) const;
   std::string CauseOfServerLoss(const LogLine& aEnd) const;
   std::string CauseOfExhaustedAttempts() const;
--- a/src/transport/events.h
+++ b/src/transport/events.h
@@ -179,6 +179,15 @@
 inline constexpr EventKind kQueueLimitEnded{ 1623,
                                              "queue_limit_ended",
                                              LogLevel::eInfo };
+inline constexpr EventKind kAdmissionAccepted{ 1650,
+                                               "admission_accepted",
+                                               LogLevel::eInfo };
+inline constexpr EventKind kAdmissionRejected{ 1651,
+                                               "admission_rejected",
+                                               LogLevel::eInfo };
+inline constexpr EventKind kAdmissionWithdrawn{ 1652,
+                                                "admission_withdrawn",
+                                                LogLevel::eInfo };
 
 // Settings and logging.
 inline constexpr EventKind kSettingsReloaded{ 1701,
@@ -247,6 +256,9 @@
   kJobGivenUp,
   kQueueLimitBegan,
   kQueueLimitEnded,
+  kAdmissionAccepted,
+  kAdmissionRejected,
+  kAdmissionWithdrawn,
 };
 
 }
--- a/tests/tools/job_explanation_test.cpp
+++ b/tests/tools/job_explanation_test.cpp
@@ -86,6 +86,30 @@
     << text;
 }
 
+// Guards against an explanation that names a lack of free capacity in the few
+// milliseconds until a forecast rejected the job.
+TEST(JobExplanationTest, NamesTheForecastThatRejectedTheJob)
+{
+  std::string text = Explain(
+    "a",
+    Entry("20.280",
+          "name=admission_rejected job=a queue=q forecast_ms=412 left_ms=160 "
+          "waited_ms=0 ahead_core_ms=9000 own_core_ms=400 cores=24.0 "
+          "urgent_cores=2.0 correction=1.10 retry_ms=2000") +
+      JobEnded("20.281",
+               "a",
+               "result=rejected reason=overload tasks=2 done=0 runs=0 "
+               "waited_ms=0 total_ms=0 objective_ms=381 work_ms=201"));
+  EXPECT_NE(text.find("it was rejected by a forecast after 0 ms: 9000 core ms "
+                      "of work went first, 24.0 cores"),
+            std::string::npos)
+    << text;
+  EXPECT_NE(text.find("expected to start in 412 ms and had to start within "
+                      "160 ms"),
+            std::string::npos)
+    << text;
+}
+
 std::string
 RunStopped(const std::string& aSecond, const std::string& aJob)
 {
