--- a/tests/dispatch/dispatch_property_test.cpp
+++ b/tests/dispatch/dispatch_property_test.cpp
@@ -35,9 +35,11 @@
 class RandomFaultScenario
 {
 public:
-  explicit RandomFaultScenario(std::uint64_t aSeed)
+  explicit RandomFaultScenario(
+    std::uint64_t aSeed,
+    coordination::AdmissionRule aRule = coordination::AdmissionRule::eOff)
     : random_(aSeed)
-    , simulation_(Settings(aSeed))
+    , simulation_(Settings(aSeed, aRule))
   {
   }
 
@@ -56,10 +58,12 @@
   const std::string& Faults() const { return faults_; }
 
 private:
-  static DispatchSimulationSettings Settings(std::uint64_t aSeed)
+  static DispatchSimulationSettings Settings(std::uint64_t aSeed,
+                                             coordination::AdmissionRule aRule)
   {
     DispatchSimulationSettings settings;
     settings.seed = aSeed;
+    settings.admission.rule = aRule;
     settings.speeds = { 1.8, 0.8, 0.8 };
     settings.lostAnswerShare = aSeed % 3 == 0 ? 0.05 : 0;
     settings.lateCallShare = aSeed % 4 == 1 ? 0.05 : 0;
@@ -205,6 +209,34 @@
   EXPECT_GT(completed, answered / 2);
 }
 
+// Guards against a job that a forecast rejects although one of its tasks has
+// started, here or through a submission before, under random faults.
+TEST(DispatchPropertyTest, InvariantsHoldWithAdmissionByForecast)
+{
+  std::size_t rejected = 0;
+  for (std::uint64_t seed = 1; seed <= SeedCount(); ++seed) {
+    RandomFaultScenario scenario(seed, coordination::AdmissionRule::eQuantile);
+    DispatchSimulation& simulation = scenario.Run();
+    for (const std::string& violation : simulation.Violations()) {
+      ADD_FAILURE() << "seed " << seed << ": " << violation;
+    }
+    for (const SubmissionRecord& record : simulation.Submissions()) {
+      EXPECT_TRUE(record.outcome || record.isDisconnected)
+        << "seed " << seed << ": job " << record.job << " got no answer";
+      rejected += record.outcome &&
+                      record.outcome->result == state::DispatchResult::eRejected
+                    ? 1
+                    : 0;
+    }
+    ASSERT_FALSE(HasFailure())
+      << "seed " << seed << "\n"
+      << scenario.Faults()
+      << simulation.Trace(simulation.JobOfFirstViolation());
+  }
+  // The invariants would also hold if no job were ever rejected.
+  EXPECT_GT(rejected, SeedCount());
+}
+
 // Guards against an entry that delays its answer until a fault of the agents
 // has ended: an entry that is not frozen answers by the deadline.
 TEST(DispatchPropertyTest, CallersAreAnsweredByTheirDeadline)
--- a/tests/dispatch/dispatch_simulation.cpp
+++ b/tests/dispatch/dispatch_simulation.cpp
@@ -219,8 +219,10 @@
   hooks.probe = [this, aEntry](std::function<void()> aReturned) {
     PassProbe(aEntry, std::move(aReturned));
   };
-  entry.dispatcher = std::make_unique<JobDispatcher>(
-    JobDispatcherSettings{ "dc" }, clock_, std::move(hooks));
+  JobDispatcherSettings settings{ "dc" };
+  settings.admission = settings_.admission;
+  entry.dispatcher =
+    std::make_unique<JobDispatcher>(settings, clock_, std::move(hooks));
   for (unsigned i = 0; i < servers_.size(); ++i) {
     entry.dispatcher->OnAgent(DescribeAgent(i));
     if (settings_.hasProcessQueues) {
--- a/tests/dispatch/dispatch_simulation.h
+++ b/tests/dispatch/dispatch_simulation.h
@@ -55,6 +55,8 @@
   bool callsEndWithServer = false;
   /** Late calls are also carried out by the next incarnation of a server. */
   bool lateCallsReachNextIncarnation = true;
+  /** Of all entries. */
+  coordination::AdmissionSettings admission;
 };
 
 /** Directions of the messages between an entry and an agent. */
