--- a/src/coordination/dispatch/job_dispatcher.cpp
+++ b/src/coordination/dispatch/job_dispatcher.cpp
@@ -67,6 +67,7 @@
             aSettings.remoteRackFactor,
             aClock)
   , monitor_(servers_, placer_, aClock)
+  , admission_(servers_, placer_, aSettings.admission, aClock)
   , cancelled_(aClock)
   , createdAt_(aClock.MonotonicNow())
 {
@@ -83,6 +84,8 @@
 {
   settings_.remoteRackFactor = aSettings.remoteRackFactor;
   settings_.processorCores = aSettings.processorCores;
+  settings_.admission = aSettings.admission;
+  admission_.SetSettings(aSettings.admission);
   placer_.SetRemoteRackFactor(aSettings.remoteRackFactor);
   SetReportPeriod();
 }
@@ -127,16 +130,16 @@
     return;
   }
   if (reject != DispatchReason::eNone) {
-    End(
-      id,
-      { DispatchResult::eRejected,
-        reject,
-        reject == DispatchReason::eEvacuated ? kMaxRetryAfter : RetryAfter() });
+    auto retryAfter = reject == DispatchReason::eEvacuated
+                        ? kMaxRetryAfter
+                        : RetryAfter(reference);
+    End(id, { DispatchResult::eRejected, reject, retryAfter });
     return;
   }
   RecordSubmission(reference, aAge);
   Enqueue(reference);
   PlaceWaitingJobs();
+  AdmitNewJob(id);
   orders_.Send();
 }
 
@@ -209,8 +212,11 @@
 }
 
 milliseconds
-JobDispatcher::RetryAfter() const
+JobDispatcher::RetryAfter(const DispatchedJob& aJob) const
 {
+  if (admission_.IsOn()) {
+    return admission_.RetryAfter(aJob);
+  }
   // All jobs that wait now are started or rejected by their latest start.
   MonotonicTime last = clock_.MonotonicNow();
   if (!waiting_.empty()) {
@@ -339,7 +345,11 @@
       ++key;
       continue;
     }
+    bool wasStarted = job.started;
     bool placed = placer_.PlaceJob(job);
+    if (job.started && !wasStarted) {
+      admission_.OnWaitEnded(job);
+    }
     ++key;
     if (placed) {
       waiting_.erase(*job.waitingKey);
@@ -383,10 +393,11 @@
   std::vector<std::pair<state::DispatchJobId, DispatchOutcome>> ended;
   for (auto& [id, job] : jobs_) {
     if (!job->started && now > job->latestStart) {
+      admission_.OnWaitEnded(*job);
       ended.emplace_back(id,
                          DispatchOutcome{ DispatchResult::eRejected,
                                           DispatchReason::eOverload,
-                                          RetryAfter() });
+                                          RetryAfter(*job) });
     } else if (!job->started && NeedsEvacuated(*job)) {
       ended.emplace_back(id,
                          DispatchOutcome{ DispatchResult::eRejected,
@@ -396,7 +407,8 @@
       auto result =
         job->started ? DispatchResult::eFailed : DispatchResult::eRejected;
       ended.emplace_back(
-        id, DispatchOutcome{ result, DispatchReason::eTooLate, RetryAfter() });
+        id,
+        DispatchOutcome{ result, DispatchReason::eTooLate, RetryAfter(*job) });
     } else if (!CheckRunningTasks(*job)) {
       ended.emplace_back(id, FailedOutcome(DispatchReason::eTooLate));
     }
@@ -410,6 +422,7 @@
   RemoveReleasedAgents();
   orders_.AddKeepAlives(servers_.AgentsInUse());
   PlaceWaitingJobs();
+  ExamineWaitingJobs();
   orders_.Send();
 }
 
--- a/src/daemon/dispatch/dispatch_entry_process.h
+++ b/src/daemon/dispatch/dispatch_entry_process.h
@@ -41,6 +41,7 @@
   double processorCores = 0;
   /** Limits for the connections that others open to this process. */
   transport::ConnectionLimits connections;
+  coordination::AdmissionSettings admission;
 
   auto operator<=>(const DispatchEntrySettings&) const = default;
 };
--- a/src/daemon/dispatch/dispatch_metrics.h
+++ b/src/daemon/dispatch/dispatch_metrics.h
@@ -17,6 +17,7 @@
   void OnRunEnded(const coordination::RunEnd& aEnd);
   void OnQueueLimitChanged(const coordination::QueueLimitRecord& aRecord);
   void OnRefused(const state::DispatchOutcome& aOutcome);
+  void OnAdmissionDecided(const coordination::AdmissionRecord& aRecord);
   /** Counts a run decision of an agent by its name and reason. */
   void OnRunDecision(const coordination::RunDecision& aDecision);
   /** Counts a connection that was refused or closed; any thread. */
--- a/src/transport/events.h
+++ b/src/transport/events.h
@@ -198,6 +198,15 @@
 inline constexpr EventKind kEvacuationChanged{ 1630,
                                                "evacuation_changed",
                                                LogLevel::eWarning };
+inline constexpr EventKind kAdmissionAccepted{ 1650,
+                                               "admission_accepted",
+                                               LogLevel::eInfo };
+inline constexpr EventKind kAdmissionRejected{ 1651,
+                                               "admission_rejected",
+                                               LogLevel::eInfo };
+inline constexpr EventKind kAdmissionWithdrawn{ 1652,
+                                                "admission_withdrawn",
+                                                LogLevel::eInfo };
 
 // Settings and logging.
 inline constexpr EventKind kSettingsReloaded{ 1701,
@@ -272,6 +281,9 @@
   kCancellationAnswered,
   kCancellationUnconfirmed,
   kCancellationsCaughtUp,
+  kAdmissionAccepted,
+  kAdmissionRejected,
+  kAdmissionWithdrawn,
 };
 
 }
--- a/tests/dispatch/dispatch_simulation.cpp
+++ b/tests/dispatch/dispatch_simulation.cpp
@@ -223,8 +223,10 @@
   hooks.probe = [this, aEntry](std::function<void()> aReturned) {
     PassProbe(aEntry, std::move(aReturned));
   };
-  entry.dispatcher = std::make_unique<JobDispatcher>(
-    JobDispatcherSettings{ "dc" }, clock_, std::move(hooks));
+  JobDispatcherSettings settings{ "dc" };
+  settings.admission = settings_.admission;
+  entry.dispatcher =
+    std::make_unique<JobDispatcher>(settings, clock_, std::move(hooks));
   entry.evacuation =
     std::make_unique<EvacuationExchange>(clock_, EvacuationHooks(aEntry));
   ConnectEntry(aEntry);
--- a/tests/dispatch/dispatch_simulation.h
+++ b/tests/dispatch/dispatch_simulation.h
@@ -64,6 +64,8 @@
   std::vector<std::string> dataCentres{ "" };
   /** Share of the evacuation messages between entries that are lost, 0 to 1. */
   double lostNoticeShare = 0;
+  /** Of all entries. */
+  coordination::AdmissionSettings admission;
 };
 
 /** Directions of the messages between an entry and an agent. */
