Test an evacuation across a restart of all processes

Cause: after a restart of all processes the entry that the store refuses gets the configuration from a peer, and its agent knows of no evacuation.

--- a/tests/platform/evacuation_process_test.cpp
+++ b/tests/platform/evacuation_process_test.cpp
@@ -93,12 +93,26 @@
                   Address(aControlPort));
     callers_.push_back(Address(callerPort));
     metrics_.push_back(Address(metricsPort));
-    processes_.push_back(std::make_unique<ChildProcess>(
-      "greengage-platform-entry",
-      std::vector<std::string>{ "--settings",
-                                WriteSettings(aDataCentre, listen, "", aStore),
-                                "--metrics-port",
-                                std::to_string(metricsPort) }));
+    Launch("greengage-platform-entry",
+           { "--settings",
+             WriteSettings(aDataCentre, listen, "", aStore),
+             "--metrics-port",
+             std::to_string(metricsPort) });
+  }
+
+  void Launch(const std::string& aProgram,
+              const std::vector<std::string>& aArguments)
+  {
+    commands_.emplace_back(aProgram, aArguments);
+    processes_.push_back(std::make_unique<ChildProcess>(aProgram, aArguments));
+  }
+
+  /** Kills a process and starts it again, without what it knew. */
+  void Restart(std::size_t aNumber)
+  {
+    processes_[aNumber]->Signal(SIGKILL);
+    const auto& [program, arguments] = commands_[aNumber];
+    processes_[aNumber] = std::make_unique<ChildProcess>(program, arguments);
   }
 
   std::string AgentSettings(const std::string& aDataCentre,
@@ -112,13 +126,6 @@
       storeAddress_);
   }
 
-  void StartAgent(const std::string& aSettings)
-  {
-    processes_.push_back(std::make_unique<ChildProcess>(
-      "greengage-platform-agent",
-      std::vector<std::string>{ "--settings", aSettings }));
-  }
-
   /** Starts all processes and waits until each entry serves jobs. */
   bool StartFleet()
   {
@@ -126,9 +133,10 @@
     StartEntry("mulu", ReservePort(), refusingStore_.Start());
     unsigned bolePort = ReservePort();
     unsigned muluPort = ReservePort();
-    StartAgent(AgentSettings("bole", boleServer_, bolePort));
-    muluSettings_ = AgentSettings("mulu", muluServer_, muluPort);
-    StartAgent(muluSettings_);
+    Launch("greengage-platform-agent",
+           { "--settings", AgentSettings("bole", boleServer_, bolePort) });
+    Launch("greengage-platform-agent",
+           { "--settings", AgentSettings("mulu", muluServer_, muluPort) });
     announcer_ = std::thread([this, bolePort, muluPort] {
       while (isAnnouncing_) {
         boleServer_.Announce(Address(bolePort), false);
@@ -180,8 +188,9 @@
   std::vector<std::string> callers_;
   std::vector<std::string> metrics_;
   std::vector<std::string> files_;
-  std::string muluSettings_;
   std::uint64_t job_ = 0;
+  /** Programs and arguments of processes_: two entries, then two agents. */
+  std::vector<std::pair<std::string, std::vector<std::string>>> commands_;
   std::vector<std::unique_ptr<ChildProcess>> processes_;
   std::atomic<bool> isAnnouncing_{ true };
   std::thread announcer_;
@@ -203,10 +212,7 @@
   EXPECT_EQ(muluServer_.StartCount(), starts);
   EXPECT_NE(Status(1).find(R"("data_centres":["mulu"])"), std::string::npos)
     << Status(1);
-  // The agent is the last process; it starts again without knowledge.
-  processes_.back()->Signal(SIGKILL);
-  processes_.pop_back();
-  StartAgent(muluSettings_);
+  Restart(3);
   EXPECT_NE(processes_.back()->AwaitWord("name=evacuation_changed"), "none");
   for (int i = 0; i < 10; ++i) {
     EXPECT_EQ(Submit(1).status, 200);
@@ -222,6 +228,29 @@
     << Logs();
 }
 
+// Guards against a start in an evacuated data centre after all processes were
+// restarted: the entry that the store refuses gets the configuration from
+// another entry and its agent knows of no evacuation either.
+TEST_F(EvacuationProcessTest, RestartOfAllProcessesKeepsTheEvacuation)
+{
+  ASSERT_TRUE(StartFleet()) << Logs();
+  store_.Put("evacuate/mulu", "{}");
+  std::this_thread::sleep_for(kEvacuationTime);
+  unsigned starts = muluServer_.StartCount();
+  for (std::size_t i = 0; i < commands_.size(); ++i) {
+    Restart(i);
+  }
+  unsigned served = 0;
+  EXPECT_TRUE(WaitUntil(
+    [&] {
+      served += Submit(1).status == 200 ? 1 : 0;
+      return served == 10;
+    },
+    20s))
+    << Logs();
+  EXPECT_EQ(muluServer_.StartCount(), starts) << Logs();
+}
+
 // Guards against an evacuation that is on a later page than the configuration,
 // and against callers that wait although only evacuated servers could run their
 // jobs.
