Wait for all entries lost in a silence, also if one is found at once

Cause: an entry that returned from a disconnection and found one other entry before it noticed its silence did not wait for those that had not found it yet; one of them acknowledged a cancellation without informing it. The simulation reports that a process was heard before it is found, as PeerNode does.

--- a/src/coordination/cancellation/cancellation_exchange.cpp
+++ b/src/coordination/cancellation/cancellation_exchange.cpp
@@ -128,9 +128,9 @@
 void
 CancellationExchange::OnHeard()
 {
+  auto missing = IsSilent() ? LostInSilence() : std::set<ProcessId>();
   // An entry that has no others, and lost none meanwhile, has missed nothing.
-  bool mayHaveMissed = IsSilent() && (!peers_.empty() || IsCutOff());
-  auto missing = peers_.empty() ? LostInSilence() : std::set<ProcessId>();
+  bool mayHaveMissed = IsSilent() && (!peers_.empty() || !missing.empty());
   heardAt_ = clock_.MonotonicNow();
   if (mayHaveMissed) {
     catchUp_.Begin(CatchUpReason::eSilence, std::move(missing));
--- a/tests/cancellation/cancellation_fleet.cpp
+++ b/tests/cancellation/cancellation_fleet.cpp
@@ -322,6 +322,8 @@
         apart_.erase(key);
         foundAt_.erase(key);
         node.known.insert(other);
+        // A packet of the membership has arrived.
+        node.exchange->OnHeard();
         node.exchange->OnEntry(nodes_[other].id);
       }
     } else if (reachable) {
