Build the simulation of cancellations with clang too

Cause: clang 14 does not initialise an aggregate by parentheses, so the lint of the simulation failed. Change: the value is created with braces.

--- a/tests/cancellation/cancellation_fleet.cpp
+++ b/tests/cancellation/cancellation_fleet.cpp
@@ -99,7 +99,7 @@
   node.exchange->Cancel(aJob, [this, aEntry, aJob](CancellationResult aResult) {
     // An answer does not reach its caller while the entry is cut off.
     if (nodes_[aEntry].isConnected) {
-      answers_.try_emplace(aJob, now_ - cancelledAt_[aJob], aResult);
+      answers_.try_emplace(aJob, Answer{ now_ - cancelledAt_[aJob], aResult });
     }
   });
   return true;
