--- a/tests/cancellation/cancellation_fleet.cpp
+++ b/tests/cancellation/cancellation_fleet.cpp
@@ -99,7 +99,7 @@
   node.exchange->Cancel(aJob, [this, aEntry, aJob](CancellationResult aResult) {
     // An answer does not reach its caller while the entry is cut off.
     if (nodes_[aEntry].isConnected) {
-      answers_.try_emplace(aJob, now_ - cancelledAt_[aJob], aResult);
+      answers_.try_emplace(aJob, Answer{ now_ - cancelledAt_[aJob], aResult });
     }
   });
   return true;
@@ -322,6 +322,8 @@
         apart_.erase(key);
         foundAt_.erase(key);
         node.known.insert(other);
+        // A packet of the membership has arrived.
+        node.exchange->OnHeard();
         node.exchange->OnEntry(nodes_[other].id);
       }
     } else if (reachable) {
