Free the ports before the evacuation test restarts a process

Cause: the test started the new process before the killed one had ended.

Change: the test waits for the end of the old process first.

--- a/tests/platform/evacuation_process_test.cpp
+++ b/tests/platform/evacuation_process_test.cpp
@@ -110,7 +110,9 @@
   /** Kills a process and starts it again, without what it knew. */
   void Restart(std::size_t aNumber)
   {
+    // The destructor waits for the end, after which the ports are free.
     processes_[aNumber]->Signal(SIGKILL);
+    processes_[aNumber].reset();
     const auto& [program, arguments] = commands_[aNumber];
     processes_[aNumber] = std::make_unique<ChildProcess>(program, arguments);
   }
