Recognise entries of the previous version before the first cancellation

Cause: an entry that does not know the confirmations delayed the first answer of each other entry by 1.5 s, however long the two had known each other. Change: each entry asks every entry that it finds once, also after it has caught up. One that has not asked within 3 s is taken for one of the previous version. Result: EntriesOfThePreviousVersionDelayOnlyOnce checks the answer of an entry that has known them for longer, within 250 ms. With processes, an entry of this version next to one of the previous version still takes 1.5 s for a cancellation within 3 s after they have found each other.

--- a/src/coordination/cancellation/cancellation_catch_up.cpp
+++ b/src/coordination/cancellation/cancellation_catch_up.cpp
@@ -145,9 +145,7 @@
 void
 CancellationCatchUp::AskSources()
 {
-  if (!holds_ && isComplete_) {
-    return;
-  }
+  bool isCatchingUp = holds_ || !isComplete_;
   auto answering =
     std::count_if(sources_.begin(), sources_.end(), [](const auto& aSource) {
       const Source& source = aSource.second;
@@ -159,7 +157,8 @@
     bool isNew = source == sources_.end();
     bool mayKnowAll =
       isNew || (source->second.request.ownOnly && !source->second.isSilent);
-    bool isNeeded = static_cast<std::size_t>(answering) < kSources;
+    bool isNeeded =
+      isCatchingUp && static_cast<std::size_t>(answering) < kSources;
     if (mayKnowAll && isNeeded) {
       Ask(entry, 0, false);
       ++answering;
--- a/src/coordination/cancellation/cancellation_exchange.cpp
+++ b/src/coordination/cancellation/cancellation_exchange.cpp
@@ -34,10 +34,13 @@
 /** Wait for the first confirmation; callers wait 4,000 ms at least. */
 constexpr milliseconds kMaxWait{ 3500 };
 /**
- * An entry that has never confirmed anything, and does not for this time, is
- * taken for one of the previous version and not waited for.
+ * An entry that has not confirmed the first jobs it was sent after this time,
+ * or has not asked for any after the next one, is taken for one of the previous
+ * version and not waited for: entries find each other within 2 s, and each asks
+ * the other then.
  */
 constexpr milliseconds kOldVersionTime{ 1500 };
+constexpr milliseconds kFirstRequestTime{ 3000 };
 /**
  * A process that receives nothing for this time may be cut off: the membership
  * contacts every process each 500 ms.
@@ -86,9 +89,11 @@
 void
 CancellationExchange::OnEntry(const ProcessId& aEntry)
 {
-  if (!peers_.try_emplace(aEntry).second) {
+  auto [peer, isNew] = peers_.try_emplace(aEntry);
+  if (!isNew) {
     return;
   }
+  peer->second.foundAt = clock_.MonotonicNow();
   bool returned = former_.erase(aEntry) > 0;
   catchUp_.OnEntry(aEntry);
   if (returned && !catchUp_.Holds()) {
@@ -264,11 +269,13 @@
 void
 CancellationExchange::FindOldVersion(Peer& aPeer) const
 {
-  if (aPeer.takesPart || aPeer.isOld || !aPeer.unconfirmedSince || IsSilent()) {
+  if (aPeer.takesPart || aPeer.isOld || IsSilent()) {
     return;
   }
-  aPeer.isOld =
-    clock_.MonotonicNow() - *aPeer.unconfirmedSince >= kOldVersionTime;
+  auto now = clock_.MonotonicNow();
+  aPeer.isOld = now - aPeer.foundAt >= kFirstRequestTime ||
+                (aPeer.unconfirmedSince &&
+                 now - *aPeer.unconfirmedSince >= kOldVersionTime);
 }
 
 void
--- a/src/coordination/cancellation/cancellation_exchange.h
+++ b/src/coordination/cancellation/cancellation_exchange.h
@@ -104,6 +104,7 @@
   {
     /** Number of the table up to which the jobs were sent. */
     std::uint64_t sent = 0;
+    state::MonotonicTime foundAt;
     /** Number up to which they are recorded there. */
     std::uint64_t confirmed = 0;
     state::MonotonicTime sentAt;
--- a/tests/cancellation/cancellation_exchange_test.cpp
+++ b/tests/cancellation/cancellation_exchange_test.cpp
@@ -142,6 +142,11 @@
   fleet.RunFor(kCalmBound);
   ASSERT_EQ(fleet.Answers().size(), 2u);
   EXPECT_EQ(fleet.Knowing(2), 4u);
+  // Entries that have known each other for long do not wait at all.
+  fleet.Cancel(1, 3);
+  fleet.RunFor(kCalmBound);
+  ASSERT_EQ(fleet.Answers().size(), 3u);
+  EXPECT_EQ(fleet.Knowing(3), 4u);
 }
 
 // Guards against an entry that acknowledges a cancellation although it is cut
