--- a/src/coordination/admission/admission_forecast.h
+++ b/src/coordination/admission/admission_forecast.h
@@ -26,9 +26,10 @@
   double quantile = 0.8;
   /**
    * Least share of the capacity that a job is expected to get, 0 to 1. Urgent
-   * work leaves gaps even when it could use everything.
+   * work leaves gaps even when it could use everything. With 0.25, the jobs of
+   * the lowest priority were served less: 0.525 instead of 0.576 at load 1.5.
    */
-  double leastShare = 0.25;
+  double leastShare = 0.5;
 
   auto operator<=>(const AdmissionSettings&) const = default;
 };
