--- a/src/coordination/admission/admission_forecast.h
+++ b/src/coordination/admission/admission_forecast.h
@@ -2,12 +2,11 @@
 
 #include <chrono>
 #include <compare>
-#include <cstdint>
 
 namespace greengage::coordination {
 
 /** How an entry forecasts the waiting time of a job. */
-enum class AdmissionRule : std::uint8_t
+enum class AdmissionRule
 {
   /** Every job waits until its latest start. */
   eOff,
