Wait 200 ms for cancelled jobs when the whole fleet starts

Cause: when all entries start together, none knows all cancelled jobs, so each waited 500 ms before it placed a job, although it was ready after 80 ms (two entries as processes) and all others had answered. Change: if every entry that was found has answered and none knows all, the wait ends 200 ms after the start; other entries are found by then. Result: StartWaitsForAnswersOrAShortTime bounds such a start by 225 ms.

--- a/src/coordination/cancellation/cancellation_catch_up.cpp
+++ b/src/coordination/cancellation/cancellation_catch_up.cpp
@@ -15,6 +15,11 @@
  * entries are found within 100 to 200 ms, and answer within some milliseconds.
  */
 constexpr milliseconds kMaxWait{ 500 };
+/**
+ * Wait for an entry that knows all, if those that were found have answered and
+ * do not: the whole fleet starts.
+ */
+constexpr milliseconds kMaxWaitForComplete{ 200 };
 /** Time to answer of the first entry that is found, even if it is late. */
 constexpr milliseconds kAnswerWait{ 300 };
 /**
@@ -187,13 +192,16 @@
   if (now >= deadline_) {
     return true;
   }
-  if (!firstCompleteAt_ || !missing_.empty()) {
+  bool mayEnd = firstCompleteAt_ ||
+                (!sources_.empty() && now - beganAt_ >= kMaxWaitForComplete);
+  if (!mayEnd || !missing_.empty()) {
     return false;
   }
+  auto limit = firstCompleteAt_ ? kMaxWaitForOthers : kMaxWait;
   return std::none_of(
-    sources_.begin(), sources_.end(), [now](const auto& aSource) {
+    sources_.begin(), sources_.end(), [&](const auto& aSource) {
       const Source& source = aSource.second;
-      return !source.hasEnded && now - source.askedAt < kMaxWaitForOthers;
+      return !source.hasEnded && now - source.askedAt < limit;
     });
 }
 
--- a/tests/cancellation/cancellation_exchange_test.cpp
+++ b/tests/cancellation/cancellation_exchange_test.cpp
@@ -111,7 +111,7 @@
     CancellationFleet fleet(entries, 1);
     fleet.RunFor(kWarmUp);
     // At a start of the whole fleet no entry knows more than the others.
-    EXPECT_LE(fleet.StartTime(0), milliseconds(525));
+    EXPECT_LE(fleet.StartTime(0), milliseconds(entries == 1 ? 525 : 225));
     fleet.Inject(0, EntryFault::eRestart, milliseconds(500));
     fleet.RunFor(milliseconds(2000));
     EXPECT_LE(fleet.StartTime(0), milliseconds(entries == 1 ? 525 : 180));
