--- a/src/coordination/dispatch/job_dispatcher.cpp
+++ b/src/coordination/dispatch/job_dispatcher.cpp
@@ -64,6 +64,7 @@
   , placer_(servers_,
             orders_,
             crashHistory_,
+            holds_,
             aSettings.remoteRackFactor,
             aClock)
   , monitor_(servers_, placer_, aClock)
@@ -417,6 +418,7 @@
     End(id, outcome);
   }
   crashHistory_.RemoveExpired();
+  RemoveExpiredHolds();
   UpdateIsolation();
   SendPendingStops();
   RemoveReleasedAgents();
--- a/src/coordination/dispatch/job_dispatcher_runs.cpp
+++ b/src/coordination/dispatch/job_dispatcher_runs.cpp
@@ -34,6 +34,9 @@
   // Crashes and uncertain starts come before the ends, which return lost tasks
   // to the queue.
   OnCrashes(aAgent, aReport.crashes);
+  if (aReport.holds) {
+    OnHolds({ aAgent, *aReport.holds });
+  }
   for (const UncertainStart& start : aReport.uncertainStarts) {
     OnUncertainStart(aAgent, start);
   }
@@ -138,6 +141,10 @@
 JobDispatcher::OnUncertainStart(const ProcessId& aAgent,
                                 const UncertainStart& aStart)
 {
+  if (servers_.Contains(aAgent)) {
+    lateStarts_[aAgent][aStart.run] =
+      clock_.MonotonicNow() + kLongestStartDelay;
+  }
   auto found = jobs_.find(aStart.run.task.job);
   if (found == jobs_.end() || !HasTask(*found->second, aStart.run.task)) {
     return;
--- a/src/coordination/dispatch/run_controller.cpp
+++ b/src/coordination/dispatch/run_controller.cpp
@@ -122,6 +122,7 @@
   }
   hasLeft_ = true;
   crashDetector_.OnLeave();
+  UpdateHolds();
   reporter_.MarkChanged();
   hooks_.condition(Condition(), "left");
   reporter_.Send();
@@ -206,6 +207,8 @@
   ReleaseExpiredRuns();
   RenewLeases();
   UpdateRamp();
+  RemoveExpired(lateStarts_, now);
+  UpdateHolds();
   std::erase_if(released_, [now](const auto& aRun) {
     return now - aRun.second >= kReleasedRetention;
   });
@@ -238,6 +241,7 @@
 RunController::ReportConditionChange(ServerCondition aBefore,
                                      const std::string& aReason)
 {
+  UpdateHolds();
   if (Condition() != aBefore) {
     reporter_.MarkChanged();
     hooks_.condition(Condition(), aReason);
@@ -245,6 +249,13 @@
   }
 }
 
+void
+RunController::UpdateHolds()
+{
+  reporter_.SetHeldTasks(
+    TasksToHold(lateStarts_, { reachable_, hasLeft_, KnowsAllRuns() }));
+}
+
 state::ResourceAmount
 RunController::Used() const
 {
--- a/src/coordination/subset/news_relay.cpp
+++ b/src/coordination/subset/news_relay.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "coordination/dispatch/late_starts.h"
 #include "coordination/subset/entry_choice.h"
 
 namespace greengage::coordination {
@@ -14,6 +15,8 @@
 
 /** Crashes are passed on for as long as agents report them. */
 constexpr NewsLimits kCrashLimits{ milliseconds(30'000), 512, 32 };
+/** A message has at most 4 lists of 1,024 tasks, which need 40 bytes each. */
+constexpr NewsLimits kHoldLimits{ kLongestStartDelay, 512, 4 };
 
 }
 
@@ -33,6 +36,7 @@
   : clock_(aClock)
   , send_(std::move(aSend))
   , crashes_(kCrashLimits)
+  , holds_(kHoldLimits)
 {
 }
 
@@ -57,6 +61,15 @@
                clock_.MonotonicNow());
 }
 
+void
+NewsRelay::AddHolds(const ReportedHolds& aHolds, bool aIsOwn)
+{
+  holds_.Add({ aHolds.reporter, aHolds.holds.number },
+             { aHolds, aIsOwn },
+             milliseconds(0),
+             clock_.MonotonicNow());
+}
+
 bool
 NewsRelay::IsLargeFleet() const
 {
@@ -69,7 +82,7 @@
   std::vector<ProcessId> contacts =
     IsLargeFleet() ? RelayContacts(self_, entries_)
                    : std::vector(entries_.begin(), entries_.end());
-  std::map<ProcessId, std::uint64_t> sent;
+  std::map<ProcessId, Sent> sent;
   for (const ProcessId& contact : contacts) {
     sent[contact] = sent_[contact];
   }
@@ -81,6 +94,7 @@
 {
   auto now = clock_.MonotonicNow();
   crashes_.Expire(now);
+  holds_.Expire(now);
   if (std::exchange(contactsChanged_, false)) {
     OnContactsChanged();
   }
@@ -90,17 +104,26 @@
 }
 
 void
-NewsRelay::SendNews(const ProcessId& aContact, std::uint64_t& aSent) const
+NewsRelay::SendNews(const ProcessId& aContact, Sent& aSent) const
 {
-  if (!IsLargeFleet()) {
-    return;
-  }
+  auto now = clock_.MonotonicNow();
   EntryNews news;
-  for (auto& [crash, age] : crashes_.After(aSent, clock_.MonotonicNow())) {
-    news.crashes.push_back(std::move(crash));
-    news.crashes.back().crash.ageMs = static_cast<std::uint32_t>(age.count());
+  if (IsLargeFleet()) {
+    for (auto& [crash, age] : crashes_.After(aSent.crash, now)) {
+      news.crashes.push_back(std::move(crash));
+      news.crashes.back().crash.ageMs = static_cast<std::uint32_t>(age.count());
+    }
+  }
+  for (auto& [hold, age] : holds_.After(aSent.hold, now)) {
+    if (hold.isOwn || IsLargeFleet()) {
+      news.holds.push_back(std::move(hold.reported));
+      for (HeldTask& held : news.holds.back().holds.tasks) {
+        auto ageMs = static_cast<std::uint32_t>(age.count());
+        held.leftMs -= std::min(held.leftMs, ageMs);
+      }
+    }
   }
-  if (!news.crashes.empty()) {
+  if (!news.crashes.empty() || !news.holds.empty()) {
     send_(aContact, news);
   }
 }
--- a/src/coordination/subset/news_relay.h
+++ b/src/coordination/subset/news_relay.h
@@ -46,25 +46,48 @@
   /** Records a crash that was reported or passed on; repetitions are ignored.
    */
   void OnCrash(const state::ProcessId& aAgent, const ServerCrash& aCrash);
+  /** Records the holds of an agent or of another entry. */
+  void OnHolds(const ReportedHolds& aHolds) { AddHolds(aHolds, false); }
+  /** Records holds of this entry, which no agent reports. */
+  void OnOwnHolds(const TaskHolds& aHolds)
+  {
+    AddHolds({ self_, aHolds }, true);
+  }
   /** Sends what is new to each contact; call at least every 50 ms. */
   void Tick();
 
 private:
   using CrashId = std::pair<state::ProcessId, std::uint64_t>;
 
+  struct Hold
+  {
+    ReportedHolds reported;
+    /** True if this entry holds the tasks itself. */
+    bool isOwn = false;
+  };
+
+  /** Sequence numbers of the newest items that were sent to a contact. */
+  struct Sent
+  {
+    std::uint64_t hold = 0;
+    std::uint64_t crash = 0;
+  };
+
   /** In smaller fleets every agent reports to every entry. */
   bool IsLargeFleet() const;
   void OnContactsChanged();
-  /** @param aSent number of the newest crash that the contact was sent */
-  void SendNews(const state::ProcessId& aContact, std::uint64_t& aSent) const;
+  void AddHolds(const ReportedHolds& aHolds, bool aIsOwn);
+  void SendNews(const state::ProcessId& aContact, Sent& aSent) const;
 
   const state::Clock& clock_;
   SendFunction send_;
   state::ProcessId self_;
   std::set<state::ProcessId> entries_;
-  std::map<state::ProcessId, std::uint64_t> sent_;
+  std::map<state::ProcessId, Sent> sent_;
   bool contactsChanged_ = false;
   NewsList<CrashId, ReportedCrash> crashes_;
+  /** By the process and the number of its holds. */
+  NewsList<std::pair<state::ProcessId, std::uint64_t>, Hold> holds_;
 };
 
 }
--- a/src/protocol/peer.capnp
+++ b/src/protocol/peer.capnp
@@ -143,6 +143,8 @@
 struct TaskKey { job @0 :UInt64; step @1 :UInt32; index @2 :UInt32; jobUpperCase @3 :UInt16; }
 struct CrashSuspect { task @0 :TaskKey; queue @1 :Text; }
 struct ServerCrash { number @0 :UInt64; ageMs @1 :UInt32; suspects @2 :List(CrashSuspect); }
+struct HeldTask { task @0 :TaskKey; leftMs @1 :UInt32; }
+struct TaskHolds { number @0 :UInt64; tasks @1 :List(HeldTask); }
 
 struct ServerReport {
   description @0 :ServerDescription;
@@ -155,10 +157,12 @@
   crashes @7 :List(ServerCrash);
   isReleased @8 :Bool;
   evacuation @9 :EvacuationNotice;
+  holds @10 :TaskHolds;
 }
 
 struct ReportedCrash { agent @0 :ProcessId; crash @1 :ServerCrash; }
 struct CancelledJob { job @0 :UInt64; ageMs @1 :UInt32; jobUpperCase @2 :UInt16; }
+struct ReportedHolds { reporter @0 :ProcessId; holds @1 :TaskHolds; }
 struct CatchUpRequest { number @0 :UInt64; after @1 :UInt64; ownOnly @2 :Bool; }
 struct CatchUpPage { number @0 :UInt64; last @1 :UInt64; hasMore @2 :Bool; isComplete @3 :Bool; }
 struct EntryNews {
@@ -169,6 +173,7 @@
   confirmedNumber @4 :UInt64;
   catchUpRequest @5 :CatchUpRequest;
   catchUpPage @6 :CatchUpPage;
+  holds @7 :List(ReportedHolds);
 }
 
 struct ConfigurationCopy { version @0 :UInt64; document @1 :Text; }
--- a/src/transport/events.h
+++ b/src/transport/events.h
@@ -207,6 +207,7 @@
 inline constexpr EventKind kAdmissionWithdrawn{ 1652,
                                                 "admission_withdrawn",
                                                 LogLevel::eInfo };
+inline constexpr EventKind kTasksHeld{ 1640, "tasks_held", LogLevel::eInfo };
 
 // Settings and logging.
 inline constexpr EventKind kSettingsReloaded{ 1701,
@@ -284,6 +285,7 @@
   kAdmissionAccepted,
   kAdmissionRejected,
   kAdmissionWithdrawn,
+  kTasksHeld,
 };
 
 }
--- a/tests/protocol/peer_codec_test.cpp
+++ b/tests/protocol/peer_codec_test.cpp
@@ -75,7 +75,8 @@
       { { 3, 40, { { { 5, 1, 3 }, "swatches" }, { { 6, 0, 9 }, "" } } },
         { 4, 1, {} } },
       true,
-      state::EvacuationState{ 10, {} } },
+      state::EvacuationState{ 10, {} },
+      TaskHolds{ 7, { { { 5, 1, 7 }, 11'990 }, { { 6, 0, 1 }, 1 } } } },
     EntryNews{ { { { 8, 9 }, { 3, 40, { { { 5, 1, 3 }, "swatches" } } } },
                  { { 8, 10 }, { 1, 2, {} } } },
                { { 17, 250 }, { 18, 0 } } },
@@ -83,6 +84,8 @@
     EntryNews{
       {}, { { 17, 250 } }, 12, 34, { { 5, 6, true } }, { { 7, 8, true } } },
     EntryNews{ {}, {}, 0, 0, {}, { { 7, 8, false, true } } },
+    EntryNews{ .holds = { { { 8, 9 }, { 2, { { { 5, 1, 7 }, 900 } } } },
+                          { { 8, 10 }, { 3, {} } } } },
     ConfigurationCopy{ 9, "{\"version\":9}" },
     DocumentRequest{ 9, 8192 },
     DocumentPart{ 9, 70000, 8192, std::string("\0\xff{", 3) },
