--- a/src/coordination/dispatch/job_dispatcher.h
+++ b/src/coordination/dispatch/job_dispatcher.h
@@ -164,7 +164,6 @@
   /** Returns the number of jobs with tasks that wait for free capacity. */
   std::size_t WaitingCount() const { return waiting_.size(); }
   const ServerPool& Servers() const { return servers_; }
-  const TaskPlacer& Placer() const { return placer_; }
 
 private:
   /** Returns the reason to reject a new job; eNone if it is accepted. */
--- a/src/coordination/dispatch/job_dispatcher_runs.cpp
+++ b/src/coordination/dispatch/job_dispatcher_runs.cpp
@@ -25,10 +25,8 @@
 void
 JobDispatcher::OnReport(const ProcessId& aAgent, const ServerReport& aReport)
 {
-  bool mayHavePlaces = !aReport.ends.empty() || !aReport.crashes.empty() ||
-                       !aReport.forecasts.empty();
   if (!aReport.isReleased || servers_.Contains(aAgent)) {
-    mayHavePlaces = servers_.OnReport(aAgent, aReport) || mayHavePlaces;
+    servers_.OnReport(aAgent, aReport);
     reportTimes_.OnReport(aAgent, aReport.sentAtMs);
   }
   // Crashes and uncertain starts come before the ends, which return lost tasks
@@ -46,9 +44,7 @@
   for (const RunForecast& forecast : aReport.forecasts) {
     OnForecast(aAgent, forecast);
   }
-  if (mayHavePlaces) {
-    PlaceWaitingJobs();
-  }
+  PlaceWaitingJobs();
   orders_.Send();
 }
 
--- a/src/coordination/dispatch/server_pool.cpp
+++ b/src/coordination/dispatch/server_pool.cpp
@@ -69,13 +69,10 @@
   return runs;
 }
 
-bool
+void
 ServerPool::OnReport(const ProcessId& aAgent, const ServerReport& aReport)
 {
   Server& server = servers_[aAgent];
-  bool hasMoreCapacity = aReport.description || server.isReleased ||
-                         server.condition != aReport.condition ||
-                         !Fits(server.usedByOthers, aReport.usedByOthers);
   if (aReport.description) {
     if (server.description &&
         server.description->id != aReport.description->id) {
@@ -93,11 +90,7 @@
   server.condition = aReport.condition;
   server.isReleased = aReport.isReleased;
   server.usedByOthers = aReport.usedByOthers;
-  auto now = clock_.MonotonicNow();
-  hasMoreCapacity =
-    hasMoreCapacity || now - server.lastContactAt > kContactTimeout;
-  server.lastContactAt = now;
-  return hasMoreCapacity;
+  server.lastContactAt = clock_.MonotonicNow();
 }
 
 bool
@@ -159,14 +152,9 @@
   if (aServer.ejections > 0 && !aServer.runs.empty()) {
     return false;
   }
-  return Fits(aRequest.need, FreeCapacity(aServer));
-}
-
-ResourceAmount
-ServerPool::FreeCapacity(const Server& aServer)
-{
-  return aServer.description->capacity -
-         (aServer.usedByOthers + aServer.usedByEntry);
+  return Fits(aRequest.need,
+              aServer.description->capacity -
+                (aServer.usedByOthers + aServer.usedByEntry));
 }
 
 double
@@ -255,25 +243,6 @@
   return best;
 }
 
-std::uint32_t
-ServerPool::CountFreePlaces(const PlacementRequest& aRequest,
-                            std::uint32_t aLimit) const
-{
-  std::uint32_t places = 0;
-  for (const auto& [id, server] : servers_) {
-    if (places >= aLimit) {
-      break;
-    }
-    if (!IsUsable(server, aRequest) || !HasFreeCapacity(server, aRequest)) {
-      continue;
-    }
-    bool takesOneRun = server.ejections > 0 || aRequest.isSuspect;
-    std::uint32_t fitting = CountFitting(aRequest.need, FreeCapacity(server));
-    places += std::min(takesOneRun ? 1 : fitting, aLimit - places);
-  }
-  return places;
-}
-
 std::optional<double>
 ServerPool::ShortestRunTime(const PlacementRequest& aRequest) const
 {
--- a/src/coordination/dispatch/server_pool.h
+++ b/src/coordination/dispatch/server_pool.h
@@ -97,24 +97,13 @@
   void OnAgent(const ProcessInfo& aAgent);
   /** Removes the agent; returns the runs that this entry had on it. */
   std::vector<state::RunKey> OnAgentLost(const state::ProcessId& aAgent);
-  /**
-   * Returns false if the report can not make a place for a task that had none:
-   * the server has no more free capacity than before.
-   */
-  bool OnReport(const state::ProcessId& aAgent, const ServerReport& aReport);
+  void OnReport(const state::ProcessId& aAgent, const ServerReport& aReport);
 
   /** Returns the best server with free capacity; empty if there is none. */
   std::optional<Placement> Choose(
     const PlacementRequest& aRequest,
     const std::map<state::ProcessId, std::uint32_t>& aStepRuns,
     std::uint32_t aMaxPerServer) const;
-  /**
-   * Returns how many tasks with these requirements the free capacity of all
-   * servers can hold, whatever their run times; at most aLimit. It costs far
-   * less than to choose a server for each of them.
-   */
-  std::uint32_t CountFreePlaces(const PlacementRequest& aRequest,
-                                std::uint32_t aLimit) const;
   /**
    * Returns the shortest run time on any server that can run the task, with or
    * without free capacity at present.
@@ -250,8 +239,6 @@
   /** Also false during a cooldown or after a contact timeout. */
   bool HasFreeCapacity(const Server& aServer,
                        const PlacementRequest& aRequest) const;
-  /** The server must have a description. */
-  static state::ResourceAmount FreeCapacity(const Server& aServer);
   double RunTime(const Server& aServer, const PlacementRequest& aRequest) const;
   double Cost(const Server& aServer,
               double aRunTimeMs,
--- a/src/coordination/dispatch/server_pool_health.cpp
+++ b/src/coordination/dispatch/server_pool_health.cpp
@@ -38,7 +38,9 @@
     return;
   }
   Server& server = found->second;
-  if (!Fits(aNeed, FreeCapacity(server))) {
+  if (!Fits(aNeed,
+            server.description->capacity -
+              (server.usedByOthers + server.usedByEntry))) {
     return;
   }
   server.cooldownUntil =
--- a/src/coordination/dispatch/task_placer.cpp
+++ b/src/coordination/dispatch/task_placer.cpp
@@ -59,21 +59,13 @@
 {
   DispatchedStep& step = aJob.steps[aStep];
   std::uint32_t waiting = step.waiting;
+  auto places = ReservePlaces(aJob, aStep);
+  bool all = places.size() == waiting;
   auto wholeStartTime =
     (aJob.latestStart - aJob.submittedAt) / kWholeStartDivisor;
   bool mustStartWhole =
-    !aJob.started && clock_.MonotonicNow() < aJob.submittedAt + wholeStartTime;
-  // While capacity is short, most attempts fail, for each waiting job at each
-  // report. With 80 waiting jobs they took 0.3 ms a report, too long for a host
-  // of a tenth of a core with up to 600 reports a second.
-  std::uint32_t required = mustStartWhole ? waiting : 1;
-  if (servers_.CountFreePlaces(RequestFor(aJob, aStep), required) < required) {
-    return false;
-  }
-  ++attempts_;
-  auto places = ReservePlaces(aJob, aStep);
-  bool all = places.size() == waiting;
-  if (!all && mustStartWhole) {
+    clock_.MonotonicNow() < aJob.submittedAt + wholeStartTime;
+  if (!all && !aJob.started && mustStartWhole) {
     // A partly started job would occupy capacity while the rest waits.
     for (const auto& [index, placement] : places) {
       CancelReservation(aJob, aStep, index);
--- a/src/coordination/dispatch/task_placer.h
+++ b/src/coordination/dispatch/task_placer.h
@@ -36,11 +36,6 @@
 
   /** Returns false if a task of a ready step still waits. */
   bool PlaceJob(DispatchedJob& aJob);
-  /**
-   * Returns how often servers were examined for the tasks of a step. It exceeds
-   * the started steps if capacity is short.
-   */
-  std::uint64_t Attempts() const { return attempts_; }
   /** @param aTask null for a task without known progress */
   PlacementRequest RequestFor(const DispatchedJob& aJob,
                               std::size_t aStep,
@@ -75,7 +70,6 @@
   const HoldTable& holds_;
   double remoteRackFactor_;
   const state::Clock& clock_;
-  std::uint64_t attempts_ = 0;
 };
 
 }
--- a/src/daemon/dispatch/dispatch_status.cpp
+++ b/src/daemon/dispatch/dispatch_status.cpp
@@ -70,7 +70,6 @@
                   { "queues", aDispatcher.Configuration().queues.size() },
                   { "jobs", aDispatcher.JobCount() },
                   { "jobs_waiting", aDispatcher.WaitingCount() },
-                  { "placement_attempts", aDispatcher.Placer().Attempts() },
                   { "evacuation", Describe(aEvacuation) },
                   { "servers", std::move(servers) } });
 }
--- a/src/state/dispatch/resource_amount.h
+++ b/src/state/dispatch/resource_amount.h
@@ -53,19 +53,6 @@
            std::max(aLeft.gpus, aRight.gpus) };
 }
 
-/** Returns how many times aNeed fits; the maximum if it is zero. */
-constexpr std::uint32_t
-CountFitting(const ResourceAmount& aNeed, const ResourceAmount& aFreeCapacity)
-{
-  auto count = [](std::uint32_t aPart, std::uint32_t aFree) {
-    return aPart == 0 ? std::numeric_limits<std::uint32_t>::max()
-                      : aFree / aPart;
-  };
-  return std::min({ count(aNeed.cpuMillicores, aFreeCapacity.cpuMillicores),
-                    count(aNeed.memoryMb, aFreeCapacity.memoryMb),
-                    count(aNeed.gpus, aFreeCapacity.gpus) });
-}
-
 /** Returns true if every part of aNeed is at most that of aFreeCapacity. */
 constexpr bool
 Fits(const ResourceAmount& aNeed, const ResourceAmount& aFreeCapacity)
