Start the second entry of the cancellation tests in one place

Cause: two tests repeated the nine lines that start another entry. Change: the fixture has a function for it; the assertions stay in the tests.

--- a/tests/platform/cancellation_process_test.cpp
+++ b/tests/platform/cancellation_process_test.cpp
@@ -15,17 +15,9 @@
   StartAgent();
   ASSERT_TRUE(AwaitReady());
   unsigned otherPort = ReservePort();
-  ChildProcess other(
-    "greengage-platform-entry",
-    { "--settings",
-      WriteSettings(
-        fmt::format(R"("front":"{}","readyAddr":"{}","control":"{}")",
-                    Address(otherPort),
-                    Address(ReservePort()),
-                    Address(ReservePort())),
-        "") });
-  ASSERT_NE(other.AwaitWord("name=configuration_applied"), "none")
-    << other.Output();
+  auto other = StartOtherEntry(otherPort);
+  ASSERT_NE(other->AwaitWord("name=configuration_applied"), "none")
+    << other->Output();
   // The entries exchange news as soon as they have found each other.
   std::this_thread::sleep_for(1500ms);
   constexpr unsigned kLongWorkMs = 4000;
@@ -52,17 +44,9 @@
   StartAgent();
   ASSERT_TRUE(AwaitReady());
   unsigned otherPort = ReservePort();
-  ChildProcess other(
-    "greengage-platform-entry",
-    { "--settings",
-      WriteSettings(
-        fmt::format(R"("front":"{}","readyAddr":"{}","control":"{}")",
-                    Address(otherPort),
-                    Address(ReservePort()),
-                    Address(ReservePort())),
-        "") });
-  ASSERT_NE(other.AwaitWord("name=configuration_applied"), "none")
-    << other.Output();
+  auto other = StartOtherEntry(otherPort);
+  ASSERT_NE(other->AwaitWord("name=configuration_applied"), "none")
+    << other->Output();
   // The entries have found each other, and the agent both.
   std::this_thread::sleep_for(2000ms);
   constexpr std::uint64_t kFirstJob = 100;
--- a/tests/platform/platform_process_fixture.h
+++ b/tests/platform/platform_process_fixture.h
@@ -103,6 +103,20 @@
                                 std::to_string(metricsPort_) });
   }
 
+  /** Starts another entry, with a listener for callers of its own. */
+  std::unique_ptr<ChildProcess> StartOtherEntry(unsigned aCallerPort)
+  {
+    std::string settings = WriteSettings(
+      fmt::format(R"("front":"{}","readyAddr":"{}","control":"{}")",
+                  Address(aCallerPort),
+                  Address(ReservePort()),
+                  Address(ReservePort())),
+      "");
+    return std::make_unique<ChildProcess>(
+      "greengage-platform-entry",
+      std::vector<std::string>{ "--settings", settings });
+  }
+
   void StartAgent()
   {
     agent_ = std::make_unique<ChildProcess>(
