Give the dispatcher's view of a server a name of its own

Cause: server_pool.h and task_scheduler.h both defined coordination::ServerView with different members, in one library. Two headers could not be included together, and the comparison operators of both had one symbol. Change: the view of the dispatcher is DispatchServerView.

--- a/src/coordination/dispatch/server_pool.cpp
+++ b/src/coordination/dispatch/server_pool.cpp
@@ -364,11 +364,11 @@
   return static_cast<std::size_t>(ready);
 }
 
-std::vector<ServerView>
+std::vector<DispatchServerView>
 ServerPool::Views() const
 {
   auto now = clock_.MonotonicNow();
-  std::vector<ServerView> views;
+  std::vector<DispatchServerView> views;
   for (const auto& [id, server] : servers_) {
     if (!server.description) {
       continue;
--- a/src/coordination/dispatch/server_pool.h
+++ b/src/coordination/dispatch/server_pool.h
@@ -43,7 +43,7 @@
 };
 
 /** The entry's view of one server, for operators. */
-struct ServerView
+struct DispatchServerView
 {
   state::ProcessId agent;
   std::string server;
@@ -60,7 +60,7 @@
   /** Its data centre is evacuated, so that it gets no new runs. */
   bool isEvacuated = false;
 
-  auto operator<=>(const ServerView&) const = default;
+  auto operator<=>(const DispatchServerView&) const = default;
 };
 
 /**
@@ -184,7 +184,7 @@
   /** Returns the agents that have runs of this entry. */
   std::vector<state::ProcessId> AgentsInUse() const;
   std::size_t ReadyServers() const;
-  std::vector<ServerView> Views() const;
+  std::vector<DispatchServerView> Views() const;
   std::size_t Count() const { return servers_.size(); }
   /** Returns the number of agents in one data centre. */
   std::size_t CountIn(const std::string& aDataCentre) const;
--- a/src/daemon/dispatch/dispatch_status.cpp
+++ b/src/daemon/dispatch/dispatch_status.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 json::object
-Describe(const ServerView& aServer)
+Describe(const DispatchServerView& aServer)
 {
   return { { "agent", aServer.agent.ToString() },
            { "server", aServer.server },
@@ -61,7 +61,7 @@
                    bool aReady)
 {
   json::array servers;
-  for (const ServerView& server : aDispatcher.Servers().Views()) {
+  for (const DispatchServerView& server : aDispatcher.Servers().Views()) {
     servers.push_back(Describe(server));
   }
   return json::serialize(
