--- a/src/transport/events.h
+++ b/src/transport/events.h
@@ -185,6 +185,10 @@
 inline constexpr EventKind kQueueLimitEnded{ 1623,
                                              "queue_limit_ended",
                                              LogLevel::eInfo };
+inline constexpr EventKind kEvacuationChanged{ 1630,
+                                               "evacuation_changed",
+                                               LogLevel::eWarning };
+inline constexpr EventKind kTasksHeld{ 1640, "tasks_held", LogLevel::eInfo };
 inline constexpr EventKind kCancellationAnswered{ 1645,
                                                   "cancellation_answered",
                                                   LogLevel::eInfo };
@@ -194,10 +198,6 @@
 inline constexpr EventKind kCancellationsCaughtUp{ 1647,
                                                    "cancellations_caught_up",
                                                    LogLevel::eInfo };
-
-inline constexpr EventKind kEvacuationChanged{ 1630,
-                                               "evacuation_changed",
-                                               LogLevel::eWarning };
 inline constexpr EventKind kAdmissionAccepted{ 1650,
                                                "admission_accepted",
                                                LogLevel::eInfo };
@@ -207,7 +207,6 @@
 inline constexpr EventKind kAdmissionWithdrawn{ 1652,
                                                 "admission_withdrawn",
                                                 LogLevel::eInfo };
-inline constexpr EventKind kTasksHeld{ 1640, "tasks_held", LogLevel::eInfo };
 
 // Settings and logging.
 inline constexpr EventKind kSettingsReloaded{ 1701,
@@ -224,7 +223,6 @@
                                           LogLevel::eWarning };
 
 inline constexpr std::array kAll{
-  kEvacuationChanged,
   kProcessStarted,
   kProcessStopping,
   kProcessStopped,
@@ -279,13 +277,14 @@
   kJobGivenUp,
   kQueueLimitBegan,
   kQueueLimitEnded,
+  kEvacuationChanged,
+  kTasksHeld,
   kCancellationAnswered,
   kCancellationUnconfirmed,
   kCancellationsCaughtUp,
   kAdmissionAccepted,
   kAdmissionRejected,
   kAdmissionWithdrawn,
-  kTasksHeld,
 };
 
 }
