Limit the tasks, texts and parsed fields of a job

Seen: 96 connections with one job each (256 steps of 4,096 tasks, 6 MB sent in total) made the entry grow by 603 MB; a "spec" of 200 KB was accepted, although the pages publish 4,000 bytes, and was sent with each run.

Cause: the codec limits the tasks of a step and the number of steps, but not their product, and neither texts nor lists. A list of 100,000 numbers needs ten times its length when it is parsed.

Change: at most 4,096 tasks a job (published: 1,100), a spec of 16,000 bytes (published: 4,000), labels of 256 bytes, no more dependencies than earlier steps, and 1 MB of memory for the parsed fields. Others are answered 400, and nothing runs.

--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -97,6 +97,70 @@
   }
 }
 
+/** Items of an array. */
+std::string
+ManyOf(const std::string& aItem, std::size_t aCount)
+{
+  std::string items;
+  for (std::size_t i = 0; i < aCount; ++i) {
+    items += (i == 0 ? "" : ",") + aItem;
+  }
+  return items;
+}
+
+/** A job of steps that are repeated in its array. */
+std::string
+JobOf(const std::string& aSpec, const std::string& aStep, std::size_t aSteps)
+{
+  return R"({"bestEffort":true,"spec":")" + aSpec + R"(","steps":[)" +
+         ManyOf(aStep, aSteps) + "]}";
+}
+
+// Guards against jobs of a small request that need much memory or processor
+// time, and against limits that a job within the published ones meets.
+TEST(CallerCodecTest, LimitsWhatAJobContains)
+{
+  const std::string one = R"({"count":1})";
+  const std::string label = R"({"count":1,"requiredLabel":")";
+  const std::string rack = R"({"count":1,"affinity":")";
+  for (const std::string& body :
+       { JobOf(std::string(4000, 'a'), R"({"count":1100})", 1),
+         JobOf("x", R"({"count":16})", 256),
+         // The largest job that is accepted, with all fields in each step.
+         JobOf(std::string(16'000, 'a'),
+               R"({"count":16,"cpu":10000,"memMb":10000,"gpu":10,
+                   "estimateMs":10000,"maxPerServer":1000,"after":[],
+                   "requiredLabel":"0123456789","affinity":"0123456789",
+                   "checkpointing":false,"gang":false,"sameRack":false,
+                   "speculative":false,"longRunning":false,"image":"image",
+                   "targetMs":1000,"fills":false,"maxUnavailable":10})",
+               256),
+         JobOf("x", one + R"(,{"count":1,"after":[0]})", 1),
+         JobOf("x", label + std::string(200, 'a') + R"("})", 1) }) {
+    EXPECT_TRUE(DecodeCallerRequest(Post(body))) << body.substr(0, 100);
+  }
+  for (const auto& [body, field] :
+       std::vector<std::pair<std::string, std::string>>{
+         { JobOf(std::string(20'000, 'a'), one, 1), "spec" },
+         { JobOf("x", R"({"count":17})", 256), "count" },
+         { JobOf("x", one, 257), "steps" },
+         { JobOf("x", one + R"(,{"count":1,"after":[0,0]})", 1), "after" },
+         { JobOf(
+             "x", R"({"count":1,"after":[)" + ManyOf("0", 100'000) + "]}", 1),
+           "body" },
+         { JobOf("x", label + std::string(300, 'a') + R"("})", 1),
+           "requiredLabel" },
+         { JobOf("x", rack + std::string(300, 'a') + R"("})", 1),
+           "affinity" } }) {
+    auto request = DecodeCallerRequest(Post(body));
+    ASSERT_FALSE(request) << body.substr(0, 100);
+    EXPECT_EQ(request.error().status, 400u);
+    EXPECT_NE(request.error().body.find("malformed field: " + field),
+              std::string::npos)
+      << request.error().body;
+  }
+}
+
 // Guards against malformed requests that crash a process or are accepted as
 // valid ones.
 TEST(CallerCodecTest, RefusesMalformedJobs)
