Refuse the oldest large request first when connections hold too much

Seen: beside 96 connections that each withhold the last byte of a body of 16 KB, an ordinary request with a body of 240 KB got 503 at every attempt; and 96 complete bodies of 200 KB made the entry grow by 8.6 to 12.5 MB with a budget of 1 MB.

Cause: the budget evicted the connection that held the most, which is the ordinary caller with a large body. An evicted connection releases its bytes only when its handler runs, and until then each of the others that became readable at the same time read up to 64 KB.

Change: first those above the equal share of a connection, the oldest request first: an ordinary one is complete within a few round trips, one that is withheld grows old. Connections read 8 KB at a time while three quarters of the budget are held. The buffer that an identified peer keeps between two frames is counted, but its connection is not closed for it.

--- a/src/transport/byte_budget.cpp
+++ b/src/transport/byte_budget.cpp
@@ -1,15 +1,20 @@
 #include "transport/byte_budget.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace greengage::transport {
 
 namespace {
 
 // Evicting somewhat more than necessary keeps a client that goes on sending
-// from causing a search for the largest account with every read.
+// from causing a search with every read.
 constexpr std::size_t kKeptEighths = 7;
 
+// Evicted connections release their bytes only when their handlers run, after
+// those of all connections that became readable at the same time.
+constexpr std::size_t kNearlyFullEighths = 6;
+
 }
 
 ByteBudget::Account::Account(ByteBudget& aBudget, EvictHook aEvict)
@@ -26,13 +31,21 @@
 }
 
 bool
-ByteBudget::Account::Set(std::size_t aBytes)
+ByteBudget::Account::Set(std::size_t aBytes, Eviction aEviction)
 {
-  return budget_.Set(*this, aBytes);
+  return budget_.Set(*this, aBytes, aEviction);
+}
+
+void
+ByteBudget::Account::BeginRequest()
+{
+  std::lock_guard lock(budget_.mutex_);
+  request_ = ++budget_.lastRequest_;
 }
 
-ByteBudget::ByteBudget(std::size_t aMaxBytes)
+ByteBudget::ByteBudget(std::size_t aMaxBytes, std::size_t aOrdinaryBytes)
   : maxBytes_(aMaxBytes)
+  , ordinaryBytes_(aOrdinaryBytes)
 {
 }
 
@@ -41,6 +54,7 @@
 {
   std::unique_ptr<Account> account(new Account(*this, std::move(aEvict)));
   std::lock_guard lock(mutex_);
+  account->request_ = ++lastRequest_;
   accounts_.insert(account.get());
   return account;
 }
@@ -53,9 +67,16 @@
 }
 
 bool
-ByteBudget::Set(Account& aAccount, std::size_t aBytes)
+ByteBudget::IsNearlyFull() const
+{
+  std::lock_guard lock(mutex_);
+  return heldBytes_ > maxBytes_ / 8 * kNearlyFullEighths;
+}
+
+bool
+ByteBudget::Set(Account& aAccount, std::size_t aBytes, Eviction aEviction)
 {
-  std::vector<Eviction> evictions;
+  std::vector<EvictedAccount> evictions;
   bool isEvicted = false;
   {
     std::lock_guard lock(mutex_);
@@ -64,33 +85,38 @@
       evictedBytes_ = evictedBytes_ - aAccount.bytes_ + aBytes;
     }
     aAccount.bytes_ = aBytes;
+    aAccount.isEvictable_ = aEviction == Eviction::eAllowed;
     if (heldBytes_ - evictedBytes_ > maxBytes_) {
       evictions = SelectEvictions();
     }
     isEvicted = aAccount.isEvicted_;
   }
-  for (const Eviction& eviction : evictions) {
+  for (const EvictedAccount& eviction : evictions) {
     eviction.evict(eviction.bytes);
   }
   return !isEvicted;
 }
 
-std::vector<ByteBudget::Eviction>
+std::vector<ByteBudget::EvictedAccount>
 ByteBudget::SelectEvictions()
 {
-  std::vector<Account*> byBytes;
+  std::vector<Account*> candidates;
   for (Account* account : accounts_) {
-    if (!account->isEvicted_ && account->bytes_ > 0) {
-      byBytes.push_back(account);
+    if (account->isEvictable_ && !account->isEvicted_ && account->bytes_ > 0) {
+      candidates.push_back(account);
     }
   }
-  std::sort(
-    byBytes.begin(), byBytes.end(), [](Account* aLeft, Account* aRight) {
-      return aLeft->bytes_ > aRight->bytes_;
-    });
-  std::vector<Eviction> evictions;
+  auto order = [this](const Account* aAccount) {
+    return std::tuple(aAccount->bytes_ <= ordinaryBytes_, aAccount->request_);
+  };
+  std::sort(candidates.begin(),
+            candidates.end(),
+            [&](const Account* aLeft, const Account* aRight) {
+              return order(aLeft) < order(aRight);
+            });
+  std::vector<EvictedAccount> evictions;
   const std::size_t kept = maxBytes_ / 8 * kKeptEighths;
-  for (Account* account : byBytes) {
+  for (Account* account : candidates) {
     if (heldBytes_ - evictedBytes_ <= kept) {
       break;
     }
--- a/src/transport/connection_guard.cpp
+++ b/src/transport/connection_guard.cpp
@@ -1,5 +1,7 @@
 #include "transport/connection_guard.h"
 
+#include <algorithm>
+
 #include "transport/event_log.h"
 
 namespace greengage::transport {
@@ -8,6 +10,17 @@
 
 constexpr std::chrono::seconds kReportPeriod{ 1 };
 
+/** The equal share of a connection if all are open. */
+std::size_t
+OrdinaryBytes(const ConnectionLimits& aLimits)
+{
+  return aLimits.processBytes /
+         std::max<std::size_t>(1,
+                               aLimits.callerConnections +
+                                 aLimits.serviceConnections +
+                                 aLimits.peerConnections);
+}
+
 }
 
 const char*
@@ -32,7 +45,7 @@
 
 ConnectionGuard::ConnectionGuard(const ConnectionLimits& aLimits)
   : limits_(aLimits)
-  , bytes_(aLimits.processBytes)
+  , bytes_(aLimits.processBytes, OrdinaryBytes(aLimits))
 {
 }
 
--- a/src/transport/frame_session.cpp
+++ b/src/transport/frame_session.cpp
@@ -126,6 +126,7 @@
           return;
         }
         self->bodyBytes_ = 0;
+        self->account_->BeginRequest();
         self->ReadBody(size);
       }));
 }
@@ -179,7 +180,8 @@
   if (body_.capacity() > kMinPartBytes) {
     body_ = {};
   }
-  if (account_->Set(body_.capacity())) {
+  // The connection of a peer is not closed for the buffer that it keeps.
+  if (account_->Set(body_.capacity(), ByteBudget::Eviction::eNever)) {
     ReadHeader();
   }
 }
--- a/src/transport/http_session.cpp
+++ b/src/transport/http_session.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t kReadBytes = 8 * 1024;
 /** Reads of one connection before others of the thread get their turn. */
 constexpr unsigned kReadsPerTurn = 8;
+/** The same while the memory of the process is nearly used up. */
+constexpr unsigned kReadsPerTurnNearlyFull = 1;
 
 constexpr unsigned kHttp11 = 11;
 
@@ -141,6 +143,9 @@
     case Phase::eClosed:
       return;
   }
+  if (phase_ == Phase::eIdle) {
+    account_->BeginRequest();
+  }
   ReadResult result = aError ? ReadResult::eReset : Receive();
   if (result == ReadResult::eReset) {
     Close();
@@ -155,7 +160,10 @@
 HttpSession::ReadResult
 HttpSession::Receive()
 {
-  for (unsigned i = 0; i < kReadsPerTurn; ++i) {
+  const unsigned reads = state_->guard.Bytes().IsNearlyFull()
+                           ? kReadsPerTurnNearlyFull
+                           : kReadsPerTurn;
+  for (unsigned i = 0; i < reads; ++i) {
     error_code error;
     std::size_t bytes =
       stream_.socket().read_some(input_.Prepare(kReadBytes), error);
