Limit the processor time that placing waiting jobs takes

Cause: each submission and each report examines all steps of all waiting jobs, and all tasks of a step although the first one found no server; each tick examines all tasks of all jobs for overdue runs, also of jobs without one.

Change: a pass over the waiting jobs ends after 2,048 searches for a server and continues with the next tick, where it ended; meanwhile only new jobs are placed with their arrival. A step is left at its first task without a place, unless some of its tasks differ. Ticks examine only jobs with runs, and in these only as many tasks as have runs.

--- a/src/coordination/dispatch/crash_history.h
+++ b/src/coordination/dispatch/crash_history.h
@@ -48,6 +48,8 @@
   /** Removes what has expired. */
   void RemoveExpired();
 
+  /** Returns true if no crash is known that could be attributed to a task. */
+  bool IsEmpty() const { return counts_.empty(); }
   /** Returns the number of crashes that are attributed to the task. */
   std::uint32_t Attributed(const state::TaskKey& aTask) const;
   /** Returns true if the task must not be started again. */
--- a/src/coordination/dispatch/job_dispatcher.cpp
+++ b/src/coordination/dispatch/job_dispatcher.cpp
@@ -26,6 +26,12 @@
  * earliest; the runs started here must have been stopped by then.
  */
 constexpr milliseconds kMaxRequestAge{ 400 };
+/**
+ * Searches for a server in one pass over the waiting jobs. A job of 1,100 tasks
+ * is placed in one pass; thousands of jobs that cannot be placed do not keep
+ * the control thread from other work.
+ */
+constexpr std::uint64_t kMaxSearchesPerPass = 2048;
 
 /** Returns true if the callers may submit the job again after this answer. */
 bool
@@ -139,7 +145,7 @@
   }
   RecordSubmission(reference, aAge);
   Enqueue(reference);
-  PlaceWaitingJobs();
+  PlaceNewJob(reference);
   AdmitNewJob(id);
   orders_.Send();
 }
@@ -329,36 +335,73 @@
   return !aJob.earlierRuns.empty();
 }
 
+bool
+JobDispatcher::MayPlace()
+{
+  pauses_.Check();
+  // While the process is behind, the callers may have disconnected, and agents
+  // refuse the orders.
+  return !IsBehind() && (!hooks_.mayPlace || hooks_.mayPlace());
+}
+
 void
 JobDispatcher::PlaceWaitingJobs()
 {
-  pauses_.Check();
-  if (IsBehind()) {
-    // The callers may have disconnected, and agents refuse the orders.
-    return;
+  if (!passContinuesAt_) {
+    ContinuePlacing();
   }
-  if (hooks_.mayPlace && !hooks_.mayPlace()) {
+}
+
+void
+JobDispatcher::ContinuePlacing()
+{
+  if (!MayPlace()) {
     return;
   }
-  for (auto key = waiting_.begin(); key != waiting_.end();) {
-    DispatchedJob& job = *jobs_.at(std::get<3>(*key));
-    if (HasEarlierRuns(job)) {
-      ++key;
-      continue;
-    }
-    bool wasStarted = job.started;
-    bool placed = placer_.PlaceJob(job);
-    if (job.started && !wasStarted) {
-      admission_.OnWaitEnded(job);
+  auto key = passContinuesAt_ ? waiting_.lower_bound(*passContinuesAt_)
+                              : waiting_.begin();
+  passContinuesAt_.reset();
+  const std::uint64_t limit = placer_.Searches() + kMaxSearchesPerPass;
+  while (key != waiting_.end()) {
+    if (placer_.Searches() >= limit) {
+      passContinuesAt_ = *key;
+      return;
     }
+    DispatchedJob& job = *jobs_.at(std::get<3>(*key));
+    // The key is removed or changes when the job is placed.
     ++key;
-    if (placed) {
-      waiting_.erase(*job.waitingKey);
-      job.waitingKey.reset();
-    } else {
-      // The key changes when the job starts: started jobs come first.
-      Enqueue(job);
-    }
+    PlaceJob(job);
+  }
+}
+
+void
+JobDispatcher::PlaceNewJob(DispatchedJob& aJob)
+{
+  if (!passContinuesAt_) {
+    PlaceWaitingJobs();
+  } else if (MayPlace()) {
+    // The jobs before it had no place when they were examined last.
+    PlaceJob(aJob);
+  }
+}
+
+void
+JobDispatcher::PlaceJob(DispatchedJob& aJob)
+{
+  if (HasEarlierRuns(aJob)) {
+    return;
+  }
+  bool wasStarted = aJob.started;
+  bool placed = placer_.PlaceJob(aJob);
+  if (aJob.started && !wasStarted) {
+    admission_.OnWaitEnded(aJob);
+  }
+  if (placed) {
+    waiting_.erase(*aJob.waitingKey);
+    aJob.waitingKey.reset();
+  } else {
+    // The key changes when the job starts: started jobs come first.
+    Enqueue(aJob);
   }
 }
 
@@ -423,7 +466,7 @@
   SendPendingStops();
   RemoveReleasedAgents();
   orders_.AddKeepAlives(servers_.AgentsInUse());
-  PlaceWaitingJobs();
+  ContinuePlacing();
   ExamineWaitingJobs();
   orders_.Send();
 }
--- a/src/coordination/dispatch/job_dispatcher.h
+++ b/src/coordination/dispatch/job_dispatcher.h
@@ -164,6 +164,8 @@
   /** Returns the number of jobs with tasks that wait for free capacity. */
   std::size_t WaitingCount() const { return waiting_.size(); }
   const ServerPool& Servers() const { return servers_; }
+  /** Processor time that placing has taken; see TaskPlacer::Searches(). */
+  std::uint64_t PlacementSearches() const { return placer_.Searches(); }
 
 private:
   /** Returns the reason to reject a new job; eNone if it is accepted. */
@@ -193,7 +195,18 @@
   void RemoveAgent(const state::ProcessId& aAgent);
   /** Removes the agents that do not offer their servers any more. */
   void RemoveReleasedAgents();
+  /** Returns true if tasks may be started now. */
+  bool MayPlace();
+  /**
+   * Places waiting jobs in their order, up to a limit of processor time. If it
+   * is reached, the pass continues with the next tick and not before.
+   */
   void PlaceWaitingJobs();
+  /** Continues a pass that has reached the limit, or begins a new one. */
+  void ContinuePlacing();
+  void PlaceNewJob(DispatchedJob& aJob);
+  /** Places the tasks of one waiting job that have a place. */
+  void PlaceJob(DispatchedJob& aJob);
   /**
    * Numbers the runs of a new job above those of an earlier submission that are
    * not reported as ended yet.
@@ -290,6 +303,8 @@
   std::map<state::DispatchJobId, std::unique_ptr<DispatchedJob>> jobs_;
   std::map<SubmissionId, state::DispatchJobId> submissions_;
   std::set<WaitingKey> waiting_;
+  /** The next job of a pass that has reached the limit. */
+  std::optional<WaitingKey> passContinuesAt_;
   /** Evacuations to be sent with the next message to an agent. */
   std::map<state::ProcessId, state::EvacuationState> unsentEvacuations_;
   state::MonotonicTime createdAt_;
--- a/src/coordination/dispatch/job_dispatcher_runs.cpp
+++ b/src/coordination/dispatch/job_dispatcher_runs.cpp
@@ -20,6 +20,14 @@
  */
 constexpr std::uint32_t kOutdatedRunStep = 16;
 
+/** Returns true if a run of the task has been ordered and has not ended. */
+bool
+IsRegistered(const DispatchedTask& aTask)
+{
+  return aTask.phase == TaskPhase::eRunning ||
+         aTask.phase == TaskPhase::eStopping;
+}
+
 }
 
 void
@@ -148,9 +156,8 @@
   DispatchedJob& job = *found->second;
   DispatchedTask& task =
     job.steps[aStart.run.task.step].tasks[aStart.run.task.index];
-  bool isRegistered =
-    task.phase == TaskPhase::eRunning || task.phase == TaskPhase::eStopping;
-  if (!isRegistered || task.server != aAgent || task.run != aStart.run.run) {
+  if (!IsRegistered(task) || task.server != aAgent ||
+      task.run != aStart.run.run) {
     return;
   }
   task.isStartUncertain = true;
@@ -229,10 +236,20 @@
 bool
 JobDispatcher::CheckRunningTasks(DispatchedJob& aJob)
 {
+  if (!aJob.started) {
+    return true;
+  }
   for (std::size_t i = 0; i < aJob.steps.size(); ++i) {
     DispatchedStep& step = aJob.steps[i];
-    for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+    // Most tasks of a large job wait or are done.
+    std::size_t left = step.tasks.size() - step.done - step.waiting;
+    for (std::uint32_t index = 0; left > 0 && index < step.tasks.size();
+         ++index) {
       DispatchedTask& task = step.tasks[index];
+      if (!IsRegistered(task)) {
+        continue;
+      }
+      --left;
       RunAction action = monitor_.Recheck(aJob, i, task);
       if (action == RunAction::eDeadlineUnreachable) {
         return false;
--- a/src/coordination/dispatch/task_placer.cpp
+++ b/src/coordination/dispatch/task_placer.cpp
@@ -47,7 +47,11 @@
 {
   bool placed = true;
   for (std::size_t i = 0; i < aJob.steps.size(); ++i) {
-    if (aJob.steps[i].waiting > 0 && IsReady(aJob, aJob.spec.steps[i])) {
+    if (aJob.steps[i].waiting == 0) {
+      continue;
+    }
+    ++searches_;
+    if (IsReady(aJob, aJob.spec.steps[i])) {
       placed = PlaceStep(aJob, i) && placed;
     }
   }
@@ -87,6 +91,7 @@
   // All tasks without known progress have the same requirements, except for
   // suspects.
   bool unknownHasPlace = true;
+  const bool mayBeSpecial = aJob.runs > 0 || !crashHistory_.IsEmpty();
   Places places;
   for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
     const DispatchedTask& task = step.tasks[index];
@@ -100,6 +105,9 @@
     bool isSuspect = crashHistory_.Attributed(key) > 0;
     bool special = task.workMs > 0 || isSuspect;
     if (!special && !unknownHasPlace) {
+      if (!mayBeSpecial) {
+        break;
+      }
       continue;
     }
     PlacementRequest request =
@@ -120,8 +128,9 @@
 std::optional<Placement>
 TaskPlacer::FindPlace(const DispatchedStep& aStep,
                       const PlacementRequest& aRequest,
-                      std::uint32_t aMaxPerServer) const
+                      std::uint32_t aMaxPerServer)
 {
+  ++searches_;
   auto placement = servers_.Choose(aRequest, aStep.runsByServer, aMaxPerServer);
   if (!placement || placement->meetsObjective || aRequest.objectiveMs <= 0) {
     return placement;
--- a/src/coordination/dispatch/task_placer.h
+++ b/src/coordination/dispatch/task_placer.h
@@ -36,6 +36,12 @@
 
   /** Returns false if a task of a ready step still waits. */
   bool PlaceJob(DispatchedJob& aJob);
+
+  /**
+   * Number of steps and searches for a server since the start, which measures
+   * the processor time that placing has taken.
+   */
+  std::uint64_t Searches() const { return searches_; }
   /** @param aTask null for a task without known progress */
   PlacementRequest RequestFor(const DispatchedJob& aJob,
                               std::size_t aStep,
@@ -50,7 +56,7 @@
   /** Returns a place for one task; empty if the task has to wait. */
   std::optional<Placement> FindPlace(const DispatchedStep& aStep,
                                      const PlacementRequest& aRequest,
-                                     std::uint32_t aMaxPerServer) const;
+                                     std::uint32_t aMaxPerServer);
   /** Reserves capacity for one run of a task before its order is sent. */
   void Reserve(DispatchedJob& aJob,
                std::size_t aStep,
@@ -70,6 +76,7 @@
   const HoldTable& holds_;
   double remoteRackFactor_;
   const state::Clock& clock_;
+  std::uint64_t searches_ = 0;
 };
 
 }
