Count the memory of requests and jobs in the budget of the process

Cause: "the bytes of a complete request leave the account": neither requests that wait for the control thread nor jobs were counted or limited, and the deadline of a caller counts whatever it states.

Change: JobMemory counts each job with its tasks and spec. Jobs may use half of the budget. When it is used up, jobs without a started task are rejected (503, no_memory, Retry-After, nothing has run): first those larger than an ordinary job, the oldest first; a job that was started never is. Decoded requests that wait for the control thread may use an eighth; further ones are rejected at once. Both are part of the one budget, so connections get less while jobs hold more. Requests are moved, not copied twice, on their way to the dispatcher.

--- a/src/coordination/dispatch/dispatched_job.cpp
+++ b/src/coordination/dispatch/dispatched_job.cpp
@@ -41,6 +41,11 @@
  * upper limit, and sums of times in nanoseconds overflow after 292 years.
  */
 constexpr std::chrono::milliseconds kLongestTime = std::chrono::days(100);
+/**
+ * Longest time for which a job is held, whatever its caller states. The users'
+ * pages publish deadlines of 1.5 s and run times of several seconds.
+ */
+constexpr milliseconds kLongestCallerTimeout = std::chrono::minutes(10);
 /** Applies if neither the caller nor the queue states a timeout. */
 constexpr milliseconds kDefaultTimeLimit{ 60'000 };
 /** Answers after this multiple of the objective have no value. */
@@ -77,7 +82,7 @@
           std::optional<milliseconds> aCallerTimeout)
 {
   if (aCallerTimeout) {
-    return *aCallerTimeout;
+    return std::min(*aCallerTimeout, kLongestCallerTimeout);
   }
   return aQueue.timeout.count() > 0 ? aQueue.timeout : kDefaultTimeLimit;
 }
--- a/src/coordination/dispatch/dispatched_job.h
+++ b/src/coordination/dispatch/dispatched_job.h
@@ -100,7 +100,8 @@
 /**
  * Returns the longest time until the answer. What the caller states goes first:
  * callers state more for larger jobs, and the timeout of the queue is the same
- * for all of them.
+ * for all of them. At most ten minutes of it count, so that a job whose caller
+ * states days does not occupy memory for as long.
  * @param aCallerTimeout empty if the caller states none
  */
 std::chrono::milliseconds
--- a/src/coordination/dispatch/job_dispatcher.cpp
+++ b/src/coordination/dispatch/job_dispatcher.cpp
@@ -76,6 +76,7 @@
   , monitor_(servers_, placer_, aClock)
   , admission_(servers_, placer_, aSettings.admission, aClock)
   , cancelled_(aClock)
+  , memory_(aSettings.maxJobBytes, hooks_.jobMemoryChanged)
   , createdAt_(aClock.MonotonicNow())
 {
 }
@@ -136,6 +137,9 @@
     End(id, FailedOutcome(DispatchReason::eCrashedServers));
     return;
   }
+  if (reject == DispatchReason::eNone && !MakeRoomFor(reference)) {
+    reject = DispatchReason::eNoMemory;
+  }
   if (reject != DispatchReason::eNone) {
     auto retryAfter = reject == DispatchReason::eEvacuated
                         ? kMaxRetryAfter
@@ -143,6 +147,7 @@
     End(id, { DispatchResult::eRejected, reject, retryAfter });
     return;
   }
+  memory_.Add(reference);
   RecordSubmission(reference, aAge);
   Enqueue(reference);
   PlaceNewJob(reference);
@@ -183,6 +188,26 @@
   return DispatchReason::eNone;
 }
 
+bool
+JobDispatcher::MakeRoomFor(const DispatchedJob& aNewJob)
+{
+  auto rejected = memory_.MakeRoom(aNewJob, [this](state::DispatchJobId aJob) {
+    return !jobs_.at(aJob)->started;
+  });
+  if (!rejected) {
+    return false;
+  }
+  for (state::DispatchJobId id : *rejected) {
+    const DispatchedJob& job = *jobs_.at(id);
+    admission_.OnWaitEnded(job);
+    End(id,
+        { DispatchResult::eRejected,
+          DispatchReason::eNoMemory,
+          RetryAfter(job) });
+  }
+  return true;
+}
+
 void
 JobDispatcher::RecordSubmission(const DispatchedJob& aJob,
                                 milliseconds aAge) const
@@ -491,6 +516,7 @@
   }
   auto job = std::move(found->second);
   jobs_.erase(found);
+  memory_.Remove(aJob);
   if (job->waitingKey) {
     waiting_.erase(*job->waitingKey);
   }
--- a/src/coordination/dispatch/job_dispatcher.h
+++ b/src/coordination/dispatch/job_dispatcher.h
@@ -15,6 +15,7 @@
 #include "coordination/dispatch/crash_history.h"
 #include "coordination/dispatch/dispatch_records.h"
 #include "coordination/dispatch/dispatched_job.h"
+#include "coordination/dispatch/job_memory.h"
 #include "coordination/dispatch/lag_monitor.h"
 #include "coordination/dispatch/late_starts.h"
 #include "coordination/dispatch/order_queue.h"
@@ -72,6 +73,8 @@
   /** See LagMonitor; if empty, the process is never behind. */
   LagMonitor::ProbeFunction probe;
   LagMonitor::ChangeFunction lagChanged;
+  /** Called when the memory of the jobs has changed; may be empty. */
+  JobMemory::ChangedHook jobMemoryChanged;
 };
 
 /** Settings of the entry that runs the dispatcher. */
@@ -83,6 +86,8 @@
   /** Number of cores that this process may use; 0: unknown. */
   double processorCores = 0;
   AdmissionSettings admission;
+  /** Bytes that all jobs may occupy together; 0: not limited. */
+  std::size_t maxJobBytes = 0;
 
   auto operator<=>(const JobDispatcherSettings&) const = default;
 };
@@ -102,7 +107,7 @@
 
   /** Jobs already submitted keep the old definition of their queue. */
   void SetConfiguration(state::DispatchConfiguration aConfiguration);
-  /** Applies new settings, except for the data centre. */
+  /** Applies new settings, except for the data centre and the memory. */
   void SetSettings(const JobDispatcherSettings& aSettings);
   const state::DispatchConfiguration& Configuration() const
   {
@@ -183,6 +188,11 @@
   /** Measures the lag of this process while it has work. */
   void MeasureLag();
   std::chrono::milliseconds RetryAfter(const DispatchedJob& aJob) const;
+  /**
+   * Makes room in the memory for a new job, by rejecting others of which no
+   * task has started. Returns false if that is not possible.
+   */
+  bool MakeRoomFor(const DispatchedJob& aNewJob);
   /** Rejects a new job that waits if it is expected to start too late. */
   void AdmitNewJob(state::DispatchJobId aJob);
   /** Rejects the waiting jobs that are expected to start too late by now. */
@@ -300,6 +310,7 @@
   RunMonitor monitor_;
   AdmissionControl admission_;
   CancelledJobs cancelled_;
+  JobMemory memory_;
   std::map<state::DispatchJobId, std::unique_ptr<DispatchedJob>> jobs_;
   std::map<SubmissionId, state::DispatchJobId> submissions_;
   std::set<WaitingKey> waiting_;
--- a/src/daemon/dispatch/dispatch_entry_hooks.cpp
+++ b/src/daemon/dispatch/dispatch_entry_hooks.cpp
@@ -143,6 +143,9 @@
       control_.Post(std::move(returned));
     });
   };
+  hooks.jobMemoryChanged = [this](std::size_t aBytes) {
+    jobMemory_->Set(aBytes, transport::ByteBudget::Eviction::eNever);
+  };
   hooks.lagChanged = [](bool aIsBehind, milliseconds aLag) {
     LogEvent(aIsBehind ? events::kProcessBehind : events::kProcessCaughtUp,
              "lag_ms={}",
--- a/src/daemon/dispatch/dispatch_entry_process.cpp
+++ b/src/daemon/dispatch/dispatch_entry_process.cpp
@@ -41,6 +41,8 @@
 constexpr milliseconds kRetryAfterStopping{ 1000 };
 constexpr milliseconds kRetryAfterNotConfigured{ 1000 };
 constexpr milliseconds kRetryAfterUnsupported{ 3000 };
+/** The queue is empty again within this time, or the process is behind. */
+constexpr milliseconds kRetryAfterQueueFull{ 1000 };
 constexpr std::size_t kMaxCallerBodyBytes = 512 * 1024;
 constexpr milliseconds kCallerIdleTimeout{ 60'000 };
 
@@ -54,15 +56,35 @@
   return limits;
 }
 
+/** Part of the memory for clients that jobs may use; the rest is for others. */
+constexpr std::size_t kJobMemoryDivisor = 2;
+/** Part of it for requests that wait for the control thread. */
+constexpr std::size_t kQueueMemoryDivisor = 8;
+
 JobDispatcherSettings
 DispatcherSettings(const DispatchEntrySettings& aSettings)
 {
   return { aSettings.peer.dataCentre,
            aSettings.remoteRackFactor,
            aSettings.processorCores,
-           aSettings.admission };
+           aSettings.admission,
+           aSettings.connections.processBytes / kJobMemoryDivisor };
+}
+
 }
 
+std::size_t
+MemoryOf(const CallerRequest& aRequest)
+{
+  std::size_t bytes = sizeof(aRequest) + aRequest.host.capacity() +
+                      aRequest.path.capacity() +
+                      aRequest.job.payload.capacity();
+  for (const state::DispatchStep& step : aRequest.job.steps) {
+    bytes += sizeof(step) + step.requiredLabel.capacity() +
+             step.dataRack.capacity() +
+             step.after.capacity() * sizeof(std::uint32_t);
+  }
+  return bytes;
 }
 
 DispatchEntryProcess::DispatchEntryProcess(
@@ -71,6 +93,9 @@
   : settings_(aSettings)
   , callerHooks_(std::move(aCallerHooks))
   , traffic_(kTrafficThreads, aSettings.connections)
+  , jobMemory_(traffic_.Guard().Bytes().Open(nullptr))
+  , queuedRequests_(traffic_.Guard().Bytes(),
+                    aSettings.connections.processBytes / kQueueMemoryDivisor)
   , peers_(traffic_, control_, clock_, MakePeerHooks())
   , dispatcher_(DispatcherSettings(aSettings), clock_, MakeDispatcherHooks())
   , callerServer_(
@@ -210,16 +235,31 @@
     return;
   }
   decoded->readAt = aRequest.readAt;
+  std::size_t bytes = MemoryOf(*decoded);
+  if (!queuedRequests_.TryAdd(bytes)) {
+    LogEvent(events::kRequestRefused,
+             "method={} target={} reason={} waiting_bytes={}",
+             aRequest.method,
+             transport::QuoteValue(aRequest.target),
+             ToString(DispatchReason::eNoMemory),
+             queuedRequests_.HeldBytes());
+    aRespond(callerHooks_.encodeOutcome({ DispatchResult::eRejected,
+                                          DispatchReason::eNoMemory,
+                                          kRetryAfterQueueFull }));
+    return;
+  }
   control_.Post([this,
+                 bytes,
                  request = *std::move(decoded),
                  requestNumber = aRequest.requestNumber,
-                 respond = std::move(aRespond)] {
-    OnRequest(request, requestNumber, respond);
+                 respond = std::move(aRespond)]() mutable {
+    OnRequest(std::move(request), requestNumber, respond);
+    queuedRequests_.Remove(bytes);
   });
 }
 
 void
-DispatchEntryProcess::OnRequest(const CallerRequest& aRequest,
+DispatchEntryProcess::OnRequest(CallerRequest aRequest,
                                 std::uint64_t aRequestNumber,
                                 const HttpResponder& aRespond)
 {
@@ -287,13 +327,12 @@
            aRespond);
     return;
   }
-  CallerRequest request = aRequest;
-  request.job.id = *id;
-  Submit(request, *queue, aRequestNumber, aRespond);
+  aRequest.job.id = *id;
+  Submit(std::move(aRequest), *queue, aRequestNumber, aRespond);
 }
 
 void
-DispatchEntryProcess::Submit(const CallerRequest& aRequest,
+DispatchEntryProcess::Submit(CallerRequest aRequest,
                              const state::WorkQueue& aQueue,
                              std::uint64_t aRequestNumber,
                              const HttpResponder& aRespond)
@@ -307,7 +346,7 @@
   if (onStopped_) {
     timeout = std::min(TimeLimit(aQueue, timeout), StopTimeLeft());
   }
-  dispatcher_.Submit(submission, aQueue, aRequest.job, timeout, age);
+  dispatcher_.Submit(submission, aQueue, std::move(aRequest.job), timeout, age);
 }
 
 milliseconds
--- a/src/daemon/dispatch/dispatch_entry_process.h
+++ b/src/daemon/dispatch/dispatch_entry_process.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -15,6 +16,7 @@
 #include "daemon/dispatch/dispatch_metrics.h"
 #include "daemon/dispatch/document_service.h"
 #include "daemon/dispatch/peer_node.h"
+#include "daemon/dispatch/queued_requests.h"
 #include "daemon/status_server.h"
 #include "state/dispatch/queue_index.h"
 #include "transport/control_thread.h"
@@ -39,7 +41,7 @@
   double remoteRackFactor = 1;
   /** Number of cores that this process may use; 0: unknown. */
   double processorCores = 0;
-  /** Limits for the connections that others open to this process. */
+  /** Limits for the connections that others open, and for their requests. */
   transport::ConnectionLimits connections;
   coordination::AdmissionSettings admission;
 
@@ -72,6 +74,10 @@
   auto operator<=>(const CallerRequest&) const = default;
 };
 
+/** Returns the approximate memory of a decoded request. */
+std::size_t
+MemoryOf(const CallerRequest& aRequest);
+
 /**
  * Protocol between the entry and its callers: decodes requests and encodes
  * answers. All decisions are made in DispatchEntryProcess and JobDispatcher.
@@ -157,10 +163,10 @@
 
   void OnHttpRequest(transport::HttpRequest aRequest,
                      transport::HttpResponder aRespond);
-  void OnRequest(const CallerRequest& aRequest,
+  void OnRequest(CallerRequest aRequest,
                  std::uint64_t aRequestNumber,
                  const transport::HttpResponder& aRespond);
-  void Submit(const CallerRequest& aRequest,
+  void Submit(CallerRequest aRequest,
               const state::WorkQueue& aQueue,
               std::uint64_t aRequestNumber,
               const transport::HttpResponder& aRespond);
@@ -188,6 +194,9 @@
   DispatchMetrics dispatchMetrics_{ metrics_ };
   transport::TrafficPool traffic_;
   transport::TrafficProbe probe_{ traffic_ };
+  /** Memory of the jobs in the budget of the process. */
+  std::unique_ptr<transport::ByteBudget::Account> jobMemory_;
+  QueuedRequests queuedRequests_;
   transport::ControlThread control_;
   PeerNode peers_;
   coordination::JobDispatcher dispatcher_;
--- a/src/state/dispatch/dispatch_job.cpp
+++ b/src/state/dispatch/dispatch_job.cpp
@@ -38,6 +38,8 @@
       return "outcome_unknown";
     case DispatchReason::eEvacuated:
       return "evacuated";
+    case DispatchReason::eNoMemory:
+      return "no_memory";
   }
   return "unknown";
 }
--- a/src/state/dispatch/dispatch_job.h
+++ b/src/state/dispatch/dispatch_job.h
@@ -113,6 +113,8 @@
   eOutcomeUnknown,
   /** Only servers in evacuated data centres could run one of the tasks. */
   eEvacuated,
+  /** The memory of this process for its callers is used up. */
+  eNoMemory,
 };
 
 /** Returns the name for log lines and metrics. */
--- a/src/transport/connection_limits.cpp
+++ b/src/transport/connection_limits.cpp
@@ -7,8 +7,9 @@
 namespace {
 
 /**
- * Share of the host's memory for buffers of connections. The rest is for jobs,
- * the configuration, and for socket buffers that are not read yet.
+ * Share of the host's memory for what a process keeps for its clients. The rest
+ * is for the configuration, other processes' messages, memory that is free but
+ * fragmented, and socket buffers that are not read yet.
  */
 constexpr std::size_t kMemoryDivisor = 4;
 /** The smallest budget that holds a body of the largest size with its buffers.
--- a/src/transport/connection_limits.h
+++ b/src/transport/connection_limits.h
@@ -9,8 +9,9 @@
 struct ConnectionLimits
 {
   /**
-   * Bytes that all connections together may keep in buffers. 256 MB hold a
-   * thousand incomplete bodies of the largest size that is published.
+   * Bytes that a process may keep for its clients: in buffers of connections,
+   * requests that wait and jobs. 256 MB hold a thousand incomplete bodies of
+   * the largest size that is published.
    */
   std::size_t processBytes = 256 * 1024 * 1024;
   /**
--- a/tests/dispatch/hostile_jobs_test.cpp
+++ b/tests/dispatch/hostile_jobs_test.cpp
@@ -21,6 +21,7 @@
 constexpr milliseconds kTick{ 25 };
 constexpr milliseconds kDays = std::chrono::days(10);
 constexpr milliseconds kOrdinaryTimeout{ 1500 };
+constexpr std::size_t kMaxJobBytes = 1024 * 1024;
 /** All of the server's capacity. */
 constexpr state::ResourceAmount kWholeServer{ 16'000, 64, 0 };
 constexpr state::ResourceAmount kOneCore{ 1000, 64, 0 };
@@ -131,12 +132,17 @@
       }
       stops_.insert(stops_.end(), aOrders.stops.begin(), aOrders.stops.end());
     };
+    hooks.jobMemoryChanged = [this](std::size_t aBytes) {
+      jobBytes_ = aBytes;
+      mostJobBytes_ = std::max(mostJobBytes_, aBytes);
+    };
     return hooks;
   }
 
   static JobDispatcherSettings Settings()
   {
     JobDispatcherSettings settings;
+    settings.maxJobBytes = kMaxJobBytes;
     return settings;
   }
 
@@ -149,9 +155,91 @@
   std::vector<state::RunKey> stops_;
   std::size_t stopped_ = 0;
   std::map<SubmissionId, DispatchOutcome> outcomes_;
+  std::size_t jobBytes_ = 0;
+  std::size_t mostJobBytes_ = 0;
   JobDispatcher dispatcher_{ Settings(), clock_, MakeHooks() };
 };
 
+// Guards against jobs that wait and use up the memory of the host, and against
+// ordinary jobs that are refused in their favour.
+TEST_F(HostileJobsTest, JobsStayWithinTheirMemory)
+{
+  OccupyOneCore();
+  for (int i = 0; i < 100; ++i) {
+    Submit(4096, kWholeServer, milliseconds(0), kDays);
+  }
+  EXPECT_LE(mostJobBytes_, kMaxJobBytes);
+  EXPECT_GE(Rejected(DispatchReason::eNoMemory), 90u);
+  auto ordinary = Submit(4, kOneCore, milliseconds(60), kOrdinaryTimeout);
+  auto large = Submit(1100, kOneCore, milliseconds(60), kOrdinaryTimeout);
+  EXPECT_EQ(OutcomeOf(ordinary), nullptr);
+  EXPECT_EQ(OutcomeOf(large), nullptr);
+  AdvanceTo(milliseconds(200), milliseconds(60));
+  ASSERT_NE(OutcomeOf(ordinary), nullptr);
+  EXPECT_EQ(OutcomeOf(ordinary)->result, DispatchResult::eCompleted);
+  EXPECT_LE(mostJobBytes_, kMaxJobBytes);
+}
+
+// Guards against a large ordinary job that is refused in favour of many small
+// ones that wait.
+TEST_F(HostileJobsTest, OldJobsMakeRoomForALargeOne)
+{
+  OccupyOneCore();
+  for (int i = 0; i < 2000; ++i) {
+    Submit(1, kWholeServer, milliseconds(0), kDays);
+    time_ += milliseconds(1);
+  }
+  EXPECT_GT(Rejected(DispatchReason::eNoMemory), 1000u);
+  auto large = Submit(1100, kOneCore, milliseconds(60), kOrdinaryTimeout);
+  EXPECT_EQ(OutcomeOf(large), nullptr);
+  EXPECT_LE(mostJobBytes_, kMaxJobBytes);
+}
+
+// Guards against jobs that were started and are given up for new ones: their
+// callers would not know what has run.
+TEST_F(HostileJobsTest, StartedJobsAreNotRejected)
+{
+  for (int i = 0; i < 8; ++i) {
+    Submit(4096, kOneCore, milliseconds(900), kDays);
+    AdvanceTo(time_ + kTick, milliseconds(60));
+  }
+  for (const auto& [submission, outcome] : outcomes_) {
+    EXPECT_EQ(outcome.result, DispatchResult::eRejected);
+    EXPECT_EQ(outcome.reason, DispatchReason::eNoMemory);
+    EXPECT_GT(outcome.retryAfter, milliseconds(0));
+    for (const auto& [run, at] : running_) {
+      EXPECT_NE(run.task.job, state::DispatchJobId(submission));
+    }
+  }
+  EXPECT_LE(mostJobBytes_, kMaxJobBytes);
+}
+
+// Guards against memory that stays counted after the jobs have ended.
+TEST_F(HostileJobsTest, MemoryIsReleasedWithTheJobs)
+{
+  auto job = Submit(8, kOneCore, milliseconds(60), kOrdinaryTimeout);
+  EXPECT_GT(jobBytes_, 0u);
+  AdvanceTo(milliseconds(200), milliseconds(60));
+  ASSERT_NE(OutcomeOf(job), nullptr);
+  EXPECT_EQ(jobBytes_, 0u);
+  dispatcher_.Abandon(Submit(1, kWholeServer, milliseconds(60), kDays));
+  EXPECT_EQ(jobBytes_, 0u);
+}
+
+// Guards against a job that is held for days because its caller states so.
+TEST_F(HostileJobsTest, LongDeadlineIsLimited)
+{
+  OccupyOneCore();
+  auto job = Submit(1, kWholeServer, milliseconds(0), kDays);
+  auto impossible = Submit(1, kOneCore, std::chrono::hours(1), kDays);
+  ASSERT_NE(OutcomeOf(impossible), nullptr);
+  EXPECT_EQ(OutcomeOf(impossible)->reason, DispatchReason::eTooLate);
+  time_ += std::chrono::minutes(10) + kTick;
+  dispatcher_.Tick();
+  ASSERT_NE(OutcomeOf(job), nullptr);
+  EXPECT_EQ(OutcomeOf(job)->result, DispatchResult::eRejected);
+}
+
 // Guards against thousands of jobs that wait and keep the control thread busy
 // with each message.
 TEST_F(HostileJobsTest, SearchesOfOnePassAreLimited)
--- a/tests/hostile/hostile_job_test.cpp
+++ b/tests/hostile/hostile_job_test.cpp
@@ -81,6 +81,7 @@
   const std::string spec(200'000, 'a');
   return {
     { "ManySteps", Job("x", Repeat(tasks, 256)) },
+    { "ManyTasks", Job("x", tasks) },
     { "LongSpec", Job(spec, fmt::format(R"({{"count":1,{}}})", large)) },
     { "LongSpecManyTasks",
       Job(spec, fmt::format(R"({{"count":1100,{}}})", large)) },
@@ -166,6 +167,27 @@
   ExpectBounded();
 }
 
+// Guards against memory that stays occupied after the clients have gone.
+TEST_P(HostileJobTest, MemoryIsReturned)
+{
+  MeasureBefore();
+  {
+    HostileConnections client(fleet_.Port(Listener::eCallers), kConnections);
+    client.SendEach(
+      [](std::size_t aIndex) { return Request(aIndex, GetParam().body); });
+    std::this_thread::sleep_for(1s);
+  }
+  bool isReturned = WaitUntil(
+    [this] {
+      return Use(Listener::eCallers).residentKb <
+             entryBefore_.residentKb + kMaxGrowthKb / 2;
+    },
+    15s);
+  GrowthKb("entry", entryBefore_, Use(Listener::eCallers));
+  EXPECT_TRUE(isReturned);
+  EXPECT_TRUE(fleet_.CompletesAJob()) << fleet_.Output();
+}
+
 INSTANTIATE_TEST_SUITE_P(All,
                          HostileJobTest,
                          ::testing::ValuesIn(JobCases()),
