Limit the runs on a backend server

Seen: 96 jobs of 1,100 tasks without needs made the agent grow by 17 to 37 MB and open 400 descriptors on a host with 432, and the entry grow by 50 MB.

Cause: tasks that need nothing of a server's capacity fit it in any number. Each start takes a connection of the agent, and a record in each process.

Change: an entry places at most 128 runs on a server, and an agent refuses further ones of all entries (no_room). The servers of the users' platform accept 64 connections, so the limit is not met by ordinary runs.

--- a/src/coordination/dispatch/dispatch_messages.h
+++ b/src/coordination/dispatch/dispatch_messages.h
@@ -11,6 +11,13 @@
 
 namespace greengage::coordination {
 
+/**
+ * Runs on one backend server at the same time, also of tasks that need nothing
+ * of its capacity. The start of a run takes a connection, and the servers of
+ * the users' platform accept 64.
+ */
+inline constexpr std::size_t kMaxRunsPerServer = 128;
+
 /** One run to start as part of a RunBatch. */
 struct RunOrder
 {
--- a/src/coordination/dispatch/run_controller_orders.cpp
+++ b/src/coordination/dispatch/run_controller_orders.cpp
@@ -145,7 +145,8 @@
     Refuse(aEntry, key, RunEndKind::eNoFreeCapacity, "suspect_runs_here", age);
     return;
   }
-  if (!Fits(aBatch.need, server_->capacity - (used_ + Withheld()))) {
+  if (runs_.size() >= kMaxRunsPerServer ||
+      !Fits(aBatch.need, server_->capacity - (used_ + Withheld()))) {
     reporter_.RepeatDescription(aEntry);
     Refuse(aEntry, key, RunEndKind::eNoFreeCapacity, "no_room", age);
     return;
--- a/src/coordination/dispatch/server_pool.cpp
+++ b/src/coordination/dispatch/server_pool.cpp
@@ -137,7 +137,7 @@
                             const PlacementRequest& aRequest) const
 {
   auto now = clock_.MonotonicNow();
-  if (now < aServer.cooldownUntil) {
+  if (now < aServer.cooldownUntil || aServer.runs.size() >= kMaxRunsPerServer) {
     return false;
   }
   // Two suspects on one server could not be distinguished after a crash.
--- a/tests/dispatch/hostile_jobs_test.cpp
+++ b/tests/dispatch/hostile_jobs_test.cpp
@@ -240,6 +240,22 @@
   EXPECT_EQ(OutcomeOf(job)->result, DispatchResult::eRejected);
 }
 
+// Guards against tasks without needs, of which a server would get thousands at
+// once, each with a connection of its agent.
+TEST_F(HostileJobsTest, RunsOfAServerAreLimited)
+{
+  queue_.objectiveMargin = milliseconds(300);
+  auto job = Submit(1100, {}, milliseconds(60), kDays);
+  std::size_t most = 0;
+  while (!OutcomeOf(job) && time_ < std::chrono::seconds(5)) {
+    AdvanceTo(time_ + kTick, milliseconds(60));
+    most = std::max(most, running_.size());
+  }
+  EXPECT_EQ(most, kMaxRunsPerServer);
+  ASSERT_NE(OutcomeOf(job), nullptr);
+  EXPECT_EQ(OutcomeOf(job)->result, DispatchResult::eCompleted);
+}
+
 // Guards against thousands of jobs that wait and keep the control thread busy
 // with each message.
 TEST_F(HostileJobsTest, SearchesOfOnePassAreLimited)
--- a/tests/hostile/hostile_job_test.cpp
+++ b/tests/hostile/hostile_job_test.cpp
@@ -86,6 +86,8 @@
     { "LongSpecManyTasks",
       Job(spec, fmt::format(R"({{"count":1100,{}}})", large)) },
     { "LongSpecTasksWithoutNeeds", Job(spec, R"({"count":1100})") },
+    { "TasksWithoutNeeds",
+      Job(std::string(4000, 'a'), R"({"count":1100,"estimateMs":100})") },
     { "LongLabel",
       Job("x",
           fmt::format(R"({{"count":1,"affinity":"{}",{}}})", spec, large)) },
