Keep wrong estimates from stopping the tasks of other callers

Cause: the speed of a server is learned from the stated work and the run time, so the server appeared thousands of times as fast as it is. An ordinary run was overdue 40 ms after its start, and moved, without a limit on the moves.

Change: a learned speed is limited to a factor of 20 around the prior, and the time after which a run is overdue doubles with each overdue run of its task. The first overdue run is found as early as before.

--- a/src/coordination/dispatch/dispatched_job.h
+++ b/src/coordination/dispatch/dispatched_job.h
@@ -45,6 +45,8 @@
   /** Number of moves to another server caused by forecasts. */
   std::uint32_t moves = 0;
   bool isOverdue = false;
+  /** Number of runs of the task that were overdue. */
+  std::uint8_t overdueRuns = 0;
   /** A server may start a run of the task at any later time. */
   bool isStartUncertain = false;
 };
--- a/src/coordination/dispatch/run_monitor.cpp
+++ b/src/coordination/dispatch/run_monitor.cpp
@@ -18,7 +18,11 @@
 constexpr std::uint32_t kMaxMoves = 2;
 /** A speed is lowered if the unexplained run time exceeds this factor. */
 constexpr double kSlowServerFactor = 1.3;
-/** A run is overdue after this multiple of its expected time ... */
+/**
+ * A run is overdue after this multiple of its expected time, which doubles with
+ * each run of the task that was overdue: if the expected time is far too short,
+ * the task would otherwise be stopped again and again and never end ...
+ */
 constexpr double kOverdueFactor = 2.2;
 /** ... plus this, so that a late message does not stop short tasks. */
 constexpr double kOverdueMs = 40;
@@ -145,10 +149,12 @@
     return false;
   }
   double elapsed = MillisecondsBetween(aTask.sentAt, clock_.MonotonicNow());
-  if (elapsed < kOverdueFactor * aTask.expectedMs + kOverdueMs) {
+  double tolerance = kOverdueFactor * aTask.expectedMs + kOverdueMs;
+  if (elapsed < std::ldexp(tolerance, aTask.overdueRuns)) {
     return false;
   }
   aTask.isOverdue = true;
+  aTask.overdueRuns = std::min<std::uint8_t>(aTask.overdueRuns + 1, 10);
   servers_.Model().AddOverdue(aJob.queue.name,
                               aJob.spec.steps[aStep].estimate,
                               aTask.server,
--- a/src/coordination/dispatch/run_time_model.cpp
+++ b/src/coordination/dispatch/run_time_model.cpp
@@ -36,6 +36,13 @@
  * it would not be used again.
  */
 constexpr std::chrono::duration<double> kSpeedDecayTime{ 6 };
+/**
+ * Limit of log(speed): a factor of 20 above or below the prior. The work of a
+ * task is what its caller states, so a caller whose estimates are days would
+ * otherwise make a server appear thousands of times as fast as it is, and the
+ * tasks of others be stopped as overdue.
+ */
+constexpr double kMaxLogSpeed = 3;
 /** Limits the change of a speed by one run to a factor of four. */
 constexpr double kMaxLogStep = 1.4;
 
@@ -142,7 +149,10 @@
 {
   aSpeed.weight = std::min(aSpeed.weight + 1, kMaxServerWeight);
   double step = (aLogSpeed - aSpeed.logSpeed) / (aSpeed.weight + kPriorWeight);
-  aSpeed.logSpeed += std::clamp(step, -kMaxLogStep, kMaxLogStep);
+  aSpeed.logSpeed =
+    std::clamp(aSpeed.logSpeed + std::clamp(step, -kMaxLogStep, kMaxLogStep),
+               -kMaxLogSpeed,
+               kMaxLogSpeed);
   aSpeed.sampledAt = clock_.MonotonicNow();
 }
 
--- a/tests/dispatch/hostile_jobs_test.cpp
+++ b/tests/dispatch/hostile_jobs_test.cpp
@@ -307,5 +307,22 @@
   EXPECT_EQ(OutcomeOf(last)->result, DispatchResult::eCompleted);
 }
 
+// Guards against estimates of one caller that make its server appear so fast
+// that the tasks of all others are stopped as overdue, again and again.
+TEST_F(HostileJobsTest, WrongEstimatesDoNotStopTheTasksOfOthers)
+{
+  queue_.objectiveMargin = milliseconds(60);
+  for (int i = 0; i < 20; ++i) {
+    Submit(1, kOneCore, milliseconds(500'000), kDays);
+    AdvanceTo(time_ + milliseconds(100), milliseconds(60));
+  }
+  stopped_ = 0;
+  auto ordinary = Submit(2, kOneCore, milliseconds(60), kOrdinaryTimeout);
+  AdvanceTo(time_ + milliseconds(600), milliseconds(60));
+  ASSERT_NE(OutcomeOf(ordinary), nullptr);
+  EXPECT_EQ(OutcomeOf(ordinary)->result, DispatchResult::eCompleted);
+  EXPECT_LE(stopped_, 4u);
+}
+
 }
 }
