Count messages to slow peers, limit datagrams that wait and log lines

Seen: by reading. Up to 200,000 messages, each with the spec of its job, could wait for a peer that reads slowly, and any number of datagrams for the control thread; a log line carried up to 16 KB of a request's target; warnings and errors, such as one for each malformed datagram, were not limited.

Change: messages that wait for a peer count in the budget of the process, and the connection is closed above 16 MB; those for a connection that is being opened are dropped above 4 MB. A frame takes messages of about 1 MB, so it does not exceed the size that its receiver accepts. At most 1,024 datagrams wait for the control thread. Quoted values of log lines end after 300 bytes; warnings and errors have a limit of 400 lines per second of their own.

The gauge greengage_client_memory_bytes shows what they hold.

--- a/src/daemon/dispatch/dispatch_agent_process.cpp
+++ b/src/daemon/dispatch/dispatch_agent_process.cpp
@@ -297,6 +297,10 @@
   documents_.Exchange().SetSelf(peers_.Self());
   choice_.SetSelf(peers_.Self());
   control_.Every(kTickPeriod, [this] { OnTick(); });
+  control_.Every(transport::kMemoryCheckPeriod, [this] {
+    memoryTrimmer_.Check();
+    dispatchMetrics_.OnClientMemory(traffic_.Guard().Bytes().HeldBytes());
+  });
   control_.Start();
   traffic_.Start();
   traffic_.Guard().LogLimits();
--- a/src/daemon/dispatch/dispatch_agent_process.h
+++ b/src/daemon/dispatch/dispatch_agent_process.h
@@ -13,6 +13,7 @@
 #include "daemon/status_server.h"
 #include "transport/control_thread.h"
 #include "transport/http_server.h"
+#include "transport/memory_trimmer.h"
 #include "transport/metrics.h"
 #include "transport/system_clock.h"
 #include "transport/traffic_pool.h"
@@ -116,6 +117,8 @@
   transport::MetricsRegistry metrics_{ clock_ };
   DispatchMetrics dispatchMetrics_{ metrics_ };
   transport::TrafficPool traffic_;
+  transport::MemoryTrimmer memoryTrimmer_{ traffic_.Guard().Bytes(),
+                                           transport::ReleaseFreeMemory };
   transport::ControlThread control_;
   PeerNode peers_;
   coordination::RunController runController_;
--- a/src/daemon/dispatch/dispatch_entry_process.cpp
+++ b/src/daemon/dispatch/dispatch_entry_process.cpp
@@ -172,6 +172,10 @@
   newsRelay_.SetSelf(peers_.Self().id);
   evacuation_.SetSelf(peers_.Self().id);
   control_.Every(kTickPeriod, [this] { OnTick(); });
+  control_.Every(transport::kMemoryCheckPeriod, [this] {
+    memoryTrimmer_.Check();
+    dispatchMetrics_.OnClientMemory(traffic_.Guard().Bytes().HeldBytes());
+  });
   control_.Start();
   traffic_.Start();
   traffic_.Guard().LogLimits();
--- a/src/daemon/dispatch/dispatch_entry_process.h
+++ b/src/daemon/dispatch/dispatch_entry_process.h
@@ -21,6 +21,7 @@
 #include "state/dispatch/queue_index.h"
 #include "transport/control_thread.h"
 #include "transport/http_server.h"
+#include "transport/memory_trimmer.h"
 #include "transport/metrics.h"
 #include "transport/system_clock.h"
 #include "transport/traffic_pool.h"
@@ -193,6 +194,8 @@
   transport::MetricsRegistry metrics_{ clock_ };
   DispatchMetrics dispatchMetrics_{ metrics_ };
   transport::TrafficPool traffic_;
+  transport::MemoryTrimmer memoryTrimmer_{ traffic_.Guard().Bytes(),
+                                           transport::ReleaseFreeMemory };
   transport::TrafficProbe probe_{ traffic_ };
   /** Memory of the jobs in the budget of the process. */
   std::unique_ptr<transport::ByteBudget::Account> jobMemory_;
--- a/src/daemon/dispatch/dispatch_metrics.cpp
+++ b/src/daemon/dispatch/dispatch_metrics.cpp
@@ -88,6 +88,16 @@
     .Add();
 }
 
+void
+DispatchMetrics::OnClientMemory(std::size_t aBytes)
+{
+  metrics_
+    .FindGauge({ "greengage_client_memory_bytes", "" },
+               "Memory held for clients: buffers of connections, requests that "
+               "wait, and jobs")
+    .Set(static_cast<double>(aBytes));
+}
+
 void
 DispatchMetrics::OnConnectionLimited(transport::ConnectionLimit aLimit)
 {
--- a/src/daemon/dispatch/dispatch_metrics.h
+++ b/src/daemon/dispatch/dispatch_metrics.h
@@ -21,6 +21,8 @@
   /** Counts a run decision of an agent by its name and reason. */
   void OnRunDecision(const coordination::RunDecision& aDecision);
   /** Counts a connection that was refused or closed; any thread. */
+  /** @param aBytes memory that the process holds for its clients */
+  void OnClientMemory(std::size_t aBytes);
   void OnConnectionLimited(transport::ConnectionLimit aLimit);
   /** Counts a crash of an agent's server. */
   void OnServerCrashed();
--- a/src/daemon/membership_service.cpp
+++ b/src/daemon/membership_service.cpp
@@ -12,6 +12,13 @@
 
 constexpr std::chrono::seconds kClockReportPeriod{ 10 };
 
+/**
+ * Datagrams that wait for the control thread; more are dropped, as a network
+ * may drop them. A fleet of 1,000 processes sends some hundred per second to
+ * one of them.
+ */
+constexpr unsigned kMaxQueuedPackets = 1024;
+
 }
 
 MembershipService::MembershipService(transport::TrafficPool& aTraffic,
@@ -24,7 +31,12 @@
   , socket_(
       aTraffic,
       { [this](MembershipPacket aPacket) {
+         if (queuedPackets_ >= kMaxQueuedPackets) {
+           return;
+         }
+         ++queuedPackets_;
          control_.Post([this, packet = std::move(aPacket)] {
+           --queuedPackets_;
            if (membership_) {
              if (hooks_.heard) {
                hooks_.heard();
--- a/src/daemon/membership_service.h
+++ b/src/daemon/membership_service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <vector>
@@ -63,6 +64,8 @@
   transport::DatagramSocket socket_;
   std::unique_ptr<coordination::Membership> membership_;
   std::uint64_t configurationVersion_ = 0;
+  /** Received datagrams that wait for the control thread. */
+  std::atomic<unsigned> queuedPackets_{ 0 };
   /** Earliest time of the next log event about a clock difference. */
   state::MonotonicTime nextClockReportAt_;
 };
--- a/src/transport/byte_budget.cpp
+++ b/src/transport/byte_budget.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace greengage::transport {
 
@@ -66,6 +67,13 @@
   return heldBytes_;
 }
 
+std::size_t
+ByteBudget::TakePeak()
+{
+  std::lock_guard lock(mutex_);
+  return std::exchange(peakBytes_, heldBytes_);
+}
+
 bool
 ByteBudget::IsNearlyFull() const
 {
@@ -81,6 +89,7 @@
   {
     std::lock_guard lock(mutex_);
     heldBytes_ = heldBytes_ - aAccount.bytes_ + aBytes;
+    peakBytes_ = std::max(peakBytes_, heldBytes_);
     if (aAccount.isEvicted_) {
       evictedBytes_ = evictedBytes_ - aAccount.bytes_ + aBytes;
     }
--- a/src/transport/byte_budget.h
+++ b/src/transport/byte_budget.h
@@ -77,6 +77,8 @@
 
   /** Bytes of all accounts. */
   std::size_t HeldBytes() const;
+  /** Returns the most bytes that were held since the last call. */
+  std::size_t TakePeak();
   /** True if so much is held that connections should read little at once. */
   bool IsNearlyFull() const;
 
@@ -96,6 +98,7 @@
   mutable std::mutex mutex_;
   std::set<Account*> accounts_;
   std::size_t heldBytes_ = 0;
+  std::size_t peakBytes_ = 0;
   /** Part of heldBytes_ that evicted accounts have yet to release. */
   std::size_t evictedBytes_ = 0;
   std::uint64_t lastRequest_ = 0;
--- a/src/transport/event_log.cpp
+++ b/src/transport/event_log.cpp
@@ -14,6 +14,9 @@
 
 namespace {
 
+/** A target or a name that a client sends can have thousands of bytes. */
+constexpr std::size_t kMaxQuotedBytes = 300;
+
 std::atomic<LogLevel> gLevel{ LogLevel::eInfo };
 std::string gProcess;
 
@@ -38,14 +41,16 @@
 {
 public:
   /** Counts one line; returns false above kMaxLinesPerSecond. */
-  bool TryAcquire(std::chrono::system_clock::time_point aNow)
+  bool TryAcquire(LogLevel aLevel, std::chrono::system_clock::time_point aNow)
   {
     auto second = std::chrono::floor<std::chrono::seconds>(aNow);
     if (second != currentSecond_) {
       currentSecond_ = second;
-      linesThisSecond_ = 0;
+      ordinaryLines_ = 0;
+      severeLines_ = 0;
     }
-    return ++linesThisSecond_ <= kMaxLinesPerSecond;
+    unsigned& lines = aLevel <= LogLevel::eInfo ? ordinaryLines_ : severeLines_;
+    return ++lines <= kMaxLinesPerSecond;
   }
 
   void AddDropped() { ++droppedLines_; }
@@ -54,7 +59,10 @@
 
 private:
   std::chrono::sys_seconds currentSecond_{};
-  unsigned linesThisSecond_ = 0;
+  /** Lines of this second of the levels debug and info. */
+  unsigned ordinaryLines_ = 0;
+  /** Lines of this second of the levels warning and error. */
+  unsigned severeLines_ = 0;
   std::uint64_t droppedLines_ = 0;
 };
 
@@ -121,7 +129,7 @@
   }
   auto now = std::chrono::system_clock::now();
   std::lock_guard lock(gRateLimiterMutex);
-  if (!gRateLimiter.TryAcquire(now) && aKind.level <= LogLevel::eInfo) {
+  if (!gRateLimiter.TryAcquire(aKind.level, now)) {
     gRateLimiter.AddDropped();
     return;
   }
@@ -139,7 +147,7 @@
 QuoteValue(std::string_view aValue)
 {
   std::string quoted = "\"";
-  for (char character : aValue) {
+  for (char character : aValue.substr(0, kMaxQuotedBytes)) {
     if (character == '"' || character == '\\') {
       quoted += '\\';
       quoted += character;
@@ -149,7 +157,7 @@
       quoted += character;
     }
   }
-  quoted += '"';
+  quoted += aValue.size() > kMaxQuotedBytes ? "...\"" : "\"";
   return quoted;
 }
 
--- a/src/transport/event_log.h
+++ b/src/transport/event_log.h
@@ -9,7 +9,10 @@
 
 namespace greengage::transport {
 
-/** Limit of log lines of a process; a line has about 250 bytes. */
+/**
+ * Limit of log lines of a process, for the levels debug and info together and
+ * for warning and error together; a line has about 250 bytes.
+ */
 inline constexpr unsigned kMaxLinesPerSecond = 400;
 
 /** Sets the lowest level that is written; the default is eInfo. */
@@ -28,10 +31,11 @@
 SetLogProcess(std::string aProgram, std::string aProcessId);
 
 /**
- * Writes one line to standard output; aFields are `key=value` pairs. Above
- * kMaxLinesPerSecond, lines of the levels debug and info are dropped. Lines of
- * any level are dropped if standard output is non-blocking and full. The event
- * kLinesDropped reports the number of dropped lines.
+ * Writes one line to standard output; aFields are `key=value` pairs. Lines
+ * above kMaxLinesPerSecond are dropped; warnings and errors have a limit of
+ * their own, so that ordinary lines do not displace them. Lines are also
+ * dropped if standard output is non-blocking and full. The event kLinesDropped
+ * reports the number of dropped lines.
  */
 void
 WriteEvent(const EventKind& aKind, std::string_view aFields);
--- a/src/transport/frame_session.cpp
+++ b/src/transport/frame_session.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
 
+#include "coordination/message_memory.h"
 #include "protocol/peer_codec.h"
 #include "transport/endpoint.h"
 
@@ -84,11 +85,18 @@
       if (self->closed_) {
         return;
       }
-      if (self->pending_.size() >= kMaxPendingMessages) {
+      std::size_t bytes = coordination::MemoryOf(message);
+      if (self->pending_.size() >= kMaxPendingMessages ||
+          (!self->pending_.empty() &&
+           self->pendingBytes_ + bytes > kMaxPendingBytes)) {
         self->Fail("too many messages are pending");
         return;
       }
+      self->pendingBytes_ += bytes;
       self->pending_.push_back(std::move(message));
+      if (self->pendingBytes_ > kOrdinaryPendingBytes) {
+        self->CountBytes(false);
+      }
       if (!self->writing_) {
         self->WriteNext();
       }
@@ -137,7 +145,7 @@
   std::size_t end = std::min<std::size_t>(
     aSize, bodyBytes_ + std::max(bodyBytes_, kMinPartBytes));
   body_.resize(end);
-  if (!account_->Set(body_.capacity())) {
+  if (!CountBytes(true)) {
     return;
   }
   asio::async_read(socket_,
@@ -180,12 +188,22 @@
   if (body_.capacity() > kMinPartBytes) {
     body_ = {};
   }
-  // The connection of a peer is not closed for the buffer that it keeps.
-  if (account_->Set(body_.capacity(), ByteBudget::Eviction::eNever)) {
+  if (CountBytes(false)) {
     ReadHeader();
   }
 }
 
+bool
+FrameSession::CountBytes(bool aIsReading)
+{
+  // The connection of a peer is not closed for the buffer that it keeps, nor
+  // for messages that it will read soon.
+  bool mayEvict = aIsReading || pendingBytes_ > kOrdinaryPendingBytes;
+  return account_->Set(body_.capacity() + pendingBytes_,
+                       mayEvict ? ByteBudget::Eviction::eAllowed
+                                : ByteBudget::Eviction::eNever);
+}
+
 void
 FrameSession::OnEvicted(std::size_t aBytes)
 {
@@ -208,10 +226,19 @@
     return;
   }
   writing_ = true;
-  std::size_t count = std::min(pending_.size(), kMaxMessagesPerFrame);
-  Messages batch(std::make_move_iterator(pending_.begin()),
-                 std::make_move_iterator(pending_.begin() + count));
-  pending_.erase(pending_.begin(), pending_.begin() + count);
+  const std::size_t pendingBefore = pendingBytes_;
+  Messages batch;
+  std::size_t batchBytes = 0;
+  while (!pending_.empty() && batch.size() < kMaxMessagesPerFrame &&
+         batchBytes < kMaxBatchBytes) {
+    batchBytes += coordination::MemoryOf(pending_.front());
+    batch.push_back(std::move(pending_.front()));
+    pending_.pop_front();
+  }
+  pendingBytes_ -= batchBytes;
+  if (pendingBefore > kOrdinaryPendingBytes) {
+    CountBytes(false);
+  }
   std::string body = protocol::EncodeFrame(batch);
   frame_.clear();
   AppendLength(frame_, body.size());
@@ -240,6 +267,7 @@
   }
   closed_ = true;
   pending_.clear();
+  pendingBytes_ = 0;
   error_code ignored;
   socket_.close(ignored);
   account_->Set(0);
--- a/src/transport/frame_session.h
+++ b/src/transport/frame_session.h
@@ -52,7 +52,7 @@
   /**
    * Queues a message; messages that are queued during a write are sent together
    * in the next frames. May be called from any thread. The session is closed if
-   * kMaxPendingMessages are queued, because the peer reads too slowly.
+   * too many messages or bytes are queued, because the peer reads too slowly.
    */
   void Send(coordination::PeerMessage aMessage);
 
@@ -67,13 +67,21 @@
    */
   void ReadBody(std::uint32_t aSize);
   void OnBody();
+  /** Returns false if the session was told to release its memory. */
+  bool CountBytes(bool aIsReading);
   void OnEvicted(std::size_t aBytes);
   void WriteNext();
   void Fail(const std::string& aReason,
             TransportErrorKind aKind = TransportErrorKind::eBroken);
 
   static constexpr std::size_t kMaxPendingMessages = 200'000;
+  /** Many times what a slow peer takes within its timeout of 1.5 s. */
+  static constexpr std::size_t kMaxPendingBytes = 16 * 1024 * 1024;
+  /** With more, the connection counts among those of hostile clients. */
+  static constexpr std::size_t kOrdinaryPendingBytes = 1024 * 1024;
   static constexpr std::size_t kMaxMessagesPerFrame = 256;
+  /** A frame takes no further message above this; it is copied to encode it. */
+  static constexpr std::size_t kMaxBatchBytes = 1024 * 1024;
 
   boost::asio::ip::tcp::socket socket_;
   boost::asio::strand<boost::asio::any_io_executor> strand_;
@@ -85,6 +93,7 @@
   std::size_t bodyBytes_ = 0;
   bool hasReceived_ = false;
   std::deque<coordination::PeerMessage> pending_;
+  std::size_t pendingBytes_ = 0;
   std::string frame_;
   bool writing_ = false;
   bool closed_ = false;
--- a/src/transport/peer_network.cpp
+++ b/src/transport/peer_network.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include "coordination/message_memory.h"
 #include "transport/endpoint.h"
 #include "transport/event_log.h"
 
@@ -22,6 +23,7 @@
 // Limit of pending messages per connection that is being opened; further ones
 // are dropped.
 constexpr std::size_t kMaxPendingMessages = 20'000;
+constexpr std::size_t kMaxPendingBytes = 4 * 1024 * 1024;
 
 // Without a delay, accepting would be retried in a busy loop while no file
 // descriptor is available.
@@ -68,6 +70,7 @@
   std::shared_ptr<FrameSession> session;
   /** Messages to send after the peer's Hello. */
   std::vector<PeerMessage> pendingMessages;
+  std::size_t pendingBytes = 0;
   bool closed = false;
 };
 
@@ -141,7 +144,11 @@
     }
     return;
   }
-  if (connection.pendingMessages.size() < kMaxPendingMessages) {
+  std::size_t bytes = coordination::MemoryOf(aMessage);
+  if (connection.pendingMessages.empty() ||
+      (connection.pendingMessages.size() < kMaxPendingMessages &&
+       connection.pendingBytes + bytes <= kMaxPendingBytes)) {
+    connection.pendingBytes += bytes;
     connection.pendingMessages.push_back(std::move(aMessage));
   }
 }
@@ -386,6 +393,7 @@
     aConnection->session->Send(std::move(message));
   }
   aConnection->pendingMessages.clear();
+  aConnection->pendingBytes = 0;
 }
 
 void
--- a/tests/hostile/hostile_fleet.cpp
+++ b/tests/hostile/hostile_fleet.cpp
@@ -14,8 +14,6 @@
 
 namespace {
 
-constexpr unsigned kHostMemoryMb = 96;
-
 constexpr auto kAnswerTimeout = 15s;
 /** Time after which callers of the platform send a request again. */
 constexpr auto kResendDelay = 1300ms;
@@ -223,7 +221,7 @@
     agentPeerPort_,
     agentPeerPort_,
     Address(entryPeerPort_),
-    kHostMemoryMb,
+    limits_.hostMemoryMb,
     limits_.maxDescriptors,
     aServer,
     storeAddress_);
--- a/tests/hostile/hostile_fleet.h
+++ b/tests/hostile/hostile_fleet.h
@@ -33,6 +33,7 @@
   unsigned maxDescriptors = 232;
   /** Bytes that a process may hold for its clients together. */
   unsigned clientMemoryKb = 1024;
+  unsigned hostMemoryMb = 96;
 };
 
 /** One entry and one agent as processes, with a fake store and server. */
--- a/tests/hostile/hostile_job_test.cpp
+++ b/tests/hostile/hostile_job_test.cpp
@@ -1,3 +1,4 @@
+#include <cstdlib>
 #include <functional>
 #include <string>
 #include <thread>
@@ -20,14 +21,35 @@
 // The number of connections and the bounds were fixed on the code without
 // limits of jobs and are not changed afterwards.
 
-constexpr std::size_t kConnections = 96;
-/** Leaves 174 connections to callers. */
-constexpr unsigned kMaxDescriptors = 432;
-/** Growth of the resident memory while clients may use 1 MB. */
-constexpr std::size_t kMaxGrowthKb = 8 * 1024;
-/** Of an agent, which holds the runs of its server beside its clients. */
-constexpr std::size_t kMaxAgentGrowthKb = 8 * 1024;
-constexpr std::size_t kMaxAgentDescriptorGrowth = 232;
+/** Number of hostile connections, limits of the processes, and bounds. */
+struct Crowd
+{
+  std::size_t connections = 96;
+  /** 432 descriptors leave 174 connections to callers. */
+  HostileFleetLimits limits{ 432, 1024, 96 };
+  /** Growth of the resident memory while clients may use 1 MB. */
+  std::size_t maxGrowthKb = 8 * 1024;
+  /** Of an agent, which holds the runs of its server beside its clients. */
+  std::size_t maxAgentGrowthKb = 8 * 1024;
+  std::size_t maxAgentDescriptorGrowth = 232;
+  /** Of an entry after the clients have gone. */
+  std::size_t maxReturnedGrowthKb = 4 * 1024;
+};
+
+/**
+ * Returns the small crowd, or, for a run by hand with HOSTILE_FULL=1, 2,000
+ * connections to the smallest hosts of the users with the default limits.
+ */
+Crowd
+ChosenCrowd()
+{
+  if (!std::getenv("HOSTILE_FULL")) {
+    return {};
+  }
+  return { 2000, { 4100, 0, 260 }, 250 * 1024, 120 * 1024, 3900, 24 * 1024 };
+}
+
+const Crowd kCrowd = ChosenCrowd();
 
 std::string
 Repeat(const std::string& aText, std::size_t aCount)
@@ -82,6 +104,10 @@
   return {
     { "ManySteps", Job("x", Repeat(tasks, 256)) },
     { "ManyTasks", Job("x", tasks) },
+    { "ManyShortTasks",
+      Job("x", R"({"count":4096,"cpu":8000,"estimateMs":60})") },
+    { "ManyStepsWithinTheLimits",
+      Job("x", Repeat(R"({"count":16,"cpu":8000,"estimateMs":60})", 256)) },
     { "LongSpec", Job(spec, fmt::format(R"({{"count":1,{}}})", large)) },
     { "LongSpecManyTasks",
       Job(spec, fmt::format(R"({{"count":1100,{}}})", large)) },
@@ -131,10 +157,10 @@
   {
     ProcessUse entry = Use(Listener::eCallers);
     ProcessUse agent = Use(Listener::eAgentControl);
-    EXPECT_LT(GrowthKb("entry", entryBefore_, entry), kMaxGrowthKb);
-    EXPECT_LT(GrowthKb("agent", agentBefore_, agent), kMaxAgentGrowthKb);
+    EXPECT_LT(GrowthKb("entry", entryBefore_, entry), kCrowd.maxGrowthKb);
+    EXPECT_LT(GrowthKb("agent", agentBefore_, agent), kCrowd.maxAgentGrowthKb);
     EXPECT_LE(agent.descriptors,
-              agentBefore_.descriptors + kMaxAgentDescriptorGrowth);
+              agentBefore_.descriptors + kCrowd.maxAgentDescriptorGrowth);
   }
 
   void MeasureBefore()
@@ -143,7 +169,7 @@
     agentBefore_ = Use(Listener::eAgentControl);
   }
 
-  HostileFleet fleet_{ { kMaxDescriptors, 1024 } };
+  HostileFleet fleet_{ kCrowd.limits };
   ProcessUse entryBefore_;
   ProcessUse agentBefore_;
 };
@@ -154,7 +180,8 @@
 {
   MeasureBefore();
   {
-    HostileConnections client(fleet_.Port(Listener::eCallers), kConnections);
+    HostileConnections client(fleet_.Port(Listener::eCallers),
+                              kCrowd.connections);
     client.SendEach(
       [](std::size_t aIndex) { return Request(aIndex, GetParam().body); });
     std::this_thread::sleep_for(1s);
@@ -174,7 +201,8 @@
 {
   MeasureBefore();
   {
-    HostileConnections client(fleet_.Port(Listener::eCallers), kConnections);
+    HostileConnections client(fleet_.Port(Listener::eCallers),
+                              kCrowd.connections);
     client.SendEach(
       [](std::size_t aIndex) { return Request(aIndex, GetParam().body); });
     std::this_thread::sleep_for(1s);
@@ -182,7 +210,7 @@
   bool isReturned = WaitUntil(
     [this] {
       return Use(Listener::eCallers).residentKb <
-             entryBefore_.residentKb + kMaxGrowthKb / 2;
+             entryBefore_.residentKb + kCrowd.maxReturnedGrowthKb;
     },
     15s);
   GrowthKb("entry", entryBefore_, Use(Listener::eCallers));
@@ -206,7 +234,8 @@
 // with a large body out of the memory for connections.
 TEST_F(HostileCrowdTest, LargeBodyOfAnOrdinaryCallerIsServed)
 {
-  HostileConnections client(fleet_.Port(Listener::eCallers), kConnections);
+  HostileConnections client(fleet_.Port(Listener::eCallers),
+                            kCrowd.connections);
   std::string header =
     fmt::format("POST /p/00000000000000f3 HTTP/1.1\r\nContent-Length: {}\r\n"
                 "\r\n",
--- a/tests/transport/peer_network_test.cpp
+++ b/tests/transport/peer_network_test.cpp
@@ -3,9 +3,12 @@
 #include <condition_variable>
 #include <mutex>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include "protocol/peer_codec.h"
 #include "support/raw_client.h"
 #include "transport/endpoint.h"
 
@@ -227,5 +230,44 @@
   EXPECT_EQ(node.documentBytes, kDocumentBytes);
 }
 
+// Guards against messages to a peer that reads nothing, which occupy the memory
+// of the host until their number is limited.
+TEST(PeerNetworkTest, LimitsTheBytesThatWaitForASlowPeer)
+{
+  constexpr std::size_t kMegabyte = 1024 * 1024;
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::acceptor acceptor(context,
+                                          *ParseEndpoint("127.0.0.1:0"));
+  ProcessInfo slow;
+  slow.id = { 9, 9 };
+  slow.peerAddress = ToString(acceptor.local_endpoint());
+  Node sender(2);
+  sender.Run([&] {
+    sender.network.SetPeer(slow);
+    sender.network.Connect(slow.id);
+  });
+  auto socket = acceptor.accept();
+  std::string hello =
+    protocol::EncodeFrame({ Hello{ slow }, AgentStatus{ slow, 5 } });
+  const std::string length = { static_cast<char>(hello.size() & 0xff),
+                               static_cast<char>(hello.size() >> 8),
+                               0,
+                               0 };
+  boost::asio::write(socket, boost::asio::buffer(length + hello));
+  ASSERT_TRUE(sender.WaitFor([&] { return sender.statuses.size() == 1; }));
+  sender.Run([&] {
+    for (int i = 0; i < 64; ++i) {
+      coordination::DocumentPart part;
+      part.bytes = std::string(kMegabyte, 'x');
+      sender.network.Send(slow.id, part);
+    }
+  });
+  EXPECT_TRUE(sender.WaitFor([&] { return !sender.lost.empty(); }));
+  ByteBudget& budget = sender.traffic.Guard().Bytes();
+  std::size_t peak = budget.TakePeak();
+  EXPECT_GT(peak, 8 * kMegabyte);
+  EXPECT_LT(peak, 18 * kMegabyte);
+}
+
 }
 }
