Refuse cancellations that would remove the record of a needed one

Seen: by reading. The table of cancelled jobs keeps 65,536 records for 120 s. A client that cancels jobs with made-up IDs fills it within seconds, and the record of an acknowledged cancellation is removed; a late request of that job would then run.

Change: while the oldest record of a full table is younger than 30 s, an entry answers cancellations of jobs that it does not have with 503 and Retry-After. Cancellations of jobs that it has are still recorded.

--- a/src/coordination/cancellation/cancelled_jobs.cpp
+++ b/src/coordination/cancellation/cancelled_jobs.cpp
@@ -12,6 +12,11 @@
 constexpr milliseconds kRetention{ 120'000 };
 /** Bounds the memory: about 8 MB, of 120 MB of the smallest entry. */
 constexpr std::size_t kMaxJobs = 65'536;
+/**
+ * Age below which a record is still needed: late requests of a cancelled job
+ * arrive within seconds.
+ */
+constexpr milliseconds kNeededTime{ 30'000 };
 
 }
 
@@ -46,6 +51,14 @@
          clock_.MonotonicNow() - record->second.cancelledAt < kRetention;
 }
 
+bool
+CancelledJobs::IsFull() const
+{
+  return order_.size() >= kMaxJobs &&
+         clock_.MonotonicNow() - records_.at(order_.front()).cancelledAt <
+           kNeededTime;
+}
+
 CancelledJobsPage
 CancelledJobs::After(std::uint64_t aNumber, std::size_t aMaxJobs) const
 {
--- a/src/coordination/cancellation/cancelled_jobs.h
+++ b/src/coordination/cancellation/cancelled_jobs.h
@@ -49,6 +49,12 @@
    */
   std::uint64_t AddOwn(state::DispatchJobId aJob);
   bool Contains(state::DispatchJobId aJob) const;
+  /**
+   * Returns true if a further record would remove one that is still needed, as
+   * in a flood of cancellations. Those of jobs that no entry may have should be
+   * refused then.
+   */
+  bool IsFull() const;
   std::size_t Count() const { return records_.size(); }
   /** Number of the newest record; 0: none. */
   std::uint64_t Newest() const { return newest_; }
--- a/src/daemon/dispatch/dispatch_entry_process.cpp
+++ b/src/daemon/dispatch/dispatch_entry_process.cpp
@@ -299,6 +299,15 @@
       aRespond(callerHooks_.encodeState(dispatcher_.IsKnown(*id)));
       return;
     case CallerRequest::Kind::eCancel:
+      if (dispatcher_.Cancelled().IsFull() && !dispatcher_.IsKnown(*id)) {
+        // The record of an acknowledged cancellation would be removed for it.
+        Refuse({ DispatchResult::eRejected,
+                 DispatchReason::eNoMemory,
+                 kRetryAfterQueueFull },
+               aRequest,
+               aRespond);
+        return;
+      }
       cancellations_.Cancel(
         *id, dispatcher_.Cancel(*id), [this, aRespond](CancelAnswer aAnswer) {
           aRespond(callerHooks_.encodeCancelled(aAnswer));
