--- a/src/daemon/dispatch/dispatch_entry_process.h
+++ b/src/daemon/dispatch/dispatch_entry_process.h
@@ -12,6 +12,7 @@
 #include "coordination/evacuation/evacuation_exchange.h"
 #include "coordination/subset/news_relay.h"
 #include "daemon/daemon_error.h"
+#include "daemon/dispatch/caller_request.h"
 #include "daemon/dispatch/cancellation_service.h"
 #include "daemon/dispatch/dispatch_metrics.h"
 #include "daemon/dispatch/document_service.h"
@@ -49,36 +50,6 @@
   auto operator<=>(const DispatchEntrySettings&) const = default;
 };
 
-/** Decoded request of a caller. */
-struct CallerRequest
-{
-  enum class Kind
-  {
-    eSubmit,
-    eRead,
-    eCancel,
-  };
-
-  Kind kind = Kind::eRead;
-  std::string host;
-  std::string path;
-  /** Set only for eSubmit. */
-  state::DispatchJob job;
-  /** True if this version does not support the kind of job. */
-  bool unsupported = false;
-  /** Time that the caller waits for the answer; empty if it states none. */
-  std::optional<std::chrono::milliseconds> callerTimeout;
-  /** Time at which the request was read; set by DispatchEntryProcess. */
-  state::MonotonicTime readAt{};
-  std::size_t bodyBytes = 0;
-
-  auto operator<=>(const CallerRequest&) const = default;
-};
-
-/** Returns the approximate memory of a decoded request. */
-std::size_t
-MemoryOf(const CallerRequest& aRequest);
-
 /**
  * Protocol between the entry and its callers: decodes requests and encodes
  * answers. All decisions are made in DispatchEntryProcess and JobDispatcher.
--- a/tests/hostile/hostile_job_test.cpp
+++ b/tests/hostile/hostile_job_test.cpp
@@ -163,6 +163,14 @@
               agentBefore_.descriptors + kCrowd.maxAgentDescriptorGrowth);
   }
 
+  /** Sends the job on each connection and gives it time to have its effect. */
+  static void SendJobs(HostileConnections& aClient)
+  {
+    aClient.SendEach(
+      [](std::size_t aIndex) { return Request(aIndex, GetParam().body); });
+    std::this_thread::sleep_for(1s);
+  }
+
   void MeasureBefore()
   {
     entryBefore_ = Use(Listener::eCallers);
@@ -182,9 +190,7 @@
   {
     HostileConnections client(fleet_.Port(Listener::eCallers),
                               kCrowd.connections);
-    client.SendEach(
-      [](std::size_t aIndex) { return Request(aIndex, GetParam().body); });
-    std::this_thread::sleep_for(1s);
+    SendJobs(client);
     ExpectBounded();
     // The servers may be busy, but the entry answers.
     EXPECT_NE(fleet_.SubmitJob(), 0) << fleet_.Output();
@@ -203,9 +209,7 @@
   {
     HostileConnections client(fleet_.Port(Listener::eCallers),
                               kCrowd.connections);
-    client.SendEach(
-      [](std::size_t aIndex) { return Request(aIndex, GetParam().body); });
-    std::this_thread::sleep_for(1s);
+    SendJobs(client);
   }
   bool isReturned = WaitUntil(
     [this] {
