--- a/src/coordination/dispatch/job_memory.cpp
+++ b/src/coordination/dispatch/job_memory.cpp
@@ -13,7 +13,7 @@
 constexpr std::size_t kBytesPerJob = 1024;
 /**
  * Part of the memory that an ordinary job does not exceed: 128 KB of the 32 MB
- * of the smallest entry, where a job of 1,100 tasks needs 80 KB.
+ * of the smallest entry, where a job of 1,100 tasks needs 72 KB.
  */
 constexpr std::size_t kOrdinaryDivisor = 256;
 /** Part of the memory that is kept when jobs are rejected. */
