Handle the end of a connection without a request

Cause: the socket of an idle connection can be reported as readable without a byte. The session then took the request for begun, and the end of the connection was passed to a parser that did not exist.

Change: without a byte the connection stays idle, and ParseEnd() without a parser needs more.

--- a/src/transport/http_input.cpp
+++ b/src/transport/http_input.cpp
@@ -73,6 +73,10 @@
 HttpInput::Progress
 HttpInput::ParseEnd()
 {
+  if (!parser_) {
+    // No byte of a request has arrived.
+    return Progress::eNeedsMore;
+  }
   parser_->put_eof(error_);
   if (error_) {
     return Progress::eFailed;
--- a/src/transport/http_session.cpp
+++ b/src/transport/http_session.cpp
@@ -152,9 +152,15 @@
     return;
   }
   isEnded_ = result == ReadResult::eEnd;
-  if (CountBytes()) {
-    Advance();
+  if (!CountBytes()) {
+    return;
   }
+  if (!isEnded_ && phase_ == Phase::eIdle && input_.IsEmpty()) {
+    // The socket was reported as readable without a byte.
+    AwaitReadable();
+    return;
+  }
+  Advance();
 }
 
 HttpSession::ReadResult
--- a/tests/dispatch/hostile_jobs_test.cpp
+++ b/tests/dispatch/hostile_jobs_test.cpp
@@ -62,7 +62,7 @@
     return lastSubmission_;
   }
 
-  /** Occupies one core of the server until the end of the test. */
+  /** Occupies one core of the server until AdvanceTo() ends its run. */
   void OccupyOneCore() { Submit(1, kOneCore, milliseconds(900), kDays); }
 
   void Report(ServerReport aReport)
--- a/tests/transport/http_input_test.cpp
+++ b/tests/transport/http_input_test.cpp
@@ -101,5 +101,18 @@
   }
 }
 
+// Guards against the end of a connection on which no byte of a request has
+// arrived, which ended the process or was handled as an empty request.
+TEST_F(HttpInputTest, EndWithoutARequestIsNoRequest)
+{
+  EXPECT_EQ(input_.Parse(), Progress::eNeedsMore);
+  EXPECT_EQ(input_.ParseEnd(), Progress::eNeedsMore);
+  const std::string request = "GET /a HTTP/1.1\r\n\r\n";
+  ASSERT_EQ(Receive(request, request.size()), Progress::eRequest);
+  input_.Release();
+  EXPECT_EQ(input_.Parse(), Progress::eNeedsMore);
+  EXPECT_EQ(input_.ParseEnd(), Progress::eNeedsMore);
+}
+
 }
 }
