--- a/src/coordination/dispatch/job_memory.cpp
+++ b/src/coordination/dispatch/job_memory.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <tuple>
 
+#include "state/dispatch/dispatch_job_memory.h"
+
 namespace greengage::coordination {
 
 using state::DispatchJobId;
@@ -19,24 +21,15 @@
 /** Part of the memory that is kept when jobs are rejected. */
 constexpr std::size_t kKeptEighths = 7;
 
-std::size_t
-MemoryOfStep(const state::DispatchStep& aSpec, const DispatchedStep& aStep)
-{
-  return sizeof(aSpec) + sizeof(aStep) + aSpec.requiredLabel.capacity() +
-         aSpec.dataRack.capacity() +
-         aSpec.after.capacity() * sizeof(std::uint32_t) +
-         aStep.tasks.capacity() * sizeof(DispatchedTask);
-}
-
 }
 
 std::size_t
 MemoryOf(const DispatchedJob& aJob)
 {
   std::size_t bytes =
-    sizeof(aJob) + kBytesPerJob + aJob.spec.payload.capacity();
-  for (std::size_t i = 0; i < aJob.steps.size(); ++i) {
-    bytes += MemoryOfStep(aJob.spec.steps[i], aJob.steps[i]);
+    sizeof(aJob) + kBytesPerJob + state::OwnedMemory(aJob.spec);
+  for (const DispatchedStep& step : aJob.steps) {
+    bytes += sizeof(step) + step.tasks.capacity() * sizeof(DispatchedTask);
   }
   return bytes;
 }
