--- a/review/stand_ins_3/cancelled_job.cpp
+++ b/review/stand_ins_3/cancelled_job.cpp
@@ -18,23 +18,72 @@
                           { "estimateMs", 600 } };
 
 /**
- * All entries are killed at once and start again, after a cancellation was
- * acknowledged. A request of the cancelled job that was on its way arrives
- * seconds later.
+ * All entries are killed at once and start again. Returns the time at which a
+ * late copy of the request arrives, when the entries are in touch again.
  */
-void
-KillAll(Fleet& aFleet)
+double
+KillAll(Fleet& aFleet, double aCancelled)
 {
-  for (auto& entry : aFleet.entries) {
-    entry.program->Signal(SIGKILL);
+  Sleep(Ms(500));
+  if (HasTrouble()) {
+    for (auto& entry : aFleet.entries) {
+      entry.program->Signal(SIGKILL);
+    }
+    for (auto& entry : aFleet.entries) {
+      entry.program->Kill();
+    }
+    Sleep(Ms(1000));
+    for (auto& entry : aFleet.entries) {
+      entry.program->Launch();
+    }
   }
-  for (auto& entry : aFleet.entries) {
-    entry.program->Kill();
+  return aCancelled + 6000;
+}
+
+/**
+ * The first entry freezes for 4 s. The two others are killed at the same time
+ * and start again. The late copy arrives when they are in touch again, while
+ * the first entry, which knows the cancellation, is still frozen.
+ */
+double
+FreezeOneKillOthers(Fleet& aFleet, double aCancelled)
+{
+  Sleep(Ms(200));
+  if (HasTrouble()) {
+    aFleet.entries[0].program->Signal(SIGSTOP);
+    for (unsigned i : { 1, 2 }) {
+      aFleet.entries[i].program->Signal(SIGKILL);
+    }
+    for (unsigned i : { 1, 2 }) {
+      aFleet.entries[i].program->Kill();
+      aFleet.entries[i].program->Launch();
+    }
   }
-  Sleep(Ms(1000));
-  for (auto& entry : aFleet.entries) {
-    entry.program->Launch();
+  return aCancelled + 3700;
+}
+
+/** Experiment: the entries get SIGTERM in turn and start again. */
+double
+Roll(Fleet& aFleet, double aCancelled, Ms aGap)
+{
+  std::vector<std::thread> stops;
+  if (HasTrouble()) {
+    for (auto& entry : aFleet.entries) {
+      stops.emplace_back([&entry] {
+        entry.program->Signal(SIGTERM);
+        while (!entry.program->HasEnded()) {
+          Sleep(Ms(5));
+        }
+        Sleep(Ms(200));
+        entry.program->Launch();
+      });
+      Sleep(aGap);
+    }
+    for (auto& thread : stops) {
+      thread.join();
+    }
   }
+  return std::max(aCancelled + 3500, Record::Now() + 1000);
 }
 
 int
@@ -72,11 +121,12 @@
 int
 main(int aCount, char** aArguments)
 {
-  if (aCount != 2) {
+  if (aCount != 3) {
     return 2;
   }
   std::signal(SIGPIPE, SIG_IGN);
   Record::Open(aArguments[1]);
+  std::string trouble = aArguments[2];
   int result = 2;
   {
     Fleet fleet(3);
@@ -92,16 +142,16 @@
     if (answer.status / 100 != 2 && answer.status != 410) {
       CannotRun("the cancellation is not acknowledged");
     }
-    Sleep(Ms(500));
-    if (HasTrouble()) {
-      KillAll(fleet);
-    }
-    // The entries are in touch again before the late request arrives.
-    while (Record::Now() < cancelled + 6000) {
-      Sleep(Ms(20));
+    double lateAt = trouble == "kill-all" ? KillAll(fleet, cancelled)
+                    : trouble == "freeze-one"
+                      ? FreezeOneKillOthers(fleet, cancelled)
+                      : Roll(fleet, cancelled, Ms(std::stoul(trouble)));
+    while (Record::Now() < lateAt) {
+      Sleep(Ms(5));
     }
     fleet.Post(2, job, "cancelled", kStep, Ms(1500));
     result = Judge(fleet, job, cancelled);
+    fleet.entries[0].program->Signal(SIGCONT);
   }
   return result;
 }
--- a/review/stand_ins_3/fleet.cpp
+++ b/review/stand_ins_3/fleet.cpp
@@ -590,6 +590,7 @@
   running_.push_back({ task, run, cpu, Clock::now() + options_.work });
   starts_.push_back({ Record::Now(),
                       options_.id,
+                      options_.labels.front(),
                       task.substr(0, task.find('.')),
                       task,
                       run,
--- a/review/stand_ins_3/fleet.h
+++ b/review/stand_ins_3/fleet.h
@@ -104,6 +104,8 @@
 {
   double at = 0;
   std::string worker;
+  /** The first label of the worker: its kind. */
+  std::string label;
   std::string job;
   std::string task;
   std::uint64_t run = 0;
