--- a/review/stand_ins_3/other_kind.cpp
+++ b/review/stand_ins_3/other_kind.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr Ms kFreeze{ 300 };
 constexpr Ms kPostInterval{ 50 };
 constexpr Ms kDeadline{ 1500 };
 
@@ -35,26 +34,43 @@
   }
 }
 
-/**
- * The machine of the first worker freezes. Meanwhile the worker crashes, and
- * starts again at the same address as one of another kind.
- */
+/** The first worker starts again at the same address, as one of kind "b". */
 void
-FreezeAndChangeKind(Fleet& aFleet)
+ChangeKind(Fleet& aFleet, Ms aDownTime, const std::string& aId)
 {
   auto& side = aFleet.sides[0];
-  side.agent->Signal(SIGSTOP);
-  auto wakesAt = Clock::now() + kFreeze;
-  Sleep(Ms(50));
   side.worker->Crash();
   Record::Write(side.options.id + ": crashed");
-  Sleep(Ms(150));
+  Sleep(aDownTime);
+  side.options.id = aId;
   side.options.labels[0] = "b";
   aFleet.StartWorker(0);
   Record::Write(side.options.id + ": started at the same address, labels " +
                 side.options.labels[0] + ", " + side.options.labels[1]);
+}
+
+/** The machine of the worker freezes, and the worker changes meanwhile. */
+void
+FreezeAgent(Fleet& aFleet)
+{
+  auto wakesAt = Clock::now() + Ms(300);
+  aFleet.sides[0].agent->Signal(SIGSTOP);
+  Sleep(Ms(50));
+  ChangeKind(aFleet, Ms(150), aFleet.sides[0].options.id);
+  std::this_thread::sleep_until(wakesAt);
+  aFleet.sides[0].agent->Signal(SIGCONT);
+}
+
+/** An entry freezes for 4 s, and the worker changes meanwhile. */
+void
+FreezeEntry(Fleet& aFleet)
+{
+  auto wakesAt = Clock::now() + Ms(4000);
+  aFleet.entries[0].program->Signal(SIGSTOP);
+  Sleep(Ms(2500));
+  ChangeKind(aFleet, Ms(800), "i-bole-1-new");
   std::this_thread::sleep_until(wakesAt);
-  side.agent->Signal(SIGCONT);
+  aFleet.entries[0].program->Signal(SIGCONT);
 }
 
 int
@@ -97,7 +113,7 @@
 int
 main(int aCount, char** aArguments)
 {
-  if (aCount != 2) {
+  if (aCount != 3) {
     return 2;
   }
   std::signal(SIGPIPE, SIG_IGN);
@@ -117,7 +133,11 @@
     std::thread clients([&] { PostJobs(fleet, ends); });
     Sleep(Ms(4000));
     if (HasTrouble()) {
-      FreezeAndChangeKind(fleet);
+      if (std::string(aArguments[2]) == "freeze-agent") {
+        FreezeAgent(fleet);
+      } else {
+        FreezeEntry(fleet);
+      }
     }
     Sleep(Ms(4000));
     ends = true;
