--- a/review/stand_ins_3/fleet.cpp
+++ b/review/stand_ins_3/fleet.cpp
@@ -474,6 +474,9 @@
   {
     std::lock_guard lock(mutex_);
     Advance();
+    for (const Run& run : running_) {
+      SetEnd(run, "crash");
+    }
     running_.clear();
     ended_.notify_all();
   }
@@ -481,6 +484,13 @@
   beater_.join();
 }
 
+void
+Worker::SetWork(Ms aWork)
+{
+  std::lock_guard lock(mutex_);
+  options_.work = aWork;
+}
+
 std::vector<Start>
 Worker::Starts() const
 {
@@ -506,6 +516,7 @@
 Worker::AddEnd(const Run& aRun, const std::string& aHow)
 {
   ends_.push_back({ nextEnd_++, aRun.task, aRun.run, aHow });
+  SetEnd(aRun, aHow);
   auto& highest = highestEnded_[aRun.task];
   highest = std::max(highest, aRun.run);
   Record::Write(options_.id + ": " + aRun.task + " run " +
@@ -513,6 +524,25 @@
   ended_.notify_all();
 }
 
+void
+Worker::CarryOutLate(const json::object& aOrder)
+{
+  std::lock_guard lock(mutex_);
+  CarryOut(aOrder, true);
+}
+
+void
+Worker::SetEnd(const Run& aRun, const std::string& aHow)
+{
+  for (Start& start : starts_) {
+    if (start.task == aRun.task && start.run == aRun.run &&
+        start.how.empty()) {
+      start.end = Record::Now();
+      start.how = aHow;
+    }
+  }
+}
+
 void
 Worker::Advance()
 {
@@ -554,6 +584,9 @@
 std::pair<unsigned, std::string>
 Worker::CarryOut(const json::object& aBody, bool aIsLate)
 {
+  if (!isUp_) {
+    return { 503, "" };
+  }
   Advance();
   std::string task = Text(aBody, "task");
   auto run = static_cast<std::uint64_t>(Number(aBody, "run", 0));
@@ -594,7 +627,9 @@
                       task.substr(0, task.find('.')),
                       task,
                       run,
-                      Text(aBody, "spec") });
+                      Text(aBody, "spec"),
+                      1e12,
+                      "" });
   Record::Write(what + ": started");
   return { 200, "" };
 }
@@ -606,16 +641,12 @@
   if (Text(body, "task").empty()) {
     return Respond(400, {});
   }
-  if (lateness) {
-    Ms wait = lateness(Text(body, "task"),
-                       static_cast<std::uint64_t>(Number(body, "run", 0)));
-    if (wait.count() > 0) {
-      Record::Write(options_.id + ": start of " + Text(body, "task") +
-                    " is left unanswered");
-      Response none;
-      none.result(599);
-      return none;
-    }
+  if (withholds && withholds(body)) {
+    Record::Write(options_.id + ": start of " + Text(body, "task") +
+                  " is left unanswered");
+    Response none;
+    none.result(599);
+    return none;
   }
   std::lock_guard lock(mutex_);
   auto [status, reason] = CarryOut(body, false);
--- a/review/stand_ins_3/fleet.h
+++ b/review/stand_ins_3/fleet.h
@@ -110,6 +110,9 @@
   std::string task;
   std::uint64_t run = 0;
   std::string spec;
+  /** Far in the future while the run is at work. */
+  double end = 1e12;
+  std::string how;
 };
 
 struct WorkerOptions
@@ -137,9 +140,12 @@
   /** Ends all that runs; sends nothing and accepts nothing any more. */
   void Crash();
   std::vector<Start> Starts() const;
+  void SetWork(Ms aWork);
   bool IsAcknowledged() const { return isAcknowledged_; }
-  /** Decides whether an order is held and carried out after this time. */
-  std::function<Ms(const std::string& aTask, std::uint64_t aRun)> lateness;
+  /** Carries out a start order that was left unanswered. */
+  void CarryOutLate(const boost::json::object& aOrder);
+  /** Returns true if a start order is to be left unanswered. */
+  std::function<bool(const boost::json::object& aOrder)> withholds;
 
 private:
   struct Run
@@ -165,6 +171,7 @@
                                             bool aIsLate);
   void Advance();
   void AddEnd(const Run& aRun, const std::string& aHow);
+  void SetEnd(const Run& aRun, const std::string& aHow);
   bool TakeFence(const boost::json::object& aBody);
   void TakeDeadline(const boost::json::object& aBody);
   Response Respond(unsigned aStatus, boost::json::object aBody);
