--- a/review/stand_ins_3/cancelled_job.cpp
+++ b/review/stand_ins_3/cancelled_job.cpp
@@ -109,10 +109,10 @@
     }
     broken += after > kCancelMs ? 1 : 0;
   }
-  Record::Write(broken > 0 ? "check: UNASKED is broken: " +
-                               std::to_string(broken) +
-                               " starts later than cancel_ms"
-                           : std::string("check: UNASKED holds"));
+  Record::Write(broken > 0
+                  ? "check: UNASKED is broken: " + std::to_string(broken) +
+                      " starts later than cancel_ms"
+                  : std::string("check: UNASKED holds"));
   return broken > 0 ? 1 : 0;
 }
 
@@ -149,8 +149,7 @@
     while (Record::Now() < lateAt) {
       Sleep(Ms(5));
     }
-    std::thread late(
-      [&] { fleet.Post(2, job, "cancelled", kStep, Ms(1500)); });
+    std::thread late([&] { fleet.Post(2, job, "cancelled", kStep, Ms(1500)); });
     if (trouble == "freeze-one" && HasTrouble()) {
       Sleep(Ms(200));
       fleet.entries[0].program->Signal(SIGCONT);
--- a/review/stand_ins_3/fleet.cpp
+++ b/review/stand_ins_3/fleet.cpp
@@ -109,8 +109,8 @@
 Base64(const std::string& aText)
 {
   std::string encoded(beast::detail::base64::encoded_size(aText.size()), '\0');
-  encoded.resize(beast::detail::base64::encode(
-    encoded.data(), aText.data(), aText.size()));
+  encoded.resize(
+    beast::detail::base64::encode(encoded.data(), aText.data(), aText.size()));
   return encoded;
 }
 
@@ -241,9 +241,7 @@
   }
 };
 
-HttpServer::HttpServer(const std::string& aIp,
-                       unsigned aPort,
-                       Handler aHandler)
+HttpServer::HttpServer(const std::string& aIp, unsigned aPort, Handler aHandler)
   : impl_(std::make_shared<Impl>())
   , port_(aPort)
 {
@@ -349,8 +347,7 @@
   // Below the range of outgoing connections, so that no such connection takes
   // the port before the program listens on it.
   static std::atomic<unsigned> next{ 12000 +
-                                     static_cast<unsigned>(::getpid()) %
-                                       8000 };
+                                     static_cast<unsigned>(::getpid()) % 8000 };
   for (unsigned i = 0; i < 2000; ++i) {
     unsigned port = next++;
     asio::io_context context;
@@ -535,8 +532,7 @@
 Worker::SetEnd(const Run& aRun, const std::string& aHow)
 {
   for (Start& start : starts_) {
-    if (start.task == aRun.task && start.run == aRun.run &&
-        start.how.empty()) {
+    if (start.task == aRun.task && start.run == aRun.run && start.how.empty()) {
       start.end = Record::Now();
       start.how = aHow;
     }
@@ -744,22 +740,21 @@
     for (const std::string& label : options_.labels) {
       labels.push_back(json::value(label));
     }
-    json::object body{ { "service", options_.service },
-                       { "address",
-                         options_.ip + ":" + std::to_string(options_.port) },
-                       { "zone", options_.zone },
-                       { "version", "v1" },
-                       { "slots", 8 },
-                       { "state", "ready" },
-                       { "coldLeftMs", 0 },
-                       { "capacity",
-                         { { "cpu", options_.cpu },
-                           { "memMb", 65536 },
-                           { "gpu", 0 } } },
-                       { "labels", labels },
-                       { "clockMs", ClockMs() },
-                       { "seq", ++sequence },
-                       { "born", born_ } };
+    json::object body{
+      { "service", options_.service },
+      { "address", options_.ip + ":" + std::to_string(options_.port) },
+      { "zone", options_.zone },
+      { "version", "v1" },
+      { "slots", 8 },
+      { "state", "ready" },
+      { "coldLeftMs", 0 },
+      { "capacity",
+        { { "cpu", options_.cpu }, { "memMb", 65536 }, { "gpu", 0 } } },
+      { "labels", labels },
+      { "clockMs", ClockMs() },
+      { "seq", ++sequence },
+      { "born", born_ }
+    };
     Answer answer = Call(agent_,
                          "POST",
                          "/-/instances/" + options_.id + "/heartbeat",
@@ -768,8 +763,7 @@
                          Ms(1000));
     bool isAcknowledged = answer.status >= 200 && answer.status < 300;
     isAcknowledged_ = isAcknowledged_ || isAcknowledged;
-    auto until =
-      Clock::now() + (isAcknowledged ? kHeartbeat : Ms(100));
+    auto until = Clock::now() + (isAcknowledged ? kHeartbeat : Ms(100));
     while (isUp_ && Clock::now() < until) {
       Sleep(Ms(5));
       std::lock_guard lock(mutex_);
@@ -897,22 +891,26 @@
   object["node"] = aNode;
   object["role"] = aClass == "edge" ? "entry" : "agent";
   object["machineClass"] = aClass;
-  object["serves"] = aClass == "edge" ? json::array{ "edge", "control" }
-                                      : json::array{ "side" };
+  object["serves"] =
+    aClass == "edge" ? json::array{ "edge", "control" } : json::array{ "side" };
   object["ip"] = aIp;
   object["zone"] = aZone;
   object["seeds"] = seeds;
-  object["internalPortRange"] = json::array{ internalPort_,
-                                             internalPort_ + 15 };
-  object["platform"] = json::object{
-    { "address", store->Address() }, { "form", "log" },
-    { "writesPerS", 800 },           { "readsPerS", 2000 },
-    { "parts", 24 },                 { "appendMs", 1.0 },
-    { "partMbS", 20.0 },             { "readMbS", 80.0 },
-    { "recordBytes", 262144 },       { "callBytes", 2097152 },
-    { "keep_s", 300 },               { "partMb", 200 },
-    { "minTtlMs", 1000 }
-  };
+  object["internalPortRange"] =
+    json::array{ internalPort_, internalPort_ + 15 };
+  object["platform"] = json::object{ { "address", store->Address() },
+                                     { "form", "log" },
+                                     { "writesPerS", 800 },
+                                     { "readsPerS", 2000 },
+                                     { "parts", 24 },
+                                     { "appendMs", 1.0 },
+                                     { "partMbS", 20.0 },
+                                     { "readMbS", 80.0 },
+                                     { "recordBytes", 262144 },
+                                     { "callBytes", 2097152 },
+                                     { "keep_s", 300 },
+                                     { "partMb", 200 },
+                                     { "minTtlMs", 1000 } };
   if (aClass == "side") {
     object["limits"].as_object()["cpuShare"] = 0.15;
     object["limits"].as_object()["memoryMb"] = 128;
@@ -943,8 +941,8 @@
   unsigned appPort = FreePort(net_ + "1.1");
   internalPort_ = 21000 + 16 * (static_cast<unsigned>(::getpid()) % 500);
   for (unsigned i = 0; i < 3; ++i) {
-    seeds_.push_back(net_ + std::to_string(i + 1) + ".1:" +
-                     std::to_string(controlPort));
+    seeds_.push_back(net_ + std::to_string(i + 1) +
+                     ".1:" + std::to_string(controlPort));
   }
   for (unsigned i = 0; i < 3; ++i) {
     std::string ip = net_ + std::to_string(i + 1) + ".1";
@@ -1028,10 +1026,9 @@
 Fleet::AwaitReady()
 {
   auto until = Clock::now() + Ms(20'000);
-  json::object step{ { "count", 1 },
-                     { "cpu", 1600 },
-                     { "memMb", 64 },
-                     { "estimateMs", 600 } };
+  json::object step{
+    { "count", 1 }, { "cpu", 1600 }, { "memMb", 64 }, { "estimateMs", 600 }
+  };
   for (unsigned i = 0; i < entries.size(); ++i) {
     while (Ready(i).status != 200 ||
            Post(i, NewJob(), "first", step, Ms(1500)).status != 200) {
@@ -1048,8 +1045,8 @@
 {
   std::uint64_t number = nextJob_++ * 0x9e3779b97f4a7c15ULL;
   char text[32];
-  std::snprintf(text, sizeof(text), "%016llx",
-                static_cast<unsigned long long>(number));
+  std::snprintf(
+    text, sizeof(text), "%016llx", static_cast<unsigned long long>(number));
   return text;
 }
 
@@ -1063,20 +1060,21 @@
   json::object body{ { "spec", aSpec },
                      { "bestEffort", true },
                      { "steps", json::array{ aStep } } };
-  std::string who = "client: POST " + prefix + aJob + " at " +
-                    entries[aEntry].program->Name();
+  std::string who =
+    "client: POST " + prefix + aJob + " at " + entries[aEntry].program->Name();
   Record::Write(who);
-  Answer answer = Call(
-    entries[aEntry].front,
-    "POST",
-    prefix + aJob,
-    { { "Host", host }, { "X-Deadline-Ms", std::to_string(aDeadline.count()) } },
-    json::serialize(body),
-    aDeadline);
-  Record::Write(who + " -> " +
-                (answer.status ? std::to_string(answer.status)
-                               : std::string("no answer")) +
-                " " + answer.body);
+  Answer answer =
+    Call(entries[aEntry].front,
+         "POST",
+         prefix + aJob,
+         { { "Host", host },
+           { "X-Deadline-Ms", std::to_string(aDeadline.count()) } },
+         json::serialize(body),
+         aDeadline);
+  Record::Write(
+    who + " -> " +
+    (answer.status ? std::to_string(answer.status) : std::string("no answer")) +
+    " " + answer.body);
   return answer;
 }
 
@@ -1086,17 +1084,18 @@
   std::string who = "client: DELETE " + prefix + aJob + " at " +
                     entries[aEntry].program->Name();
   Record::Write(who);
-  Answer answer = Call(
-    entries[aEntry].front,
-    "DELETE",
-    prefix + aJob,
-    { { "Host", host }, { "X-Deadline-Ms", std::to_string(aDeadline.count()) } },
-    "",
-    aDeadline);
-  Record::Write(who + " -> " +
-                (answer.status ? std::to_string(answer.status)
-                               : std::string("no answer")) +
-                " " + answer.body);
+  Answer answer =
+    Call(entries[aEntry].front,
+         "DELETE",
+         prefix + aJob,
+         { { "Host", host },
+           { "X-Deadline-Ms", std::to_string(aDeadline.count()) } },
+         "",
+         aDeadline);
+  Record::Write(
+    who + " -> " +
+    (answer.status ? std::to_string(answer.status) : std::string("no answer")) +
+    " " + answer.body);
   return answer;
 }
 
--- a/review/stand_ins_3/fleet.h
+++ b/review/stand_ins_3/fleet.h
@@ -25,10 +25,8 @@
 
 using Clock = std::chrono::steady_clock;
 using Ms = std::chrono::milliseconds;
-using Request =
-  boost::beast::http::request<boost::beast::http::string_body>;
-using Response =
-  boost::beast::http::response<boost::beast::http::string_body>;
+using Request = boost::beast::http::request<boost::beast::http::string_body>;
+using Response = boost::beast::http::response<boost::beast::http::string_body>;
 
 /** Ends the script with 2: the case could not run. */
 [[noreturn]] void
--- a/review/stand_ins_3/late_start.cpp
+++ b/review/stand_ins_3/late_start.cpp
@@ -97,7 +97,8 @@
     }
     LateOrder late;
     for (unsigned i = 0; i < fleet.sides.size() && HasTrouble(); ++i) {
-      fleet.sides[i].worker->withholds = [&late, i](const json::object& aOrder) {
+      fleet.sides[i].worker->withholds = [&late,
+                                          i](const json::object& aOrder) {
         std::lock_guard lock(late.mutex);
         if (late.isTaken || aOrder.at("spec").as_string() != "late") {
           return false;
